--- /dev/null
+++ b/include/kumquatmoor/coordination/baseline.h
@@ -0,0 +1,73 @@
+#ifndef KUMQUATMOOR_COORDINATION_BASELINE_H_
+#define KUMQUATMOOR_COORDINATION_BASELINE_H_
+
+// RouteBaseline: how the versions that are not rising behave on one route.
+//
+//   RouteBaseline baseline;
+//   baseline.Add(tally, now);
+//   double rate = baseline.AcceptableErrorRate();
+//
+// It remembers a long and a short stretch and reports the worse of the two, so
+// that a fault which strikes all versions at once is not blamed on the new
+// one. Without requests nothing is forgotten. Not thread-safe.
+
+#include <array>
+#include <cstdint>
+
+#include "kumquatmoor/state/evidence.h"
+#include "kumquatmoor/state/limits.h"
+
+namespace kumquatmoor {
+
+// Counts of ended requests.
+struct OutcomeTally {
+  uint64_t total = 0;
+  uint64_t errors = 0;
+  uint64_t warm_total = 0;
+  std::array<uint64_t, kLatencyBuckets> latency{};
+
+  static OutcomeTally FromCounts(const RouteCounts& counts);
+  void Add(const OutcomeTally& other);
+  // This minus `earlier`; nothing if a count would be negative.
+  OutcomeTally Since(const OutcomeTally& earlier) const;
+  // Requests in the buckets above `bucket`.
+  uint64_t SlowerThan(size_t bucket) const;
+};
+
+class RouteBaseline {
+ public:
+  void Add(const OutcomeTally& tally, TimePoint now);
+
+  // Error rate above which another version is worse than this.
+  double AcceptableErrorRate() const;
+  // True if there were enough requests to compare latencies.
+  bool KnowsLatency() const;
+  // The bucket above which at most `part` of the requests lie, widened by one
+  // bucket and by what callers do not notice.
+  size_t SlowBucket(double part) const;
+  // Rate of requests above `bucket` that is still acceptable.
+  double AcceptableSlowRate(size_t bucket) const;
+
+ private:
+  // Exponentially forgetting counts.
+  struct Window {
+    double half_life_s = 0;
+    double total = 0;
+    double errors = 0;
+    double warm_total = 0;
+    std::array<double, kLatencyBuckets> latency{};
+
+    void Forget(double seconds);
+    void Add(const OutcomeTally& tally);
+    double ErrorRate() const;
+    double SlowRate(size_t bucket) const;
+  };
+
+  Window m_long{.half_life_s = 10};
+  Window m_short{.half_life_s = 1};
+  TimePoint m_added_at;
+};
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_COORDINATION_BASELINE_H_
--- /dev/null
+++ b/include/kumquatmoor/coordination/judge.h
@@ -0,0 +1,158 @@
+#ifndef KUMQUATMOOR_COORDINATION_JUDGE_H_
+#define KUMQUATMOOR_COORDINATION_JUDGE_H_
+
+// MoveJudge: decides over one move in one zone, from the evidence that the
+// targets of that zone send.
+//
+//   MoveJudge judge(config, {.zone = "zone-a"}, time);
+//   judge.OnEvidence("node-4", incarnation, evidence);
+//   for (const Ruling& ruling : judge.Tick(time, progress, slots)) {
+//     std::visit(publisher, ruling);
+//   }
+//
+// The judge compares the rising versions with the others, route by route, for
+// errors and for latency. It raises the stage while nothing is found, planned
+// backwards from the deadline, and recalls a version as soon as it is worse.
+// It goes on watching at full stage. Two judges of one move do no harm: their
+// rulings join. Pure: time is an argument, no I/O. Not thread-safe.
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "control.pb.h"
+#include "kumquatmoor/coordination/baseline.h"
+#include "kumquatmoor/coordination/sequential_test.h"
+#include "kumquatmoor/state/evidence.h"
+#include "kumquatmoor/state/limits.h"
+#include "kumquatmoor/state/marks.h"
+
+namespace kumquatmoor {
+
+struct JudgeOptions {
+  std::string zone;
+  // Time at each stage of a move without a deadline.
+  std::chrono::milliseconds default_dwell{10'000};
+  // A stage never takes less, however close the deadline is, ...
+  std::chrono::milliseconds shortest_dwell{1'000};
+  // ... and not more, however far it is.
+  std::chrono::milliseconds longest_dwell{60'000};
+  // Time at full stage without a finding after which the move is settled.
+  std::chrono::milliseconds settle{3'000};
+  // Requests to a rising version that a stage waits for, up to twice its dwell.
+  uint64_t fewest_calls = 20;
+  // Part of the time to the deadline that the stages may use.
+  double planned_part = 0.7;
+};
+
+// Raises the stage of the move in the judge's zone.
+struct RaiseStage {
+  uint32_t stage_permille = 0;
+  std::string reason;
+};
+// Takes a version back, everywhere and for good.
+struct RecallVersion {
+  std::string version;
+  std::string reason;
+};
+// The zone is at full stage and nothing was found.
+struct SettleZone {};
+// One target fails; its version is not to blame.
+struct BlameTarget {
+  std::string version;
+  std::string member_id;
+  std::string reason;
+};
+using Ruling = std::variant<RaiseStage, RecallVersion, SettleZone, BlameTarget>;
+
+// Both clocks at the same moment.
+struct JudgeTime {
+  TimePoint now;
+  int64_t unix_ms = 0;
+};
+
+// Slots of the live targets in the whole mesh.
+struct MeshSlots {
+  uint32_t rising = 0;  // Of the versions that gain traffic.
+  uint32_t all = 0;     // Of every version of the service.
+};
+
+class MoveJudge {
+ public:
+  MoveJudge(ServiceConfig config, JudgeOptions options, JudgeTime time);
+
+  // Takes the cumulative counts of the target at `reporter`.
+  void OnEvidence(const std::string& reporter, int64_t incarnation,
+                  const Evidence& evidence);
+
+  // What follows from the evidence so far. `progress` is what all judges
+  // together have decided.
+  std::vector<Ruling> Tick(JudgeTime time, const MoveProgress& progress,
+                           MeshSlots slots);
+
+  // Evidence against the rising versions, as a part of what recalls them.
+  double Suspicion() const;
+  // Why the stage does not rise, or "" if it does.
+  const std::string& HeldBecause() const { return m_held_because; }
+
+ private:
+  using ReporterKey = std::pair<std::string, std::string>;  // Version, node.
+  using RouteKey = std::pair<std::string, std::string>;     // Version, route.
+
+  // The latest report of one target.
+  struct Reporter {
+    int64_t incarnation = 0;
+    uint64_t sequence = 0;
+    uint32_t slots = 0;
+    uint32_t in_flight = 0;
+    std::map<std::string, OutcomeTally> latest;  // By route.
+    std::map<std::string, OutcomeTally> judged;  // Part that was judged.
+  };
+  struct RouteTests {
+    SequentialTest errors;
+    SequentialTest slow;
+    SequentialTest tail;
+    std::map<std::string, OutcomeTally> by_target;
+
+    double Score() const;
+  };
+  // What one target added on one route since the last tick.
+  struct Increment {
+    RouteKey route;
+    std::string reporter;
+    OutcomeTally tally;
+  };
+
+  bool IsRisingVersion(const std::string& version) const;
+  void CollectIncrements(TimePoint now);
+  void TestIncrement(const Increment& increment);
+  std::optional<Ruling> RuleOnRoute(const RouteKey& route, RouteTests* tests);
+  std::string LoneFailingTarget(const RouteTests& tests) const;
+  void RuleOnStage(JudgeTime time, const MoveProgress& progress,
+                   MeshSlots slots, std::vector<Ruling>* rulings);
+  std::chrono::milliseconds Dwell(JudgeTime time) const;
+  bool FitsSlots(uint32_t stage, MeshSlots slots) const;
+
+  ServiceConfig m_config;
+  JudgeOptions m_options;
+  std::map<ReporterKey, Reporter> m_reporters;
+  std::map<RouteKey, RouteTests> m_tests;
+  std::map<std::string, RouteBaseline> m_baselines;  // By route.
+  std::vector<Increment> m_waiting;  // Of rising versions, judged next tick.
+  std::set<std::string> m_blamed;    // Nodes whose target is at fault.
+  TimePoint m_stage_since;
+  uint32_t m_stage = 0;
+  uint64_t m_calls_at_stage = 0;
+  std::string m_held_because;
+  bool m_settled = false;
+};
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_COORDINATION_JUDGE_H_
--- /dev/null
+++ b/include/kumquatmoor/coordination/replica.h
@@ -0,0 +1,168 @@
+#ifndef KUMQUATMOOR_COORDINATION_REPLICA_H_
+#define KUMQUATMOOR_COORDINATION_REPLICA_H_
+
+// Replica: what one node knows of the mesh (members, batch, marks) and the
+// protocol that keeps it equal to what the others know.
+//
+//   Replica replica({.id = "node-1", .zone = "a", ...}, now);
+//   for (const Outgoing& out : replica.Tick(now)) socket.Send(out);
+//   for (const Outgoing& out : replica.OnDatagram(datagram, now)) ...
+//   if (auto peer = replica.TakeSyncPeer()) StartSync(*peer);
+//
+// News is pushed once to a few random members by each node that learns of it.
+// Probes carry a digest of everything; who sees a difference pulls what it
+// lacks. Failure detection is SWIM: direct probe, indirect probes, suspicion,
+// refutation by a higher incarnation.
+//
+// Guarantees: the revision of the batch only rises; a batch is taken whole or
+// not at all; marks and members only grow in their join order. Pure: time is
+// an argument and randomness is seeded. Not thread-safe.
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "control.pb.h"
+#include "kumquatmoor/coordination/member_list.h"
+#include "kumquatmoor/state/limits.h"
+#include "kumquatmoor/state/marks.h"
+
+namespace kumquatmoor {
+
+struct ReplicaOptions {
+  std::string id;
+  std::string zone;
+  std::string control_address;
+  std::string data_address;
+  int64_t started_ms = 0;  // Unix time of the start: the first incarnation.
+  uint64_t seed = 1;
+  size_t fanout = 3;           // Members that each piece of news is pushed to.
+  size_t indirect_probes = 2;  // Members asked to probe for this one.
+  std::chrono::milliseconds probe_interval{1'000};
+  std::chrono::milliseconds probe_timeout{300};
+  std::chrono::milliseconds suspicion{3'000};
+  // Digests that differ this often in a row start a comparison by buckets.
+  uint32_t mismatches_before_sync = 3;
+};
+
+struct Outgoing {
+  std::string address;
+  std::string zone;  // Of the receiver, "" if not known.
+  Datagram datagram;
+};
+
+// A member to synchronise with over gRPC.
+struct SyncPeer {
+  std::string id;
+  std::string zone;
+  std::string address;
+};
+
+enum class OfferOutcome {
+  kApplied,
+  kOld,       // Not newer than the batch in force.
+  kInvalid,   // Fails its check.
+  kConflict,  // Same revision, other contents.
+};
+
+class Replica {
+ public:
+  Replica(ReplicaOptions options, TimePoint now);
+
+  std::vector<Outgoing> Tick(TimePoint now);
+  std::vector<Outgoing> OnDatagram(const Datagram& datagram, TimePoint now);
+
+  OfferOutcome Offer(const Batch& batch);
+  // Joins a mark and spreads it. True if it said something new.
+  bool JoinMark(const MoveMark& mark);
+  void SetEndpoints(std::span<const Endpoint> endpoints, TimePoint now);
+  // Announces that this node is leaving for good.
+  std::vector<Outgoing> Leave(TimePoint now);
+
+  // Bulk synchronisation.
+  std::optional<SyncPeer> TakeSyncPeer();
+  SyncRequest MakeSyncRequest(bool joining) const;
+  SyncReply AnswerSync(const SyncRequest& request, TimePoint now);
+  // Takes a reply. Returns what the other side lacks, to be sent back.
+  std::vector<MemberRecord> TakeSync(const SyncReply& reply, TimePoint now);
+
+  const Batch& CurrentBatch() const { return *m_batch; }
+  std::shared_ptr<const Batch> SharedBatch() const { return m_batch; }
+  const MarkSet& Marks() const { return m_marks; }
+  const MemberList& Members() const { return m_members; }
+  MemberRecord Self() const;
+  std::vector<MemberRecord> LiveMembers() const;
+  bool IsZoneUnreachable(const std::string& zone) const;
+  // Rises with each change that routes depend on.
+  uint64_t ChangeCount() const { return m_change_count; }
+  Digest MakeDigest() const;
+  const std::vector<std::string>& Warnings() const { return m_warnings; }
+
+ private:
+  struct News {
+    Rumour rumour;
+    std::string key;
+  };
+  struct Probe {
+    std::string subject;
+    TimePoint sent;
+    bool indirect_sent = false;
+  };
+
+  Datagram MakeDatagram(Datagram::Kind kind) const;
+  Outgoing To(const MemberRecord& member, Datagram datagram) const;
+  std::vector<const MemberRecord*> PickMembers(size_t count,
+                                               std::string_view excluded);
+  const MemberRecord* PickProbeSubject();
+
+  void PushNews(std::vector<Outgoing>* out);
+  void StartProbe(TimePoint now, std::vector<Outgoing>* out);
+  void FollowProbes(TimePoint now, std::vector<Outgoing>* out);
+  void ExpireSuspects(TimePoint now);
+  void OnPing(const Datagram& datagram, std::vector<Outgoing>* out);
+  void OnPingRequest(const Datagram& datagram, std::vector<Outgoing>* out);
+  void OnAck(const Datagram& datagram, std::vector<Outgoing>* out);
+  void CompareDigest(const Datagram& datagram);
+  void AddRecentNews(Datagram* datagram) const;
+
+  void TakeRumour(const Rumour& rumour, const Datagram& from, TimePoint now);
+  void TakeMember(const MemberRecord& record, TimePoint now);
+  void TakeDelta(const BatchDelta& delta, const Datagram& from);
+  void ApplyBatch(Batch batch);
+  void Refute(const MemberRecord& claim, TimePoint now);
+  void Suspect(const std::string& id, TimePoint now);
+  void Spread(Rumour rumour, std::string key);
+  void SpreadMember(const std::string& id);
+  void RequestSync(const std::string& id);
+  void Warn(std::string text);
+
+  ReplicaOptions m_options;
+  std::mt19937_64 m_rng;
+  std::shared_ptr<const Batch> m_batch;
+  uint64_t m_batch_digest = 0;
+  MarkSet m_marks;
+  MemberList m_members;
+  std::deque<News> m_outbox;           // Not yet pushed.
+  std::deque<News> m_recent;           // Pushed lately, newest first.
+  std::map<uint64_t, Probe> m_probes;  // By sequence number.
+  // Probes made for others: sequence here to (asker, sequence there).
+  std::map<uint64_t, std::pair<std::string, uint64_t>> m_relayed;
+  uint64_t m_sequence = 0;
+  TimePoint m_next_probe;
+  uint32_t m_mismatches = 0;
+  std::optional<std::string> m_sync_peer;
+  uint64_t m_change_count = 0;
+  std::vector<std::string> m_warnings;
+};
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_COORDINATION_REPLICA_H_
--- /dev/null
+++ b/include/kumquatmoor/node/call_metrics.h
@@ -0,0 +1,49 @@
+#ifndef KUMQUATMOOR_NODE_CALL_METRICS_H_
+#define KUMQUATMOOR_NODE_CALL_METRICS_H_
+
+// CallMetrics: counters and a latency histogram of the calls of one node.
+//
+//   metrics.OnCall(Verdict::kRan, 3.2);
+//   std::string text = metrics.ToPrometheus();
+//
+// Not thread-safe; owned by the proxy thread.
+
+#include <array>
+#include <boost/histogram.hpp>
+#include <cstdint>
+#include <string>
+
+#include "kumquatmoor/protocol/verdict.h"
+
+namespace kumquatmoor {
+
+class CallMetrics {
+ public:
+  CallMetrics();
+
+  void OnCall(Verdict verdict, double latency_ms);
+  void OnRetry() { ++m_retries; }
+  void OnRefusal() { ++m_refusals; }
+  void OnLocalRun() { ++m_local_runs; }
+  void OnLostOutcome() { ++m_lost_outcomes; }
+
+  // In the Prometheus text format.
+  std::string ToPrometheus() const;
+
+ private:
+  using Axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
+
+  std::array<uint64_t, 3> m_calls{};  // By verdict.
+  uint64_t m_retries = 0;
+  uint64_t m_refusals = 0;       // Of requests for the local backend servers.
+  uint64_t m_local_runs = 0;     // Requests handed to them.
+  uint64_t m_lost_outcomes = 0;  // The control thread was too slow.
+  boost::histogram::histogram<std::tuple<Axis>> m_latency;
+  double m_latency_sum_ms = 0;
+};
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_NODE_CALL_METRICS_H_
--- /dev/null
+++ b/include/kumquatmoor/node/control_loop.h
@@ -0,0 +1,135 @@
+#ifndef KUMQUATMOOR_NODE_CONTROL_LOOP_H_
+#define KUMQUATMOOR_NODE_CONTROL_LOOP_H_
+
+// ControlLoop: the control thread of a node. It owns the replica, the
+// acknowledgement tree, the node's part in moves and the registry of local
+// backend servers, and is the only thread that touches them.
+//
+//   ControlLoop loop(context, options, &faults, &proxy, &outcomes, &syncs);
+//   loop.Start();
+//   auto reply = loop.Run<StatusReply>([](ControlLoop& l) { ... });
+//
+// Other threads reach it through Post and Run, which go through a bounded
+// ring; a full ring refuses.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kumquatmoor/coordination/ack_tree.h"
+#include "kumquatmoor/coordination/replica.h"
+#include "kumquatmoor/node/backend_registry.h"
+#include "kumquatmoor/node/mover.h"
+#include "kumquatmoor/node/proxy.h"
+#include "kumquatmoor/transport/bounded_ring.h"
+#include "kumquatmoor/transport/datagram_socket.h"
+
+namespace kumquatmoor {
+
+struct ControlLoopOptions {
+  ReplicaOptions replica;
+  size_t gateways_per_zone = 2;
+};
+
+class ControlLoop {
+ public:
+  using Command = std::function<void(ControlLoop&)>;
+
+  // Refers to everything passed by pointer; all of it must outlive the loop.
+  ControlLoop(boost::asio::io_context& context, ControlLoopOptions options,
+              const FaultPlan* faults, Proxy* proxy,
+              BoundedRing<Outcome>* outcomes, BoundedRing<SyncPeer>* syncs);
+
+  // Binds the datagram socket. Call before the context runs.
+  boost::system::error_code Start();
+
+  // Runs `command` on the control thread. False if the ring is full. Safe from
+  // any thread.
+  bool Post(Command command);
+  // Runs `function` there and waits for its value; nothing if it takes longer
+  // than `wait`. Not to be called from the control thread itself.
+  template <typename T>
+  std::optional<T> Run(
+      std::function<T(ControlLoop&)> function,
+      std::chrono::milliseconds wait = std::chrono::milliseconds(2'000));
+
+  // The rest only on the control thread.
+  Replica& GetReplica() { return m_replica; }
+  const Mover& GetMover() const { return m_mover; }
+  // The node serves requests from now on.
+  void SetReady() { m_ready = true; }
+  bool IsReady() const { return m_ready; }
+  void Announce(const Announcement& announcement);
+  // Tells the mesh that every local backend server is draining.
+  void StartDrain();
+  void Leave();
+  // The acknowledgements of this node's subtree.
+  SubtreeReport ZoneSubtree() const;
+  // For each zone, the live member that knows its acknowledgements.
+  std::vector<MemberRecord> ZoneRoots() const;
+  // True if this node should hold a gateway lease when one is free.
+  bool IsGatewayCandidate() const;
+  // Control traffic, in the Prometheus text format.
+  std::string ControlMetrics() const;
+
+ private:
+  void Tick();
+  void DrainCommands();
+  void OnBytes(std::string_view bytes);
+  void Send(const std::vector<Outgoing>& out);
+  void SendTo(const std::string& member_id, Datagram datagram);
+  void PublishRoutes();
+  void PublishBackends();
+  void UpdateAckTree(TimePoint now);
+  void UpdateMoves(TimePoint now);
+  void LogChanges();
+  Datagram MakeDatagram(Datagram::Kind kind) const;
+
+  boost::asio::io_context& m_context;
+  ControlLoopOptions m_options;
+  Proxy* m_proxy;
+  BoundedRing<Outcome>* m_outcomes;
+  BoundedRing<SyncPeer>* m_syncs;
+  BoundedRing<Command> m_commands;
+  DatagramSocket m_socket;
+  boost::asio::steady_timer m_timer;
+  Replica m_replica;
+  AckTree m_ack_tree;
+  Mover m_mover;
+  BackendRegistry m_registry;
+  bool m_ready = false;
+  bool m_draining = false;
+  uint64_t m_published_change = 0;
+  bool m_published_ready = false;
+  uint64_t m_logged_revision = 0;
+  size_t m_logged_warnings = 0;
+  TimePoint m_next_move_update;
+  TimePoint m_next_ack_update;
+};
+
+template <typename T>
+std::optional<T> ControlLoop::Run(std::function<T(ControlLoop&)> function,
+                                  std::chrono::milliseconds wait) {
+  auto promise = std::make_shared<std::promise<T>>();
+  auto future = promise->get_future();
+  const bool posted =
+      Post([promise, function = std::move(function)](ControlLoop& loop) {
+        promise->set_value(function(loop));
+      });
+  if (!posted || future.wait_for(wait) != std::future_status::ready) {
+    return std::nullopt;
+  }
+  return future.get();
+}
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_NODE_CONTROL_LOOP_H_
--- /dev/null
+++ b/include/kumquatmoor/node/control_service.h
@@ -0,0 +1,67 @@
+#ifndef KUMQUATMOOR_NODE_CONTROL_SERVICE_H_
+#define KUMQUATMOOR_NODE_CONTROL_SERVICE_H_
+
+// ControlService: the gRPC service of a node, for other nodes and operators.
+//
+//   ControlService service(options, &loop, &client);
+//   if (!service.Start("127.0.1.1:7002")) ...
+//
+// Handlers run on gRPC's threads and reach the control thread through
+// ControlLoop::Run. Synchronisations beyond a limit are told to come back.
+
+#include <grpcpp/grpcpp.h>
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "control.grpc.pb.h"
+#include "kumquatmoor/coordination/control_client.h"
+#include "kumquatmoor/node/control_loop.h"
+
+namespace kumquatmoor {
+
+class ControlService final : public Control::Service {
+ public:
+  // Synchronisations answered at once; each may carry megabytes.
+  static constexpr int kMaxSyncs = 4;
+  static constexpr uint32_t kSyncRetryAfterMs = 500;
+
+  ControlService(ControlLoop* loop, ControlClient* client)
+      : m_loop(loop), m_client(client) {}
+
+  // False if the address cannot be bound.
+  bool Start(const std::string& address);
+  void Stop();
+
+  grpc::Status Sync(grpc::ServerContext* context, const SyncRequest* request,
+                    SyncReply* reply) override;
+  grpc::Status Offer(grpc::ServerContext* context, const OfferRequest* request,
+                     OfferReply* reply) override;
+  grpc::Status RecallVersion(grpc::ServerContext* context,
+                             const RecallRequest* request,
+                             RecallReply* reply) override;
+  grpc::Status ReportZone(grpc::ServerContext* context,
+                          const ZoneReportRequest* request,
+                          ZoneReport* reply) override;
+  grpc::Status GetStatus(grpc::ServerContext* context,
+                         const StatusRequest* request,
+                         StatusReply* reply) override;
+  grpc::Status GetNodes(grpc::ServerContext* context,
+                        const NodesRequest* request,
+                        NodesReply* reply) override;
+  grpc::Status Explain(grpc::ServerContext* context,
+                       const ExplainRequest* request,
+                       ExplainReply* reply) override;
+
+ private:
+  ControlLoop* m_loop;
+  ControlClient* m_client;
+  std::atomic<int> m_syncs{0};
+  std::unique_ptr<grpc::Server> m_server;
+};
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_NODE_CONTROL_SERVICE_H_
--- /dev/null
+++ b/include/kumquatmoor/node/mover.h
@@ -0,0 +1,102 @@
+#ifndef KUMQUATMOOR_NODE_MOVER_H_
+#define KUMQUATMOOR_NODE_MOVER_H_
+
+// Mover: a node's part in the moves of versions. It reports the outcomes of
+// the local backend servers to the judges of its zone and judges the moves
+// that fall to it.
+//
+//   Mover mover({.id = "node-1", .zone = "a"});
+//   mover.OnOutcome(outcome);
+//   for (auto& report : mover.TakeReports(replica, now)) Send(report);
+//   mover.OnEvidence("node-2", incarnation, evidence);
+//   for (auto& mark : mover.Judge(replica, time)) replica.JoinMark(mark);
+//
+// The judges of a service in a zone are the live members of the zone with the
+// highest rendezvous hashes. Pure: no I/O. Not thread-safe; owned by the
+// control thread.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "control.pb.h"
+#include "kumquatmoor/coordination/judge.h"
+#include "kumquatmoor/coordination/replica.h"
+#include "kumquatmoor/state/evidence.h"
+
+namespace kumquatmoor {
+
+struct MoverOptions {
+  std::string id;
+  std::string zone;
+  // Members that judge each move in a zone, so that one can die.
+  size_t judges_per_zone = 2;
+};
+
+// Evidence on its way to a judge.
+struct EvidenceReport {
+  std::string judge;  // Member id.
+  Evidence evidence;
+};
+
+// The `count` ids with the highest rendezvous hashes for `subject`.
+std::vector<std::string> RendezvousTop(const std::vector<std::string>& ids,
+                                       const std::string& subject,
+                                       size_t count);
+
+// Slots of the live targets of a service.
+MeshSlots CountSlots(const ServiceConfig& config,
+                     const std::vector<MemberRecord>& members);
+
+class Mover {
+ public:
+  explicit Mover(MoverOptions options) : m_options(std::move(options)) {}
+
+  void OnOutcome(const Outcome& outcome) { m_ledger.Add(outcome); }
+  // Load of a local backend server, to report along.
+  void SetLoad(const std::string& service, const std::string& version,
+               uint32_t slots);
+
+  // Reports for judges, for moves in progress only.
+  std::vector<EvidenceReport> TakeReports(const Replica& replica);
+  void OnEvidence(const std::string& reporter, int64_t incarnation,
+                  const Evidence& evidence);
+  // Rules on the moves that this node judges; the marks that follow.
+  std::vector<MoveMark> Judge(const Replica& replica, JudgeTime time);
+
+  // Why a move that this node judges is held, or "".
+  std::string HeldBecause(const std::string& service) const;
+
+ private:
+  struct Judged {
+    uint64_t move_revision = 0;
+    std::unique_ptr<MoveJudge> judge;
+  };
+
+  std::vector<std::string> JudgesOf(
+      const std::string& service, const std::vector<MemberRecord>& live) const;
+
+  MoverOptions m_options;
+  OutcomeLedger m_ledger;
+  std::map<std::pair<std::string, std::string>, uint32_t> m_slots;
+  std::map<std::pair<std::string, std::string>, uint64_t> m_reported;
+  // The move that the ledger counts for, by service. Counts start anew with
+  // each move, so evidence of another move is never judged.
+  std::map<std::string, uint64_t> m_counted_move;
+  std::map<std::string, Judged> m_judged;  // By service.
+  // The latest evidence, for judges that start late. By service, then
+  // (version, reporter).
+  struct Received {
+    int64_t incarnation = 0;
+    Evidence evidence;
+  };
+  std::map<std::string, std::map<std::pair<std::string, std::string>, Received>>
+      m_received;
+};
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_NODE_MOVER_H_
--- /dev/null
+++ b/include/kumquatmoor/node/node_settings.h
@@ -0,0 +1,43 @@
+#ifndef KUMQUATMOOR_NODE_NODE_SETTINGS_H_
+#define KUMQUATMOOR_NODE_NODE_SETTINGS_H_
+
+// NodeSettings: the checked settings of kumquatmoord, read from JSON.
+//
+//   auto settings = Attempt([&] { return ReadNodeSettings(path); });
+//
+// docs/OPERATING.md lists every key.
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "kumquatmoor/protocol/failure.h"
+
+namespace kumquatmoor {
+
+struct NodeSettings {
+  std::string id;
+  std::string zone;
+  std::string caller_address;   // HTTP from callers.
+  std::string data_address;     // HTTP from other nodes.
+  std::string control_address;  // gRPC and datagrams between nodes.
+  std::string admin_address;    // HTTP from backend servers and operators.
+  std::string platform_address;
+  std::vector<std::string> seeds;  // Control addresses to join through.
+
+  std::chrono::milliseconds default_deadline{2'000};
+  std::chrono::milliseconds probe_interval{1'000};
+  std::chrono::milliseconds drain_timeout{10'000};
+  int64_t max_attempts = 3;
+  int64_t gateways_per_zone = 2;
+  std::string log_level = "info";
+  std::string log_file;  // Empty: standard error.
+};
+
+// The settings in the file at `path`. Fails with kInvalid and one line for
+// each problem, which names the key's path.
+Result<NodeSettings> ReadNodeSettings(const std::string& path);
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_NODE_NODE_SETTINGS_H_
--- /dev/null
+++ b/include/kumquatmoor/state/evidence.h
@@ -0,0 +1,82 @@
+#ifndef KUMQUATMOOR_STATE_EVIDENCE_H_
+#define KUMQUATMOOR_STATE_EVIDENCE_H_
+
+// OutcomeLedger: counts how the requests of one target ended, by route.
+//
+//   OutcomeLedger ledger;
+//   ledger.Add({.service = "bookings", .version = "v2", .route = "POST /pay",
+//               .error = false, .latency_ms = 12.5});
+//   Evidence evidence = ledger.Report("bookings", "v2");
+//
+// Counts only rise, so a report that is lost, late or repeated does no harm:
+// the receiver keeps the highest. Not thread-safe.
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "control.pb.h"
+
+namespace kumquatmoor {
+
+// Latency buckets grow by the square root of 2 from 0.5 ms to 16 s.
+inline constexpr size_t kLatencyBuckets = 32;
+inline constexpr double kLowestLatencyMs = 0.5;
+inline constexpr double kHighestLatencyMs = 32'768;
+
+// Routes of a version beyond this number are counted together.
+inline constexpr size_t kMaxRoutes = 12;
+inline constexpr char kOtherRoutes[] = "other";
+
+// The bucket of a latency; the lowest and highest take what lies beyond.
+size_t LatencyBucket(double latency_ms);
+
+// How one request ended.
+struct Outcome {
+  std::string service;
+  std::string version;
+  std::string route;
+  bool error = false;  // No whole answer, or a status of 400 or more.
+  bool idempotent = true;
+  bool warm = true;  // Counts in the latencies.
+  double latency_ms = 0;
+};
+
+// "GET /search" for any path below /search.
+std::string RouteOf(std::string_view method, std::string_view path);
+
+class OutcomeLedger {
+ public:
+  void Add(const Outcome& outcome);
+
+  // Forgets the counts of a service, so that those of a new move start at 0.
+  void Restart(const std::string& service);
+
+  // Every (service, version) with a count.
+  std::vector<std::pair<std::string, std::string>> Versions() const;
+  // The counts so far; `slots`, `in_flight` and `move_revision` are unset.
+  Evidence Report(const std::string& service, const std::string& version) const;
+
+ private:
+  struct Counts {
+    uint64_t total = 0;
+    uint64_t errors = 0;
+    uint64_t warm_total = 0;
+    uint64_t side_effects = 0;
+    std::array<uint32_t, kLatencyBuckets> latency{};
+  };
+  struct VersionCounts {
+    uint64_t sequence = 0;
+    std::map<std::string, Counts> routes;
+  };
+
+  std::map<std::pair<std::string, std::string>, VersionCounts> m_versions;
+};
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_STATE_EVIDENCE_H_
--- /dev/null
+++ b/include/kumquatmoor/transport/datagram_socket.h
@@ -0,0 +1,61 @@
+#ifndef KUMQUATMOOR_TRANSPORT_DATAGRAM_SOCKET_H_
+#define KUMQUATMOOR_TRANSPORT_DATAGRAM_SOCKET_H_
+
+// DatagramSocket: sends and receives UDP datagrams on an io_context.
+//
+//   DatagramSocket socket(context, &faults);
+//   auto error = socket.Open("127.0.1.1:7002", [](std::string_view bytes) {});
+//   socket.Send("127.0.1.2:7002", "zone-a", bytes);
+//
+// Sending is best effort: a datagram that cannot be sent is lost, as it may be
+// on the way. Used from the io_context's one thread only.
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "kumquatmoor/transport/fault_plan.h"
+
+namespace kumquatmoor {
+
+class DatagramSocket {
+ public:
+  using Handler = std::function<void(std::string_view)>;
+
+  // Refers to `faults`, which must outlive the socket.
+  DatagramSocket(boost::asio::io_context& context, const FaultPlan* faults);
+
+  // Binds and starts to receive.
+  boost::system::error_code Open(std::string_view address, Handler handler);
+  void Send(std::string_view address, std::string_view zone, std::string bytes);
+  void Close();
+
+  uint64_t BytesSent() const { return m_bytes_sent; }
+  uint64_t BytesReceived() const { return m_bytes_received; }
+  uint64_t DatagramsSent() const { return m_datagrams_sent; }
+
+ private:
+  static constexpr size_t kMaxDatagramBytes = 65'536;
+
+  void Receive();
+  void SendNow(const boost::asio::ip::udp::endpoint& to,
+               const std::string& bytes);
+
+  boost::asio::io_context& m_context;
+  const FaultPlan* m_faults;
+  boost::asio::ip::udp::socket m_socket;
+  boost::asio::ip::udp::endpoint m_sender;
+  std::array<char, kMaxDatagramBytes> m_buffer{};
+  Handler m_handler;
+  uint64_t m_bytes_sent = 0;
+  uint64_t m_bytes_received = 0;
+  uint64_t m_datagrams_sent = 0;
+};
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_TRANSPORT_DATAGRAM_SOCKET_H_
--- /dev/null
+++ b/src/coordination/baseline.cc
@@ -0,0 +1,129 @@
+#include "kumquatmoor/coordination/baseline.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace kumquatmoor {
+namespace {
+
+// A version may fail this often whatever the others do.
+constexpr double kToleratedErrorRate = 0.005;
+constexpr double kToleratedSlowRate = 0.01;
+// How much worse than the others a version may be.
+constexpr double kMargin = 1.25;
+// Weight of the prior, in requests: an unknown rate counts as 1 in this many.
+constexpr double kPriorRequests = 50;
+constexpr double kPriorSlowRequests = 20;
+// Differences among latencies below this are not noticed by callers.
+constexpr double kNegligibleLatencyMs = 5;
+
+}  // namespace
+
+OutcomeTally OutcomeTally::FromCounts(const RouteCounts& counts) {
+  OutcomeTally tally;
+  tally.total = counts.total();
+  tally.errors = std::min(counts.errors(), counts.total());
+  tally.warm_total = counts.warm_total();
+  const size_t buckets = std::min<size_t>(
+      kLatencyBuckets, static_cast<size_t>(counts.latency_size()));
+  for (size_t i = 0; i < buckets; ++i) {
+    tally.latency[i] = counts.latency(static_cast<int>(i));
+  }
+  return tally;
+}
+
+void OutcomeTally::Add(const OutcomeTally& other) {
+  total += other.total;
+  errors += other.errors;
+  warm_total += other.warm_total;
+  for (size_t i = 0; i < latency.size(); ++i) latency[i] += other.latency[i];
+}
+
+OutcomeTally OutcomeTally::Since(const OutcomeTally& earlier) const {
+  if (total < earlier.total || errors < earlier.errors ||
+      warm_total < earlier.warm_total) {
+    return {};
+  }
+  OutcomeTally difference;
+  difference.total = total - earlier.total;
+  difference.errors = errors - earlier.errors;
+  difference.warm_total = warm_total - earlier.warm_total;
+  for (size_t i = 0; i < latency.size(); ++i) {
+    if (latency[i] < earlier.latency[i]) return {};
+    difference.latency[i] = latency[i] - earlier.latency[i];
+  }
+  return difference;
+}
+
+uint64_t OutcomeTally::SlowerThan(size_t bucket) const {
+  uint64_t slower = 0;
+  for (size_t i = bucket + 1; i < latency.size(); ++i) slower += latency[i];
+  return slower;
+}
+
+void RouteBaseline::Window::Forget(double seconds) {
+  const double factor = std::exp2(-seconds / half_life_s);
+  total *= factor;
+  errors *= factor;
+  warm_total *= factor;
+  for (double& count : latency) count *= factor;
+}
+
+void RouteBaseline::Window::Add(const OutcomeTally& tally) {
+  total += static_cast<double>(tally.total);
+  errors += static_cast<double>(tally.errors);
+  warm_total += static_cast<double>(tally.warm_total);
+  for (size_t i = 0; i < latency.size(); ++i) {
+    latency[i] += static_cast<double>(tally.latency[i]);
+  }
+}
+
+double RouteBaseline::Window::ErrorRate() const {
+  return (errors + 1) / (total + kPriorRequests);
+}
+
+double RouteBaseline::Window::SlowRate(size_t bucket) const {
+  double slower = 0;
+  for (size_t i = bucket + 1; i < latency.size(); ++i) slower += latency[i];
+  return (slower + 1) / (warm_total + kPriorSlowRequests);
+}
+
+void RouteBaseline::Add(const OutcomeTally& tally, TimePoint now) {
+  if (tally.total == 0) return;
+  const std::chrono::duration<double> passed = now - m_added_at;
+  if (m_added_at != TimePoint() && passed.count() > 0) {
+    m_long.Forget(passed.count());
+    m_short.Forget(passed.count());
+  }
+  m_added_at = now;
+  m_long.Add(tally);
+  m_short.Add(tally);
+}
+
+double RouteBaseline::AcceptableErrorRate() const {
+  const double worse = std::max(m_long.ErrorRate(), m_short.ErrorRate());
+  return std::max(kToleratedErrorRate, kMargin * worse);
+}
+
+bool RouteBaseline::KnowsLatency() const {
+  return m_long.warm_total >= kPriorSlowRequests;
+}
+
+size_t RouteBaseline::SlowBucket(double part) const {
+  double above = m_long.warm_total;
+  size_t bucket = 0;
+  for (; bucket + 1 < kLatencyBuckets; ++bucket) {
+    above -= m_long.latency[bucket];
+    if (above <= part * m_long.warm_total) break;
+  }
+  return std::max(bucket + 1, LatencyBucket(kNegligibleLatencyMs));
+}
+
+double RouteBaseline::AcceptableSlowRate(size_t bucket) const {
+  const double worse =
+      std::max(m_long.SlowRate(bucket), m_short.SlowRate(bucket));
+  return std::max(kToleratedSlowRate, kMargin * worse);
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/coordination/judge.cc
@@ -0,0 +1,244 @@
+// Each tick takes what the targets counted since the last one. Counts of the
+// steady versions go into the baseline of their route at once. Counts of
+// rising versions wait one tick, so that a fault which strikes all versions at
+// the same moment is in the baseline before they are compared with it. Each
+// (version, route) has three sequential tests: errors, requests slower than
+// three quarters of the baseline, and requests slower than nearly all of it.
+// A whole-version test would add nothing: a fault on all routes shows on each.
+
+#include "kumquatmoor/coordination/judge.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <iterator>
+
+#include "kumquatmoor/state/batch.h"
+#include "kumquatmoor/state/routes.h"
+
+namespace kumquatmoor {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Parts of the baseline's requests that may be slower than the two limits.
+constexpr double kSlowPart = 0.25;
+constexpr double kTailPart = 0.01;
+// Suspicion above which the stage does not rise.
+constexpr double kHoldSuspicion = 0.5;
+// Requests of the other targets that clear their version.
+constexpr uint64_t kClearingCalls = 5;
+// A lone failing target has at least this part of the errors.
+constexpr double kLonePart = 0.9;
+// Part of the rising versions' slots that a stage may fill.
+constexpr double kSlotsToFill = 0.9;
+
+uint32_t StepsLeft(uint32_t stage) {
+  const auto* next =
+      std::upper_bound(std::begin(kStages), std::end(kStages), stage);
+  return static_cast<uint32_t>(std::distance(next, std::end(kStages)));
+}
+
+}  // namespace
+
+MoveJudge::MoveJudge(ServiceConfig config, JudgeOptions options, JudgeTime time)
+    : m_config(std::move(config)),
+      m_options(std::move(options)),
+      m_stage_since(time.now) {}
+
+double MoveJudge::RouteTests::Score() const {
+  return std::max({errors.Score(), slow.Score(), tail.Score()});
+}
+
+bool MoveJudge::IsRisingVersion(const std::string& version) const {
+  return std::any_of(m_config.rows().begin(), m_config.rows().end(),
+                     [&](const Row& row) {
+                       return row.version() == version && IsRising(row);
+                     });
+}
+
+void MoveJudge::OnEvidence(const std::string& reporter, int64_t incarnation,
+                           const Evidence& evidence) {
+  Reporter& held = m_reporters[{evidence.version(), reporter}];
+  if (incarnation < held.incarnation) return;
+  if (incarnation > held.incarnation) {
+    held = Reporter{.incarnation = incarnation};
+  } else if (evidence.sequence() < held.sequence) {
+    return;
+  }
+  held.sequence = evidence.sequence();
+  held.slots = evidence.slots();
+  held.in_flight = evidence.in_flight();
+  for (const auto& route : evidence.routes()) {
+    held.latest[route.route()] = OutcomeTally::FromCounts(route);
+  }
+}
+
+std::vector<Ruling> MoveJudge::Tick(JudgeTime time,
+                                    const MoveProgress& progress,
+                                    MeshSlots slots) {
+  std::vector<Ruling> rulings;
+  if (progress.IsRecalled()) return rulings;
+  std::vector<Increment> due;
+  due.swap(m_waiting);
+  CollectIncrements(time.now);
+  for (const auto& increment : due) TestIncrement(increment);
+  for (auto& [route, tests] : m_tests) {
+    if (auto ruling = RuleOnRoute(route, &tests)) {
+      rulings.push_back(std::move(*ruling));
+    }
+  }
+  const bool recalled =
+      std::any_of(rulings.begin(), rulings.end(), [](const Ruling& ruling) {
+        return std::holds_alternative<RecallVersion>(ruling);
+      });
+  if (!recalled) RuleOnStage(time, progress, slots, &rulings);
+  return rulings;
+}
+
+void MoveJudge::CollectIncrements(TimePoint now) {
+  for (auto& [key, reporter] : m_reporters) {
+    const auto& [version, node] = key;
+    const bool rising = IsRisingVersion(version);
+    for (const auto& [route, latest] : reporter.latest) {
+      OutcomeTally& judged = reporter.judged[route];
+      OutcomeTally added = latest.Since(judged);
+      judged = latest;
+      if (added.total == 0) continue;
+      if (rising) {
+        m_waiting.push_back(
+            {.route = {version, route}, .reporter = node, .tally = added});
+      } else {
+        m_baselines[route].Add(added, now);
+      }
+    }
+  }
+}
+
+void MoveJudge::TestIncrement(const Increment& increment) {
+  m_calls_at_stage += increment.tally.total;
+  if (m_blamed.count(increment.reporter) > 0) return;
+  const RouteBaseline& baseline = m_baselines[increment.route.second];
+  RouteTests& tests = m_tests[increment.route];
+  const OutcomeTally& tally = increment.tally;
+  tests.by_target[increment.reporter].Add(tally);
+  tests.errors.Add({.failures = tally.errors,
+                    .total = tally.total,
+                    .expected_rate = baseline.AcceptableErrorRate()});
+  if (!baseline.KnowsLatency()) return;
+  const size_t slow = baseline.SlowBucket(kSlowPart);
+  tests.slow.Add({.failures = tally.SlowerThan(slow),
+                  .total = tally.warm_total,
+                  .expected_rate = baseline.AcceptableSlowRate(slow)});
+  const size_t tail = baseline.SlowBucket(kTailPart);
+  tests.tail.Add({.failures = tally.SlowerThan(tail),
+                  .total = tally.warm_total,
+                  .expected_rate = baseline.AcceptableSlowRate(tail)});
+}
+
+std::optional<Ruling> MoveJudge::RuleOnRoute(const RouteKey& route,
+                                             RouteTests* tests) {
+  if (tests->Score() < SequentialTest::kThreshold) return std::nullopt;
+  const auto& [version, path] = route;
+  const bool errors = tests->errors.Exceeded();
+  OutcomeTally sum;
+  for (const auto& [target, tally] : tests->by_target) sum.Add(tally);
+  const std::string reason =
+      errors ? fmt::format("{}: {} of {} requests failed", path, sum.errors,
+                           sum.total)
+             : fmt::format("{}: slower than the version before", path);
+  const std::string target = errors ? LoneFailingTarget(*tests) : "";
+  if (!target.empty()) {
+    m_blamed.insert(target);
+    *tests = RouteTests();
+    return BlameTarget{
+        .version = version, .member_id = target, .reason = reason};
+  }
+  return RecallVersion{.version = version, .reason = reason};
+}
+
+// The target that alone is at fault, or "" if its version may be.
+std::string MoveJudge::LoneFailingTarget(const RouteTests& tests) const {
+  OutcomeTally sum;
+  for (const auto& [target, tally] : tests.by_target) sum.Add(tally);
+  for (const auto& [target, tally] : tests.by_target) {
+    const uint64_t others = sum.total - tally.total;
+    const uint64_t other_errors = sum.errors - tally.errors;
+    const bool alone = static_cast<double>(tally.errors) >=
+                       kLonePart * static_cast<double>(sum.errors);
+    if (alone && others >= kClearingCalls && other_errors == 0) return target;
+  }
+  return {};
+}
+
+double MoveJudge::Suspicion() const {
+  double worst = 0;
+  for (const auto& [route, tests] : m_tests) {
+    worst = std::max(worst, tests.Score());
+  }
+  return worst / SequentialTest::kThreshold;
+}
+
+void MoveJudge::RuleOnStage(JudgeTime time, const MoveProgress& progress,
+                            MeshSlots slots, std::vector<Ruling>* rulings) {
+  const uint32_t stage = progress.StageOf(m_options.zone);
+  if (stage != m_stage) {
+    m_stage = stage;
+    m_stage_since = time.now;
+    m_calls_at_stage = 0;
+  }
+  const auto at_stage = time.now - m_stage_since;
+  m_held_because.clear();
+  if (Suspicion() >= kHoldSuspicion) {
+    m_held_because = "the evidence is not clear yet";
+  } else if (stage >= kFullStage) {
+    if (!m_settled && at_stage >= m_options.settle) {
+      m_settled = true;
+      rulings->emplace_back(SettleZone{});
+    }
+  } else if (slots.rising == 0) {
+    m_held_because = "no live target of the new version";
+  } else if (!FitsSlots(NextStage(stage), slots)) {
+    m_held_because = "the new version has too few slots for its next share";
+  } else if (stage == 0) {
+    rulings->emplace_back(
+        RaiseStage{.stage_permille = NextStage(stage), .reason = "first"});
+  } else {
+    const milliseconds dwell = Dwell(time);
+    const bool enough_calls = m_calls_at_stage >= m_options.fewest_calls;
+    if (at_stage >= 2 * dwell || (at_stage >= dwell && enough_calls)) {
+      rulings->emplace_back(RaiseStage{
+          .stage_permille = NextStage(stage),
+          .reason =
+              fmt::format("{} requests without a finding", m_calls_at_stage)});
+    }
+  }
+}
+
+milliseconds MoveJudge::Dwell(JudgeTime time) const {
+  const int64_t deadline = MoveDeadline(m_config);
+  if (deadline == 0) return m_options.default_dwell;
+  const auto left =
+      static_cast<double>(std::max<int64_t>(0, deadline - time.unix_ms));
+  const milliseconds planned(static_cast<int64_t>(
+      left * m_options.planned_part / std::max(1U, StepsLeft(m_stage))));
+  return std::clamp(planned, m_options.shortest_dwell, m_options.longest_dwell);
+}
+
+bool MoveJudge::FitsSlots(uint32_t stage, MeshSlots slots) const {
+  double in_flight = 0;
+  double zone_slots = 0;
+  for (const auto& [key, reporter] : m_reporters) {
+    in_flight += reporter.in_flight;
+    zone_slots += reporter.slots;
+  }
+  if (zone_slots <= 0) return true;
+  double share = 0;
+  for (const auto& row : m_config.rows()) {
+    if (IsRising(row)) share += ShareAt(row, stage, false);
+  }
+  const double demand = in_flight / zone_slots * slots.all;
+  return share * demand <= kSlotsToFill * slots.rising;
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/node/backend_registry.cc
@@ -0,0 +1,93 @@
+#include "kumquatmoor/node/backend_registry.h"
+
+#include <tuple>
+
+#include "kumquatmoor/protocol/json_reader.h"
+
+namespace kumquatmoor {
+namespace {
+
+constexpr int64_t kMaxSlots = 100'000;
+constexpr int64_t kMaxTtlMs = 60'000;
+constexpr int64_t kDefaultTtlMs = 3'000;
+
+auto Parts(const Announcement& a) {
+  return std::tie(a.service, a.version, a.address, a.slots, a.connections,
+                  a.draining);
+}
+
+}  // namespace
+
+Result<Announcement> ParseAnnouncement(std::string_view text) {
+  boost::json::error_code error;
+  const auto value = boost::json::parse(text, error);
+  if (error) return Fail(FailureCode::kInvalid, "the body is not JSON");
+  std::vector<std::string> problems;
+  JsonReader reader(value, "", &problems);
+  Announcement announcement;
+  announcement.service = reader.RequiredString("service");
+  announcement.version = reader.RequiredString("version");
+  announcement.address = reader.RequiredAddress("address");
+  announcement.slots = static_cast<uint32_t>(reader.Integer(
+      "slots", {.fallback = 1, .minimum = 1, .maximum = kMaxSlots}));
+  announcement.connections = static_cast<uint32_t>(reader.Integer(
+      "connections", {.fallback = 1, .minimum = 1, .maximum = kMaxSlots}));
+  announcement.draining = reader.Bool("draining", false);
+  announcement.ttl = std::chrono::milliseconds(reader.Integer(
+      "ttl_ms",
+      {.fallback = kDefaultTtlMs, .minimum = 100, .maximum = kMaxTtlMs}));
+  reader.RejectUnknownKeys();
+  if (!problems.empty()) return Fail(FailureCode::kInvalid, problems.front());
+  return announcement;
+}
+
+bool BackendRegistry::Announce(const Announcement& announcement,
+                               TimePoint now) {
+  auto [found, added] =
+      m_entries.try_emplace({announcement.service, announcement.version});
+  Entry& entry = found->second;
+  const bool changed =
+      added || Parts(entry.announcement) != Parts(announcement);
+  if (added) entry.first = now;
+  entry.announcement = announcement;
+  entry.expires = now + announcement.ttl;
+  return changed;
+}
+
+bool BackendRegistry::Expire(TimePoint now) {
+  return std::erase_if(m_entries, [&](const auto& item) {
+           return item.second.expires <= now;
+         }) > 0;
+}
+
+std::vector<LocalBackend> BackendRegistry::Backends() const {
+  std::vector<LocalBackend> backends;
+  for (const auto& [key, entry] : m_entries) {
+    const Announcement& a = entry.announcement;
+    backends.push_back({.service = a.service,
+                        .version = a.version,
+                        .address = a.address,
+                        .slots = a.slots,
+                        .connections = a.connections,
+                        .draining = a.draining,
+                        .announced = entry.first});
+  }
+  return backends;
+}
+
+std::vector<Endpoint> BackendRegistry::Endpoints() const {
+  std::vector<Endpoint> endpoints;
+  for (const auto& [key, entry] : m_entries) {
+    const Announcement& a = entry.announcement;
+    Endpoint endpoint;
+    endpoint.set_service(a.service);
+    endpoint.set_version(a.version);
+    endpoint.set_slots(a.slots);
+    endpoint.set_connections(a.connections);
+    endpoint.set_draining(a.draining);
+    endpoints.push_back(std::move(endpoint));
+  }
+  return endpoints;
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/node/call_metrics.cc
@@ -0,0 +1,54 @@
+#include "kumquatmoor/node/call_metrics.h"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace kumquatmoor {
+namespace {
+
+constexpr unsigned kBuckets = 32;
+constexpr double kLowestMs = 0.1;
+constexpr double kHighestMs = 30'000;
+
+}  // namespace
+
+CallMetrics::CallMetrics()
+    : m_latency(boost::histogram::make_histogram(
+          Axis(kBuckets, kLowestMs, kHighestMs))) {}
+
+void CallMetrics::OnCall(Verdict verdict, double latency_ms) {
+  ++m_calls[static_cast<size_t>(verdict)];
+  m_latency(latency_ms);
+  m_latency_sum_ms += latency_ms;
+}
+
+std::string CallMetrics::ToPrometheus() const {
+  std::string text = "# TYPE kumquatmoor_calls_total counter\n";
+  for (auto verdict : {Verdict::kNotRun, Verdict::kMayHaveRun, Verdict::kRan}) {
+    text += fmt::format("kumquatmoor_calls_total{{verdict=\"{}\"}} {}\n",
+                        VerdictName(verdict),
+                        m_calls[static_cast<size_t>(verdict)]);
+  }
+  const auto counter = [&](const char* name, uint64_t value) {
+    text += fmt::format("# TYPE {} counter\n{} {}\n", name, name, value);
+  };
+  counter("kumquatmoor_retries_total", m_retries);
+  counter("kumquatmoor_refusals_total", m_refusals);
+  counter("kumquatmoor_local_runs_total", m_local_runs);
+  counter("kumquatmoor_lost_outcomes_total", m_lost_outcomes);
+  text += "# TYPE kumquatmoor_call_ms histogram\n";
+  double below = m_latency.at(-1);
+  for (auto&& bin : boost::histogram::indexed(m_latency)) {
+    below += *bin;
+    text += fmt::format("kumquatmoor_call_ms_bucket{{le=\"{:.3f}\"}} {}\n",
+                        bin.bin().upper(), static_cast<uint64_t>(below));
+  }
+  const auto count =
+      static_cast<uint64_t>(below + m_latency.at(static_cast<int>(kBuckets)));
+  text += fmt::format(
+      "kumquatmoor_call_ms_bucket{{le=\"+Inf\"}} {}\n"
+      "kumquatmoor_call_ms_sum {}\nkumquatmoor_call_ms_count {}\n",
+      count, m_latency_sum_ms, count);
+  return text;
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/node/control_loop.cc
@@ -0,0 +1,258 @@
+#include "kumquatmoor/node/control_loop.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "kumquatmoor/state/routes.h"
+
+namespace kumquatmoor {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr size_t kCommandRing = 1'024;
+constexpr milliseconds kTickInterval{50};
+constexpr milliseconds kMoveInterval{250};
+constexpr milliseconds kAckInterval{500};
+// Candidates for each gateway lease of a zone.
+constexpr size_t kCandidatesPerLease = 2;
+
+int64_t UnixMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+ControlLoop::ControlLoop(boost::asio::io_context& context,
+                         ControlLoopOptions options, const FaultPlan* faults,
+                         Proxy* proxy, BoundedRing<Outcome>* outcomes,
+                         BoundedRing<SyncPeer>* syncs)
+    : m_context(context),
+      m_options(std::move(options)),
+      m_proxy(proxy),
+      m_outcomes(outcomes),
+      m_syncs(syncs),
+      m_commands(kCommandRing),
+      m_socket(context, faults),
+      m_timer(context),
+      m_replica(m_options.replica, Clock::now()),
+      m_ack_tree(AckTreeOptions{.id = m_options.replica.id}),
+      m_mover(MoverOptions{.id = m_options.replica.id,
+                           .zone = m_options.replica.zone}) {}
+
+boost::system::error_code ControlLoop::Start() {
+  const auto error =
+      m_socket.Open(m_options.replica.control_address,
+                    [this](std::string_view bytes) { OnBytes(bytes); });
+  if (!error) Tick();
+  return error;
+}
+
+bool ControlLoop::Post(Command command) {
+  if (!m_commands.TryPush(std::move(command))) return false;
+  boost::asio::post(m_context, [this] { DrainCommands(); });
+  return true;
+}
+
+void ControlLoop::DrainCommands() {
+  while (auto command = m_commands.TryPop()) (*command)(*this);
+}
+
+void ControlLoop::Tick() {
+  const TimePoint now = Clock::now();
+  while (auto outcome = m_outcomes->TryPop()) m_mover.OnOutcome(*outcome);
+  if (m_registry.Expire(now)) {
+    spdlog::warn("announce: a backend server did not renew and is taken out");
+    PublishBackends();
+  }
+  if (m_ready) Send(m_replica.Tick(now));
+  if (now >= m_next_move_update) {
+    m_next_move_update = now + kMoveInterval;
+    UpdateMoves(now);
+  }
+  if (now >= m_next_ack_update) {
+    m_next_ack_update = now + kAckInterval;
+    UpdateAckTree(now);
+  }
+  if (auto peer = m_replica.TakeSyncPeer()) m_syncs->TryPush(std::move(*peer));
+  PublishRoutes();
+  LogChanges();
+  m_timer.expires_after(kTickInterval);
+  m_timer.async_wait([this](boost::system::error_code error) {
+    if (!error) Tick();
+  });
+}
+
+void ControlLoop::OnBytes(std::string_view bytes) {
+  Datagram datagram;
+  if (!datagram.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    spdlog::debug("membership: a datagram of {} bytes is damaged",
+                  bytes.size());
+    return;
+  }
+  const TimePoint now = Clock::now();
+  if (datagram.kind() == Datagram::EVIDENCE) {
+    m_mover.OnEvidence(datagram.from(), datagram.incarnation(),
+                       datagram.evidence());
+  } else if (datagram.kind() == Datagram::SUBTREE) {
+    m_ack_tree.OnReport(datagram.from(), datagram.subtree(), now);
+  }
+  Send(m_replica.OnDatagram(datagram, now));
+}
+
+void ControlLoop::Send(const std::vector<Outgoing>& out) {
+  for (const auto& outgoing : out) {
+    m_socket.Send(outgoing.address, outgoing.zone,
+                  outgoing.datagram.SerializeAsString());
+  }
+}
+
+Datagram ControlLoop::MakeDatagram(Datagram::Kind kind) const {
+  Datagram datagram;
+  datagram.set_kind(kind);
+  datagram.set_from(m_options.replica.id);
+  datagram.set_zone(m_options.replica.zone);
+  datagram.set_incarnation(m_options.replica.started_ms);
+  return datagram;
+}
+
+void ControlLoop::SendTo(const std::string& member_id, Datagram datagram) {
+  const MemberRecord* member = m_replica.Members().Find(member_id);
+  if (member == nullptr) return;
+  m_socket.Send(member->control_address(), member->zone(),
+                datagram.SerializeAsString());
+}
+
+void ControlLoop::UpdateMoves(TimePoint now) {
+  if (!m_ready) return;
+  for (auto& report : m_mover.TakeReports(m_replica)) {
+    Datagram datagram = MakeDatagram(Datagram::EVIDENCE);
+    *datagram.mutable_evidence() = std::move(report.evidence);
+    if (report.judge == m_options.replica.id) {
+      m_mover.OnEvidence(report.judge, m_options.replica.started_ms,
+                         datagram.evidence());
+    } else {
+      SendTo(report.judge, std::move(datagram));
+    }
+  }
+  const JudgeTime time{.now = now, .unix_ms = UnixMs()};
+  bool news = false;
+  for (const auto& mark : m_mover.Judge(m_replica, time)) {
+    news = m_replica.JoinMark(mark) || news;
+  }
+  // A ruling does not wait for the next tick.
+  if (news) Send(m_replica.Tick(now));
+}
+
+void ControlLoop::UpdateAckTree(TimePoint now) {
+  std::vector<std::string> ids;
+  for (const auto& member : m_replica.LiveMembers()) {
+    if (member.zone() == m_options.replica.zone) ids.push_back(member.id());
+  }
+  m_ack_tree.SetMembers(std::move(ids));
+  const uint64_t revision = m_replica.CurrentBatch().revision();
+  const auto parent = m_ack_tree.ReportDue(revision, now);
+  if (!parent) return;
+  Datagram datagram = MakeDatagram(Datagram::SUBTREE);
+  *datagram.mutable_subtree() = m_ack_tree.Report(revision, now);
+  SendTo(*parent, std::move(datagram));
+}
+
+SubtreeReport ControlLoop::ZoneSubtree() const {
+  return m_ack_tree.Report(m_replica.CurrentBatch().revision(), Clock::now());
+}
+
+std::vector<MemberRecord> ControlLoop::ZoneRoots() const {
+  std::map<std::string, std::vector<std::string>> zones;
+  for (const auto& member : m_replica.LiveMembers()) {
+    zones[member.zone()].push_back(member.id());
+  }
+  std::vector<MemberRecord> roots;
+  for (const auto& [zone, ids] : zones) {
+    roots.push_back(*m_replica.Members().Find(AckTreeRoot(ids)));
+  }
+  return roots;
+}
+
+bool ControlLoop::IsGatewayCandidate() const {
+  if (!m_ready) return false;
+  std::vector<std::string> ids;
+  for (const auto& member : m_replica.LiveMembers()) {
+    if (member.zone() == m_options.replica.zone) ids.push_back(member.id());
+  }
+  const auto candidates = RendezvousTop(
+      ids, "gateway", m_options.gateways_per_zone * kCandidatesPerLease);
+  return std::find(candidates.begin(), candidates.end(),
+                   m_options.replica.id) != candidates.end();
+}
+
+void ControlLoop::Announce(const Announcement& announcement) {
+  if (!m_registry.Announce(announcement, Clock::now())) return;
+  spdlog::info("announce: {}/{} at {}, {} slots{}", announcement.service,
+               announcement.version, announcement.address, announcement.slots,
+               announcement.draining ? ", draining" : "");
+  m_mover.SetLoad(announcement.service, announcement.version,
+                  announcement.slots);
+  PublishBackends();
+}
+
+void ControlLoop::PublishBackends() {
+  m_proxy->SetBackends(m_registry.Backends());
+  std::vector<Endpoint> endpoints = m_registry.Endpoints();
+  for (auto& endpoint : endpoints) {
+    if (m_draining) endpoint.set_draining(true);
+  }
+  m_replica.SetEndpoints(endpoints, Clock::now());
+}
+
+void ControlLoop::StartDrain() {
+  m_draining = true;
+  PublishBackends();
+  Send(m_replica.Tick(Clock::now()));
+}
+
+void ControlLoop::Leave() { Send(m_replica.Leave(Clock::now())); }
+
+void ControlLoop::PublishRoutes() {
+  if (!m_ready) return;
+  const uint64_t change = m_replica.ChangeCount();
+  if (m_published_ready && change == m_published_change) return;
+  m_published_change = change;
+  m_published_ready = true;
+  const auto members = m_replica.LiveMembers();
+  m_proxy->SetRoutes(BuildRoutes(m_replica.CurrentBatch(), m_replica.Marks(),
+                                 members, m_options.replica.zone));
+}
+
+void ControlLoop::LogChanges() {
+  const uint64_t revision = m_replica.CurrentBatch().revision();
+  if (revision != m_logged_revision) {
+    m_logged_revision = revision;
+    spdlog::info("batch: revision {} by {} is in force", revision,
+                 m_replica.CurrentBatch().author());
+  }
+  const auto& warnings = m_replica.Warnings();
+  for (; m_logged_warnings < warnings.size(); ++m_logged_warnings) {
+    spdlog::warn("batch: {}", warnings[m_logged_warnings]);
+  }
+}
+
+std::string ControlLoop::ControlMetrics() const {
+  const auto line = [](const char* name, uint64_t value) {
+    return fmt::format("{} {}\n", name, value);
+  };
+  return line("kumquatmoor_revision", m_replica.CurrentBatch().revision()) +
+         line("kumquatmoor_members", m_replica.Members().size()) +
+         line("kumquatmoor_ready", m_ready ? 1 : 0) +
+         line("kumquatmoor_control_sent_bytes_total", m_socket.BytesSent()) +
+         line("kumquatmoor_control_received_bytes_total",
+              m_socket.BytesReceived()) +
+         line("kumquatmoor_control_sent_total", m_socket.DatagramsSent());
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/node/control_service.cc
@@ -0,0 +1,211 @@
+#include "kumquatmoor/node/control_service.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "kumquatmoor/node/status.h"
+
+namespace kumquatmoor {
+namespace {
+
+constexpr int kMaxMessageBytes = 32 << 20;
+// Pollers of gRPC; each holds a thread.
+constexpr int kPollers = 2;
+
+grpc::Status Busy() {
+  return {grpc::StatusCode::RESOURCE_EXHAUSTED,
+          "the node is busy; try again in a second"};
+}
+
+int64_t UnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+// What GetStatus needs from the control thread.
+struct StatusParts {
+  StatusReply reply;
+  std::string own_id;
+  std::vector<MemberRecord> roots;
+  SubtreeReport own_report;
+  std::map<std::string, uint32_t> live_by_zone;
+};
+
+StatusParts CollectStatus(ControlLoop& loop) {
+  const Replica& replica = loop.GetReplica();
+  StatusParts parts;
+  parts.own_id = replica.Self().id();
+  parts.roots = loop.ZoneRoots();
+  parts.own_report = loop.ZoneSubtree();
+  parts.reply.set_node(parts.own_id);
+  parts.reply.set_revision(replica.CurrentBatch().revision());
+  for (const auto& member : replica.LiveMembers()) {
+    ++parts.live_by_zone[member.zone()];
+  }
+  replica.Members().ForEach([&](const MemberRecord& member) {
+    if (member.status() != SUSPECT) return;
+    const char* unreachable = replica.IsZoneUnreachable(member.zone())
+                                  ? "its zone is unreachable"
+                                  : "it does not answer";
+    parts.reply.add_warnings(member.id() + " in zone " + member.zone() +
+                             " is not counted: " + unreachable);
+  });
+  for (const auto& warning : replica.Warnings()) {
+    parts.reply.add_warnings(warning);
+  }
+  for (const auto& config : replica.CurrentBatch().services()) {
+    *parts.reply.add_services() =
+        MakeServiceStatus(config, replica, loop.GetMover(), UnixMs());
+  }
+  return parts;
+}
+
+}  // namespace
+
+bool ControlService::Start(const std::string& address) {
+  grpc::ServerBuilder builder;
+  int bound_port = 0;
+  builder.AddListeningPort(address, grpc::InsecureServerCredentials(),
+                           &bound_port);
+  builder.RegisterService(this);
+  builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
+  builder.SetSyncServerOption(grpc::ServerBuilder::NUM_CQS, 1);
+  builder.SetSyncServerOption(grpc::ServerBuilder::MIN_POLLERS, 1);
+  builder.SetSyncServerOption(grpc::ServerBuilder::MAX_POLLERS, kPollers);
+  // Another process on the same address is a mistake in the settings.
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  m_server = builder.BuildAndStart();
+  return m_server != nullptr && bound_port != 0;
+}
+
+void ControlService::Stop() {
+  if (m_server == nullptr) return;
+  m_server->Shutdown(std::chrono::system_clock::now() +
+                     std::chrono::milliseconds(200));
+  m_server->Wait();
+}
+
+grpc::Status ControlService::Sync(grpc::ServerContext* /*context*/,
+                                  const SyncRequest* request,
+                                  SyncReply* reply) {
+  if (m_syncs.fetch_add(1) >= kMaxSyncs) {
+    --m_syncs;
+    reply->set_retry_after_ms(kSyncRetryAfterMs);
+    return grpc::Status::OK;
+  }
+  auto answer = m_loop->Run<SyncReply>([request = *request](ControlLoop& l) {
+    return l.GetReplica().AnswerSync(request, Clock::now());
+  });
+  --m_syncs;
+  if (!answer) return Busy();
+  *reply = std::move(*answer);
+  return grpc::Status::OK;
+}
+
+grpc::Status ControlService::Offer(grpc::ServerContext* /*context*/,
+                                   const OfferRequest* request,
+                                   OfferReply* reply) {
+  auto revision =
+      m_loop->Run<uint64_t>([batch = request->batch()](ControlLoop& loop) {
+        loop.GetReplica().Offer(batch);
+        return loop.GetReplica().CurrentBatch().revision();
+      });
+  if (!revision) return Busy();
+  reply->set_revision(*revision);
+  return grpc::Status::OK;
+}
+
+grpc::Status ControlService::RecallVersion(grpc::ServerContext* /*context*/,
+                                           const RecallRequest* request,
+                                           RecallReply* reply) {
+  auto answer = m_loop->Run<RecallReply>([asked = *request](ControlLoop& loop) {
+    Replica& replica = loop.GetReplica();
+    RecallReply made;
+    const RecallMark recall =
+        MakeRecallMark(asked, replica.CurrentBatch(), UnixMs());
+    made.set_accepted(recall.problem.empty());
+    made.set_message(recall.problem);
+    if (!recall.problem.empty()) return made;
+    spdlog::warn("move: {}/{} is taken back by {}: {}", asked.service(),
+                 asked.version(), asked.author(), asked.reason());
+    replica.JoinMark(recall.mark);
+    return made;
+  });
+  if (!answer) return Busy();
+  *reply = std::move(*answer);
+  return grpc::Status::OK;
+}
+
+grpc::Status ControlService::ReportZone(grpc::ServerContext* /*context*/,
+                                        const ZoneReportRequest* /*request*/,
+                                        ZoneReport* reply) {
+  auto report = m_loop->Run<SubtreeReport>(
+      [](ControlLoop& loop) { return loop.ZoneSubtree(); });
+  if (!report) return Busy();
+  *reply->mutable_report() = std::move(*report);
+  return grpc::Status::OK;
+}
+
+grpc::Status ControlService::GetStatus(grpc::ServerContext* /*context*/,
+                                       const StatusRequest* /*request*/,
+                                       StatusReply* reply) {
+  auto parts = m_loop->Run<StatusParts>(CollectStatus);
+  if (!parts) return Busy();
+  *reply = std::move(parts->reply);
+  std::vector<ControlPeer> others;
+  for (const auto& root : parts->roots) {
+    if (root.id() == parts->own_id) {
+      ZoneReport* own = reply->add_zones();
+      own->set_zone(root.zone());
+      own->set_reached(true);
+      *own->mutable_report() = parts->own_report;
+    } else {
+      others.push_back(
+          {.address = root.control_address(), .zone = root.zone()});
+    }
+  }
+  for (auto& report : m_client->ReportZones(others)) {
+    *reply->add_zones() = std::move(report);
+  }
+  for (const auto& [zone, count] : parts->live_by_zone) {
+    reply->set_live_nodes(reply->live_nodes() + count);
+  }
+  for (const auto& zone : reply->zones()) {
+    const uint32_t live = parts->live_by_zone[zone.zone()];
+    const bool current =
+        zone.reached() && zone.report().lowest_revision() >= reply->revision();
+    if (current) {
+      reply->set_holding(reply->holding() +
+                         std::min(live, zone.report().nodes()));
+    }
+  }
+  return grpc::Status::OK;
+}
+
+grpc::Status ControlService::GetNodes(grpc::ServerContext* /*context*/,
+                                      const NodesRequest* /*request*/,
+                                      NodesReply* reply) {
+  auto members = m_loop->Run<std::vector<MemberRecord>>(
+      [](ControlLoop& loop) { return loop.GetReplica().Members().All(); });
+  if (!members) return Busy();
+  for (auto& member : *members) *reply->add_members() = std::move(member);
+  return grpc::Status::OK;
+}
+
+grpc::Status ControlService::Explain(grpc::ServerContext* /*context*/,
+                                     const ExplainRequest* request,
+                                     ExplainReply* reply) {
+  auto lines = m_loop->Run<std::vector<std::string>>(
+      [service = request->service()](ControlLoop& loop) {
+        const Replica& replica = loop.GetReplica();
+        return ExplainService(service, replica, replica.Self().zone());
+      });
+  if (!lines) return Busy();
+  for (auto& line : *lines) reply->add_lines(std::move(line));
+  return grpc::Status::OK;
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/node/mover.cc
@@ -0,0 +1,218 @@
+#include "kumquatmoor/node/mover.h"
+
+#include <spdlog/spdlog.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <optional>
+
+#include "kumquatmoor/state/batch.h"
+
+namespace kumquatmoor {
+namespace {
+
+uint64_t RendezvousHash(const std::string& id, const std::string& subject) {
+  const std::string text = subject + '\n' + id;
+  return XXH3_64bits(text.data(), text.size());
+}
+
+bool IsOpen(const ServiceConfig& config, const Replica& replica) {
+  return HasMove(config) &&
+         !replica.Marks().IsRecalled(config.service(), config.move_revision());
+}
+
+// Turns a ruling into the mark that says it to the others.
+class RulingToMark {
+ public:
+  RulingToMark(const ServiceConfig& config, const MoverOptions& options,
+               int64_t unix_ms)
+      : m_config(config), m_options(options), m_unix_ms(unix_ms) {}
+
+  std::optional<MoveMark> operator()(const RaiseStage& ruling) const {
+    spdlog::info("move: {} rises to {} per mille in zone {}: {}",
+                 m_config.service(), ruling.stage_permille, m_options.zone,
+                 ruling.reason);
+    MoveMark mark = Empty();
+    (*mark.mutable_stage_permille())[m_options.zone] = ruling.stage_permille;
+    return mark;
+  }
+
+  std::optional<MoveMark> operator()(const RecallVersion& ruling) const {
+    spdlog::warn("move: {}/{} is taken back: {}", m_config.service(),
+                 ruling.version, ruling.reason);
+    MoveMark mark = Empty();
+    Recall* recall = mark.add_recalls();
+    recall->set_version(ruling.version);
+    recall->set_reason(ruling.reason);
+    recall->set_decided_by(m_options.id);
+    recall->set_decided_ms(m_unix_ms);
+    return mark;
+  }
+
+  std::optional<MoveMark> operator()(const SettleZone& /*ruling*/) const {
+    spdlog::info("move: {} is settled in zone {}", m_config.service(),
+                 m_options.zone);
+    MoveMark mark = Empty();
+    (*mark.mutable_settled())[m_options.zone] = true;
+    return mark;
+  }
+
+  std::optional<MoveMark> operator()(const BlameTarget& ruling) const {
+    spdlog::warn("move: the target of {} alone fails {}/{}: {}",
+                 ruling.member_id, m_config.service(), ruling.version,
+                 ruling.reason);
+    return std::nullopt;
+  }
+
+ private:
+  MoveMark Empty() const {
+    MoveMark mark;
+    mark.set_service(m_config.service());
+    mark.set_move_revision(m_config.move_revision());
+    return mark;
+  }
+
+  const ServiceConfig& m_config;
+  const MoverOptions& m_options;
+  int64_t m_unix_ms;
+};
+
+}  // namespace
+
+std::vector<std::string> RendezvousTop(const std::vector<std::string>& ids,
+                                       const std::string& subject,
+                                       size_t count) {
+  std::vector<std::string> order = ids;
+  count = std::min(count, order.size());
+  std::partial_sort(
+      order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count),
+      order.end(), [&](const std::string& a, const std::string& b) {
+        return RendezvousHash(a, subject) > RendezvousHash(b, subject);
+      });
+  order.resize(count);
+  return order;
+}
+
+MeshSlots CountSlots(const ServiceConfig& config,
+                     const std::vector<MemberRecord>& members) {
+  MeshSlots slots;
+  const auto rising = [&](const std::string& version) {
+    return std::any_of(config.rows().begin(), config.rows().end(),
+                       [&](const Row& row) {
+                         return row.version() == version && IsRising(row);
+                       });
+  };
+  for (const auto& member : members) {
+    if (member.status() != ALIVE) continue;
+    for (const auto& endpoint : member.endpoints()) {
+      if (endpoint.service() != config.service()) continue;
+      if (endpoint.draining()) continue;
+      slots.all += endpoint.slots();
+      if (rising(endpoint.version())) slots.rising += endpoint.slots();
+    }
+  }
+  return slots;
+}
+
+void Mover::SetLoad(const std::string& service, const std::string& version,
+                    uint32_t slots) {
+  m_slots[{service, version}] = slots;
+}
+
+std::vector<std::string> Mover::JudgesOf(
+    const std::string& service, const std::vector<MemberRecord>& live) const {
+  std::vector<std::string> ids;
+  for (const auto& member : live) {
+    if (member.zone() == m_options.zone) ids.push_back(member.id());
+  }
+  return RendezvousTop(ids, "judge/" + service, m_options.judges_per_zone);
+}
+
+std::vector<EvidenceReport> Mover::TakeReports(const Replica& replica) {
+  std::vector<EvidenceReport> reports;
+  std::optional<std::vector<MemberRecord>> live;
+  for (const auto& key : m_ledger.Versions()) {
+    const auto& [service, version] = key;
+    const ServiceConfig* config = FindService(replica.CurrentBatch(), service);
+    if (config == nullptr || !IsOpen(*config, replica)) continue;
+    uint64_t& move = m_counted_move[service];
+    if (move != config->move_revision()) {
+      move = config->move_revision();
+      m_ledger.Restart(service);
+      continue;
+    }
+    Evidence evidence = m_ledger.Report(service, version);
+    uint64_t& reported = m_reported[key];
+    if (reported == evidence.sequence()) continue;
+    reported = evidence.sequence();
+    evidence.set_move_revision(config->move_revision());
+    evidence.set_slots(m_slots[key]);
+    if (!live) live = replica.LiveMembers();
+    for (const auto& judge : JudgesOf(service, *live)) {
+      reports.push_back({.judge = judge, .evidence = evidence});
+    }
+  }
+  return reports;
+}
+
+void Mover::OnEvidence(const std::string& reporter, int64_t incarnation,
+                       const Evidence& evidence) {
+  Received& received =
+      m_received[evidence.service()][{evidence.version(), reporter}];
+  if (incarnation < received.incarnation) return;
+  received = {.incarnation = incarnation, .evidence = evidence};
+  auto found = m_judged.find(evidence.service());
+  if (found == m_judged.end()) return;
+  if (evidence.move_revision() != found->second.move_revision) return;
+  found->second.judge->OnEvidence(reporter, incarnation, evidence);
+}
+
+std::vector<MoveMark> Mover::Judge(const Replica& replica, JudgeTime time) {
+  std::vector<MoveMark> marks;
+  const Batch& batch = replica.CurrentBatch();
+  std::erase_if(m_judged, [&](const auto& item) {
+    const ServiceConfig* config = FindService(batch, item.first);
+    return config == nullptr || !IsOpen(*config, replica) ||
+           config->move_revision() != item.second.move_revision;
+  });
+  std::optional<std::vector<MemberRecord>> live;
+  for (const auto& config : batch.services()) {
+    if (!IsOpen(config, replica)) continue;
+    if (!live) live = replica.LiveMembers();
+    const auto judges = JudgesOf(config.service(), *live);
+    if (std::find(judges.begin(), judges.end(), m_options.id) == judges.end()) {
+      m_judged.erase(config.service());
+      continue;
+    }
+    Judged& judged = m_judged[config.service()];
+    if (judged.judge == nullptr) {
+      judged.move_revision = config.move_revision();
+      judged.judge = std::make_unique<MoveJudge>(
+          config, JudgeOptions{.zone = m_options.zone}, time);
+      for (const auto& [key, received] : m_received[config.service()]) {
+        if (received.evidence.move_revision() != config.move_revision()) {
+          continue;
+        }
+        judged.judge->OnEvidence(key.second, received.incarnation,
+                                 received.evidence);
+      }
+    }
+    const auto& progress =
+        replica.Marks().Progress(config.service(), config.move_revision());
+    const RulingToMark to_mark(config, m_options, time.unix_ms);
+    for (const auto& ruling :
+         judged.judge->Tick(time, progress, CountSlots(config, *live))) {
+      if (auto mark = std::visit(to_mark, ruling)) {
+        marks.push_back(std::move(*mark));
+      }
+    }
+  }
+  return marks;
+}
+
+std::string Mover::HeldBecause(const std::string& service) const {
+  auto found = m_judged.find(service);
+  return found == m_judged.end() ? "" : found->second.judge->HeldBecause();
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,228 @@
+#include "kumquatmoor/node/node.h"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <chrono>
+#include <future>
+#include <random>
+#include <utility>
+
+namespace kumquatmoor {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr size_t kOutcomeRing = 65'536;
+constexpr size_t kSyncRing = 16;
+constexpr char kJson[] = "application/json";
+constexpr char kText[] = "text/plain; version=0.0.4";
+// Time in which the last datagrams of a leaving node go out.
+constexpr std::chrono::milliseconds kLeaveTime{100};
+
+int64_t UnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+uint64_t RandomSeed() {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32U) | device();
+}
+
+ProxyOptions MakeProxyOptions(const NodeSettings& settings) {
+  return {.id = settings.id,
+          .zone = settings.zone,
+          .caller_address = settings.caller_address,
+          .data_address = settings.data_address,
+          .default_deadline = settings.default_deadline,
+          .max_attempts = settings.max_attempts,
+          .retry_budget = {},
+          .seed = RandomSeed()};
+}
+
+ControlLoopOptions MakeLoopOptions(const NodeSettings& settings) {
+  ControlLoopOptions options;
+  options.replica.id = settings.id;
+  options.replica.zone = settings.zone;
+  options.replica.control_address = settings.control_address;
+  options.replica.data_address = settings.data_address;
+  options.replica.started_ms = UnixMs();
+  options.replica.seed = RandomSeed();
+  options.replica.probe_interval = settings.probe_interval;
+  options.gateways_per_zone = static_cast<size_t>(settings.gateways_per_zone);
+  return options;
+}
+
+SyncWorkerOptions MakeSyncOptions(const NodeSettings& settings) {
+  SyncWorkerOptions options;
+  options.own_address = settings.control_address;
+  options.seeds = settings.seeds;
+  options.seed = RandomSeed();
+  return options;
+}
+
+GatewayOptions MakeGatewayOptions(const NodeSettings& settings) {
+  GatewayOptions options;
+  options.id = settings.id;
+  options.zone = settings.zone;
+  options.leases = static_cast<size_t>(settings.gateways_per_zone);
+  return options;
+}
+
+HttpResponse JsonProblem(unsigned status, const std::string& message) {
+  return MakeResponse(
+      status, boost::json::serialize(boost::json::object{{"error", message}}),
+      kJson);
+}
+
+}  // namespace
+
+Node::Node(NodeSettings settings, NodeOptions options)
+    : m_settings(std::move(settings)),
+      m_options(options),
+      m_proxy_work(m_proxy_context.get_executor()),
+      m_outcomes(kOutcomeRing),
+      m_syncs(kSyncRing),
+      m_proxy(m_proxy_context, MakeProxyOptions(m_settings), &m_faults,
+              &m_outcomes),
+      m_loop(m_control_context, MakeLoopOptions(m_settings), &m_faults,
+             &m_proxy, &m_outcomes, &m_syncs),
+      m_platform({.address = m_settings.platform_address}),
+      m_store(&m_platform),
+      m_client(&m_faults),
+      m_service(&m_loop, &m_client),
+      m_sync_worker(MakeSyncOptions(m_settings), &m_loop, &m_client, &m_store,
+                    &m_platform, &m_syncs),
+      m_gateway(MakeGatewayOptions(m_settings), &m_loop, &m_platform, &m_store),
+      m_admin(m_control_context, {.address = m_settings.admin_address},
+              ServeMessages({}, [this](HttpRequest& request,
+                                       asio::ip::tcp::socket& socket) {
+                return HandleAdmin(request, socket);
+              })) {}
+
+Node::~Node() { Stop(); }
+
+std::string Node::Start() {
+  const auto problem = [](const std::string& address,
+                          const boost::system::error_code& error) {
+    return address + ": " + error.message();
+  };
+  if (auto error = m_proxy.Start()) {
+    return problem(m_settings.caller_address + " or " + m_settings.data_address,
+                   error);
+  }
+  if (auto error = m_loop.Start()) {
+    return problem(m_settings.control_address, error);
+  }
+  if (auto error = m_admin.Start()) {
+    return problem(m_settings.admin_address, error);
+  }
+  if (!m_service.Start(m_settings.control_address)) {
+    return m_settings.control_address + ": cannot be bound";
+  }
+  m_proxy_thread = std::thread([this] { m_proxy_context.run(); });
+  m_control_thread = std::thread([this] { m_control_context.run(); });
+  m_sync_worker.Start();
+  m_gateway.Start();
+  spdlog::info("node: {} in zone {} takes callers at {}", m_settings.id,
+               m_settings.zone, m_settings.caller_address);
+  return {};
+}
+
+void Node::WaitForSignal() {
+  asio::io_context context(1);
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([](boost::system::error_code, int) {});
+  context.run();
+  spdlog::info("node: draining");
+  Drain();
+  Stop();
+}
+
+// First the mesh hears that the local targets are leaving, then requests in
+// flight end, then the node itself leaves.
+void Node::Drain() {
+  m_loop.Post([](ControlLoop& loop) { loop.StartDrain(); });
+  auto drained = std::make_shared<std::promise<void>>();
+  auto done = drained->get_future();
+  m_proxy.StartDrain([drained] { drained->set_value(); });
+  if (done.wait_for(m_settings.drain_timeout) != std::future_status::ready) {
+    spdlog::warn("node: requests are still in flight after {} ms",
+                 m_settings.drain_timeout.count());
+  }
+  m_loop.Post([](ControlLoop& loop) { loop.Leave(); });
+  std::this_thread::sleep_for(kLeaveTime);
+  spdlog::info("node: drained");
+}
+
+void Node::Stop() {
+  m_gateway.Stop();
+  m_sync_worker.Stop();
+  m_service.Stop();
+  m_proxy_context.stop();
+  m_control_context.stop();
+  if (m_proxy_thread.joinable()) m_proxy_thread.join();
+  if (m_control_thread.joinable()) m_control_thread.join();
+}
+
+asio::awaitable<HttpResponse> Node::HandleAdmin(HttpRequest& request,
+                                                asio::ip::tcp::socket& socket) {
+  const std::string target(request.target());
+  if (target == "/announce") co_return HandleAnnounce(request);
+  if (target == "/faults") co_return HandleFaults(request);
+  if (target != "/metrics") co_return JsonProblem(404, "no such page");
+  auto text = std::make_shared<std::string>();
+  auto ready = std::make_shared<asio::steady_timer>(socket.get_executor());
+  ready->expires_after(std::chrono::seconds(1));
+  m_proxy.Snapshot([this, text, ready](const CallMetrics& calls) {
+    *text = calls.ToPrometheus();
+    asio::post(m_control_context, [ready] { ready->cancel(); });
+  });
+  boost::system::error_code cancelled;
+  co_await ready->async_wait(
+      asio::redirect_error(asio::use_awaitable, cancelled));
+  const auto& calls = m_platform.Calls();
+  std::string platform;
+  const auto count = [&](const char* kind, uint64_t value) {
+    platform += fmt::format(
+        "kumquatmoor_platform_calls_total{{kind=\"{}\"}} {}\n", kind, value);
+  };
+  count("get", calls.get);
+  count("cas", calls.swap);
+  count("watch", calls.watch);
+  count("lease", calls.lease);
+  count("delete", calls.remove);
+  count("failed", calls.failed);
+  co_return MakeResponse(200, *text + m_loop.ControlMetrics() + platform,
+                         kText);
+}
+
+HttpResponse Node::HandleAnnounce(const HttpRequest& request) {
+  auto parsed = Attempt([&] { return ParseAnnouncement(request.body()); });
+  if (const auto* failure = std::get_if<Failure>(&parsed)) {
+    return JsonProblem(400, failure->message);
+  }
+  m_loop.Announce(std::get<Announcement>(parsed));
+  return MakeResponse(200, "{}", kJson);
+}
+
+HttpResponse Node::HandleFaults(const HttpRequest& request) {
+  if (!m_options.fault_injection) {
+    return JsonProblem(403, "start the node with --enable_fault_injection");
+  }
+  auto parsed = Attempt([&] { return ParseFaultRules(request.body()); });
+  if (const auto* failure = std::get_if<Failure>(&parsed)) {
+    return JsonProblem(400, failure->message);
+  }
+  spdlog::warn("fault: {} rules are in force",
+               std::get<std::vector<FaultRule>>(parsed).size());
+  m_faults.Replace(std::get<std::vector<FaultRule>>(std::move(parsed)));
+  return MakeResponse(200, "{}", kJson);
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/node/node_settings.cc
@@ -0,0 +1,85 @@
+#include "kumquatmoor/node/node_settings.h"
+
+#include <spdlog/common.h>
+
+#include <algorithm>
+#include <map>
+
+#include "kumquatmoor/protocol/json_reader.h"
+
+namespace kumquatmoor {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int64_t kMaxDurationMs = 600'000;
+
+milliseconds Duration(JsonReader* reader, std::string_view key,
+                      milliseconds fallback, int64_t minimum_ms) {
+  return milliseconds(reader->Integer(key, {.fallback = fallback.count(),
+                                            .minimum = minimum_ms,
+                                            .maximum = kMaxDurationMs}));
+}
+
+void CheckDistinct(const NodeSettings& settings, JsonReader* reader) {
+  const std::map<std::string, std::string> addresses = {
+      {"data_address", settings.data_address},
+      {"control_address", settings.control_address},
+      {"admin_address", settings.admin_address}};
+  std::map<std::string, std::string> users = {
+      {settings.caller_address, "caller_address"}};
+  for (const auto& [key, address] : addresses) {
+    if (address.empty()) continue;
+    auto [used, added] = users.emplace(address, key);
+    if (!added) reader->AddProblem(key, "is the same as " + used->second);
+  }
+}
+
+void CheckLogLevel(const NodeSettings& settings, JsonReader* reader) {
+  const auto level = spdlog::level::from_str(settings.log_level);
+  if (level == spdlog::level::off && settings.log_level != "off") {
+    reader->AddProblem("log_level",
+                       "expected trace, debug, info, warning, error or off");
+  }
+}
+
+}  // namespace
+
+Result<NodeSettings> ReadNodeSettings(const std::string& path) {
+  BOOST_LEAF_AUTO(value, ReadJsonFile(path));
+  std::vector<std::string> problems;
+  JsonReader reader(value, "", &problems);
+  NodeSettings settings;
+  settings.id = reader.RequiredString("id");
+  settings.zone = reader.RequiredString("zone");
+  settings.caller_address = reader.RequiredAddress("caller_address");
+  settings.data_address = reader.RequiredAddress("data_address");
+  settings.control_address = reader.RequiredAddress("control_address");
+  settings.admin_address = reader.RequiredAddress("admin_address");
+  settings.platform_address = reader.RequiredAddress("platform_address");
+  settings.seeds = reader.Addresses("seeds");
+  settings.default_deadline =
+      Duration(&reader, "default_deadline_ms", settings.default_deadline, 1);
+  settings.probe_interval =
+      Duration(&reader, "probe_interval_ms", settings.probe_interval, 50);
+  settings.drain_timeout =
+      Duration(&reader, "drain_timeout_ms", settings.drain_timeout, 0);
+  settings.max_attempts = reader.Integer(
+      "max_attempts", {.fallback = 3, .minimum = 1, .maximum = 10});
+  settings.gateways_per_zone = reader.Integer(
+      "gateways_per_zone", {.fallback = 2, .minimum = 1, .maximum = 5});
+  settings.log_level = reader.String("log_level", settings.log_level);
+  settings.log_file = reader.String("log_file", "");
+  reader.RejectUnknownKeys();
+  CheckDistinct(settings, &reader);
+  CheckLogLevel(settings, &reader);
+  if (problems.empty()) return settings;
+  std::string text;
+  for (const auto& problem : problems) {
+    if (!text.empty()) text += "\n";
+    text += path + ": " + problem;
+  }
+  return Fail(FailureCode::kInvalid, text);
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/node/sync_worker.cc
@@ -0,0 +1,181 @@
+#include "kumquatmoor/node/sync_worker.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <set>
+#include <utility>
+
+namespace kumquatmoor {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kPollInterval{200};
+
+}  // namespace
+
+SyncWorker::SyncWorker(SyncWorkerOptions options, ControlLoop* loop,
+                       ControlClient* client, TableStore* store,
+                       Platform* platform, BoundedRing<SyncPeer>* syncs)
+    : m_options(std::move(options)),
+      m_loop(loop),
+      m_client(client),
+      m_store(store),
+      m_platform(platform),
+      m_syncs(syncs),
+      m_rng(m_options.seed) {}
+
+SyncWorker::~SyncWorker() { Stop(); }
+
+void SyncWorker::Start() {
+  m_thread = std::thread([this] { Run(); });
+}
+
+void SyncWorker::Stop() {
+  m_stopping = true;
+  if (m_thread.joinable()) m_thread.join();
+}
+
+void SyncWorker::Pause(milliseconds longest) {
+  std::uniform_int_distribution<int64_t> jitter(0, longest.count());
+  const auto until =
+      std::chrono::steady_clock::now() + milliseconds(jitter(m_rng));
+  while (!m_stopping && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(std::min(kPollInterval, longest));
+  }
+}
+
+void SyncWorker::Run() {
+  milliseconds backoff = m_options.first_backoff;
+  while (!m_stopping && !TryJoin()) {
+    spdlog::warn("join: nobody answered; trying again");
+    Pause(backoff);
+    backoff = std::min(backoff * 2, m_options.longest_backoff);
+  }
+  while (!m_stopping) {
+    const auto peer = m_syncs->PopFor(kPollInterval);
+    if (peer) SyncWith({.address = peer->address, .zone = peer->zone}, false);
+  }
+}
+
+bool SyncWorker::TryJoin() {
+  size_t heard = AskPeers(PeersFromSettings());
+  if (heard == 0) heard = AskPeers(PeersFromPlatform());
+  if (heard > 0) heard += AskPeers(PeersFromReplica());
+  const bool platform = AskPlatform();
+  if (heard == 0 && !platform) return false;
+  spdlog::info("join: serving after asking {} members{}", heard,
+               platform ? " and the platform" : "");
+  return m_loop
+      ->Run<bool>([](ControlLoop& loop) {
+        loop.SetReady();
+        return true;
+      })
+      .value_or(false);
+}
+
+size_t SyncWorker::AskPeers(std::vector<ControlPeer> peers) {
+  std::shuffle(peers.begin(), peers.end(), m_rng);
+  size_t heard = 0;
+  for (const auto& peer : peers) {
+    if (m_stopping || heard >= m_options.peers_to_ask) break;
+    if (SyncWith(peer, heard == 0)) ++heard;
+  }
+  return heard;
+}
+
+std::vector<ControlPeer> SyncWorker::PeersFromSettings() {
+  std::vector<ControlPeer> peers;
+  for (const auto& address : m_options.seeds) {
+    if (address != m_options.own_address) {
+      peers.push_back({.address = address, .zone = ""});
+    }
+  }
+  return peers;
+}
+
+std::vector<ControlPeer> SyncWorker::PeersFromPlatform() {
+  std::vector<ControlPeer> peers;
+  auto read = Attempt([&] { return m_platform->Get(kSeedsKey); });
+  const auto* entry = std::get_if<PlatformEntry>(&read);
+  if (entry == nullptr || entry->version == 0) return peers;
+  boost::json::error_code error;
+  const auto value = boost::json::parse(entry->value, error);
+  if (error || !value.is_array()) return peers;
+  for (const auto& item : value.as_array()) {
+    if (!item.is_string()) continue;
+    std::string address(item.as_string());
+    if (address != m_options.own_address) {
+      peers.push_back({.address = std::move(address), .zone = ""});
+    }
+  }
+  return peers;
+}
+
+// One member of each other zone, to hear of more than one part of the mesh.
+std::vector<ControlPeer> SyncWorker::PeersFromReplica() {
+  auto peers = m_loop->Run<std::vector<ControlPeer>>([](ControlLoop& loop) {
+    std::set<std::string> zones = {loop.GetReplica().Self().zone()};
+    std::vector<ControlPeer> picked;
+    for (const auto& member : loop.GetReplica().LiveMembers()) {
+      if (!zones.insert(member.zone()).second) continue;
+      picked.push_back(
+          {.address = member.control_address(), .zone = member.zone()});
+    }
+    return picked;
+  });
+  return peers.value_or(std::vector<ControlPeer>());
+}
+
+bool SyncWorker::SyncWith(const ControlPeer& peer, bool joining) {
+  const auto request = m_loop->Run<SyncRequest>([joining](ControlLoop& loop) {
+    return loop.GetReplica().MakeSyncRequest(joining);
+  });
+  if (!request) return false;
+  auto outcome = Attempt([&] { return m_client->Sync(peer, *request); });
+  if (auto* failure = std::get_if<Failure>(&outcome)) {
+    spdlog::info("sync: {}", failure->message);
+    return false;
+  }
+  SyncReply& reply = std::get<SyncReply>(outcome);
+  if (reply.retry_after_ms() > 0) {
+    spdlog::info("sync: {} is busy", peer.address);
+    Pause(milliseconds(reply.retry_after_ms()));
+    return false;
+  }
+  const auto missing = m_loop->Run<std::vector<MemberRecord>>(
+      [reply = std::move(reply)](ControlLoop& loop) {
+        return loop.GetReplica().TakeSync(reply, Clock::now());
+      });
+  if (!missing || missing->empty() || joining) return missing.has_value();
+  SyncRequest offer = *request;
+  for (const auto& member : *missing) *offer.add_members() = member;
+  Attempt([&] { return m_client->Sync(peer, offer); });
+  return true;
+}
+
+bool SyncWorker::AskPlatform() {
+  auto head = Attempt([&] { return m_store->ReadHead(); });
+  if (auto* failure = std::get_if<Failure>(&head)) {
+    spdlog::info("join: {}", failure->message);
+    return false;
+  }
+  const auto& entries = std::get<Head>(head).entries;
+  if (entries.empty()) return true;
+  auto batch = Attempt([&] { return m_store->ReadBatch(entries.front().key); });
+  auto marks = Attempt([&] { return m_store->ReadMarks(); });
+  if (std::holds_alternative<Failure>(batch)) return false;
+  if (std::holds_alternative<Failure>(marks)) return false;
+  return m_loop
+      ->Run<bool>([batch = std::get<Batch>(batch),
+                   marks = std::get<MarkSet>(marks)](ControlLoop& loop) {
+        loop.GetReplica().Offer(batch);
+        for (const auto& mark : marks.All()) loop.GetReplica().JoinMark(mark);
+        return true;
+      })
+      .value_or(false);
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/state/batch.cc
@@ -0,0 +1,232 @@
+// A batch is immutable and services are sorted, so two batches are compared by
+// walking both lists. Weights before the move are computed here, once, by the
+// writer: nodes then need no history to know what a recall goes back to.
+
+#include "kumquatmoor/state/batch.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace kumquatmoor {
+namespace {
+
+using RowsByService = std::map<std::string, std::vector<const TableRow*>>;
+
+bool MoveIsComplete(const MoveProgress& progress) {
+  if (progress.IsRecalled() || progress.stage_permille.empty()) return false;
+  return std::all_of(
+      progress.stage_permille.begin(), progress.stage_permille.end(),
+      [](const auto& zone) { return zone.second >= kFullStage; });
+}
+
+// The weight of each version that is in force now.
+std::map<std::string, uint32_t> WeightsInForce(const ServiceConfig& config,
+                                               const MarkSet& marks) {
+  const auto& progress =
+      marks.Progress(config.service(), config.move_revision());
+  const bool goal_in_force = !HasMove(config) || MoveIsComplete(progress);
+  std::map<std::string, uint32_t> weights;
+  for (const auto& row : config.rows()) {
+    weights[row.version()] = goal_in_force ? row.weight() : row.from_weight();
+  }
+  return weights;
+}
+
+bool SameRows(const ServiceConfig& config,
+              const std::vector<const TableRow*>& rows) {
+  std::map<std::string, const TableRow*> wanted;
+  for (const auto* row : rows) wanted[row->version] = row;
+  size_t visible = 0;
+  for (const auto& row : config.rows()) {
+    if (row.retiring()) continue;
+    ++visible;
+    auto found = wanted.find(row.version());
+    if (found == wanted.end()) return false;
+    const TableRow& other = *found->second;
+    if (row.weight() != other.weight ||
+        row.max_concurrent() != other.max_concurrent ||
+        row.max_rate() != other.max_rate ||
+        row.move_by_ms() != other.move_by_ms) {
+      return false;
+    }
+  }
+  return visible == wanted.size();
+}
+
+Row MakeRow(const TableRow& row, uint64_t revision) {
+  Row made;
+  made.set_version(row.version);
+  made.set_weight(row.weight);
+  made.set_from_weight(row.weight);
+  made.set_max_concurrent(row.max_concurrent);
+  made.set_max_rate(row.max_rate);
+  made.set_move_by_ms(row.move_by_ms);
+  made.set_revision(revision);
+  return made;
+}
+
+ServiceConfig BuildService(const std::string& service,
+                           const std::vector<const TableRow*>& rows,
+                           const ServiceConfig* previous, const MarkSet& marks,
+                           uint64_t revision, int64_t now_ms) {
+  std::map<std::string, Row> built;
+  for (const auto* row : rows) built[row->version] = MakeRow(*row, revision);
+  if (previous != nullptr) {
+    for (auto& [version, row] : built) row.set_from_weight(0);
+    for (const auto& [version, weight] : WeightsInForce(*previous, marks)) {
+      auto found = built.find(version);
+      if (found != built.end()) {
+        found->second.set_from_weight(weight);
+      } else if (weight > 0) {
+        Row& row = built[version];
+        row.set_version(version);
+        row.set_from_weight(weight);
+        row.set_revision(revision);
+        row.set_retiring(true);
+      }
+    }
+  }
+  ServiceConfig config;
+  config.set_service(service);
+  config.set_move_revision(revision);
+  config.set_accepted_ms(now_ms);
+  for (auto& [version, row] : built) *config.add_rows() = std::move(row);
+  return config;
+}
+
+void CheckService(const ServiceConfig& config, uint64_t revision,
+                  std::vector<std::string>* problems) {
+  const auto report = [&](const std::string& message) {
+    problems->push_back("service " + config.service() + ": " + message);
+  };
+  if (config.rows_size() == 0) report("no rows");
+  if (config.move_revision() > revision) report("move of a later revision");
+  uint32_t goal = 0;
+  uint32_t before = 0;
+  std::set<std::string> versions;
+  for (const auto& row : config.rows()) {
+    if (row.version().empty()) report("a row without a version");
+    if (!versions.insert(row.version()).second) report("a version named twice");
+    goal += row.weight();
+    before += row.from_weight();
+  }
+  if (goal != kFullWeight) report("weights do not add up");
+  if (before != kFullWeight) report("weights before the move do not add up");
+}
+
+}  // namespace
+
+Batch BuildBatch(const Batch& current, std::span<const TableRow> rows,
+                 const MarkSet& marks, const BuildOptions& options) {
+  RowsByService by_service;
+  for (const auto& row : rows) by_service[row.service].push_back(&row);
+  Batch batch;
+  batch.set_revision(current.revision() + 1);
+  batch.set_base_revision(current.revision());
+  batch.set_base_key(options.base_key);
+  batch.set_write_id(options.write_id);
+  batch.set_author(options.author);
+  batch.set_written_ms(options.now_ms);
+  for (const auto& [service, service_rows] : by_service) {
+    const ServiceConfig* previous = FindService(current, service);
+    if (previous != nullptr && SameRows(*previous, service_rows)) {
+      *batch.add_services() = *previous;
+      continue;
+    }
+    *batch.add_services() = BuildService(service, service_rows, previous, marks,
+                                         batch.revision(), options.now_ms);
+  }
+  return batch;
+}
+
+uint64_t BatchDigest(const Batch& batch) {
+  const std::string bytes = batch.SerializeAsString();
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+BatchDelta MakeDelta(const Batch& from, const Batch& to) {
+  BatchDelta delta;
+  delta.set_base_revision(from.revision());
+  delta.set_revision(to.revision());
+  delta.set_digest(BatchDigest(to));
+  delta.set_base_key(to.base_key());
+  delta.set_write_id(to.write_id());
+  delta.set_author(to.author());
+  delta.set_written_ms(to.written_ms());
+  for (const auto& service : to.services()) {
+    const ServiceConfig* old = FindService(from, service.service());
+    const bool same = old != nullptr &&
+                      old->SerializeAsString() == service.SerializeAsString();
+    if (!same) *delta.add_changed() = service;
+  }
+  for (const auto& service : from.services()) {
+    if (FindService(to, service.service()) == nullptr) {
+      delta.add_removed(service.service());
+    }
+  }
+  return delta;
+}
+
+std::optional<Batch> ApplyDelta(const Batch& base, const BatchDelta& delta) {
+  if (base.revision() != delta.base_revision()) return std::nullopt;
+  std::map<std::string, const ServiceConfig*> services;
+  for (const auto& service : base.services()) {
+    services[service.service()] = &service;
+  }
+  for (const auto& service : delta.changed()) {
+    services[service.service()] = &service;
+  }
+  for (const auto& service : delta.removed()) services.erase(service);
+  Batch batch;
+  batch.set_revision(delta.revision());
+  batch.set_base_revision(delta.base_revision());
+  batch.set_base_key(delta.base_key());
+  batch.set_write_id(delta.write_id());
+  batch.set_author(delta.author());
+  batch.set_written_ms(delta.written_ms());
+  for (const auto& [name, service] : services) {
+    *batch.add_services() = *service;
+  }
+  if (BatchDigest(batch) != delta.digest()) return std::nullopt;
+  return batch;
+}
+
+std::vector<std::string> CheckBatch(const Batch& batch) {
+  std::vector<std::string> problems;
+  if (batch.revision() == 0) problems.emplace_back("revision is 0");
+  std::string last;
+  for (const auto& config : batch.services()) {
+    if (config.service() <= last) problems.emplace_back("services not sorted");
+    last = config.service();
+    CheckService(config, batch.revision(), &problems);
+  }
+  return problems;
+}
+
+const ServiceConfig* FindService(const Batch& batch, std::string_view service) {
+  const auto& services = batch.services();
+  auto found =
+      std::lower_bound(services.begin(), services.end(), service,
+                       [](const ServiceConfig& config, std::string_view name) {
+                         return config.service() < name;
+                       });
+  if (found == services.end() || found->service() != service) return nullptr;
+  return &*found;
+}
+
+bool HasMove(const ServiceConfig& config) {
+  return std::any_of(config.rows().begin(), config.rows().end(), IsRising);
+}
+
+int64_t MoveDeadline(const ServiceConfig& config) {
+  int64_t deadline = 0;
+  for (const auto& row : config.rows()) {
+    if (IsRising(row)) deadline = std::max(deadline, row.move_by_ms());
+  }
+  return deadline;
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/state/evidence.cc
@@ -0,0 +1,80 @@
+#include "kumquatmoor/state/evidence.h"
+
+#include <algorithm>
+#include <boost/histogram/axis/regular.hpp>
+#include <cmath>
+
+namespace kumquatmoor {
+namespace {
+
+using LatencyAxis =
+    boost::histogram::axis::regular<double,
+                                    boost::histogram::axis::transform::log>;
+
+}  // namespace
+
+size_t LatencyBucket(double latency_ms) {
+  static const LatencyAxis kAxis(kLatencyBuckets, kLowestLatencyMs,
+                                 kHighestLatencyMs);
+  const int index = kAxis.index(std::max(latency_ms, kLowestLatencyMs));
+  return static_cast<size_t>(
+      std::clamp(index, 0, static_cast<int>(kLatencyBuckets) - 1));
+}
+
+std::string RouteOf(std::string_view method, std::string_view path) {
+  path = path.substr(0, path.find('?'));
+  if (!path.empty()) path = path.substr(0, path.find('/', 1));
+  constexpr size_t kMaxRouteBytes = 48;
+  return std::string(method) + " " +
+         std::string(path.substr(0, kMaxRouteBytes));
+}
+
+void OutcomeLedger::Add(const Outcome& outcome) {
+  auto& version = m_versions[{outcome.service, outcome.version}];
+  ++version.sequence;
+  const bool known = version.routes.count(outcome.route) > 0;
+  const bool room = version.routes.size() < kMaxRoutes;
+  Counts& counts = version.routes[known || room ? outcome.route : kOtherRoutes];
+  ++counts.total;
+  if (outcome.error) ++counts.errors;
+  if (!outcome.idempotent) ++counts.side_effects;
+  if (!outcome.warm || outcome.error) return;
+  ++counts.warm_total;
+  ++counts.latency[LatencyBucket(outcome.latency_ms)];
+}
+
+void OutcomeLedger::Restart(const std::string& service) {
+  // The sequence goes on rising: it orders reports, not counts.
+  for (auto& [key, version] : m_versions) {
+    if (key.first == service) version.routes.clear();
+  }
+}
+
+std::vector<std::pair<std::string, std::string>> OutcomeLedger::Versions()
+    const {
+  std::vector<std::pair<std::string, std::string>> versions;
+  for (const auto& [key, counts] : m_versions) versions.push_back(key);
+  return versions;
+}
+
+Evidence OutcomeLedger::Report(const std::string& service,
+                               const std::string& version) const {
+  Evidence evidence;
+  evidence.set_service(service);
+  evidence.set_version(version);
+  auto found = m_versions.find({service, version});
+  if (found == m_versions.end()) return evidence;
+  evidence.set_sequence(found->second.sequence);
+  for (const auto& [route, counts] : found->second.routes) {
+    RouteCounts* report = evidence.add_routes();
+    report->set_route(route);
+    report->set_total(counts.total);
+    report->set_errors(counts.errors);
+    report->set_warm_total(counts.warm_total);
+    report->set_side_effects(counts.side_effects);
+    for (uint32_t count : counts.latency) report->add_latency(count);
+  }
+  return evidence;
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/state/marks.cc
@@ -0,0 +1,120 @@
+// Each part of MoveProgress only grows, and each Join takes the larger value
+// per key, so Join is commutative, associative and idempotent. Two recalls of
+// one version keep the earlier decision; ties go to the smaller text, so that
+// every node ends with the same bytes and the same hash.
+
+#include "kumquatmoor/state/marks.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace kumquatmoor {
+namespace {
+
+auto RecallOrder(const Recall& recall) {
+  return std::make_tuple(recall.decided_ms(),
+                         std::string_view(recall.decided_by()),
+                         std::string_view(recall.reason()));
+}
+
+}  // namespace
+
+uint32_t MoveProgress::StageOf(const std::string& zone) const {
+  auto found = stage_permille.find(zone);
+  return found == stage_permille.end() ? 0 : found->second;
+}
+
+bool MarkSet::Join(const MoveMark& mark) {
+  const MoveKey key{mark.service(), mark.move_revision()};
+  MoveProgress& progress = m_moves[key];
+  const uint64_t before = HashOf(key, progress);
+  for (const auto& [zone, stage] : mark.stage_permille()) {
+    uint32_t& held = progress.stage_permille[zone];
+    held = std::max(held, std::min(stage, kFullStage));
+  }
+  for (const auto& [zone, settled] : mark.settled()) {
+    if (settled) progress.settled[zone] = true;
+  }
+  for (const auto& recall : mark.recalls()) {
+    auto [held, added] = progress.recalls.emplace(recall.version(), recall);
+    if (!added && RecallOrder(recall) < RecallOrder(held->second)) {
+      held->second = recall;
+    }
+  }
+  const uint64_t after = HashOf(key, progress);
+  m_hash ^= before ^ after;
+  return before != after;
+}
+
+void MarkSet::Prune(const Batch& batch) {
+  std::map<std::string, uint64_t> current;
+  for (const auto& service : batch.services()) {
+    current[service.service()] = service.move_revision();
+  }
+  for (auto it = m_moves.begin(); it != m_moves.end();) {
+    auto found = current.find(it->first.service);
+    const bool replaced = found == current.end()
+                              ? it->first.move_revision <= batch.revision()
+                              : it->first.move_revision < found->second;
+    if (!replaced) {
+      ++it;
+      continue;
+    }
+    m_hash ^= HashOf(it->first, it->second);
+    it = m_moves.erase(it);
+  }
+}
+
+const MoveProgress& MarkSet::Progress(std::string_view service,
+                                      uint64_t move_revision) const {
+  static const MoveProgress kNothing;
+  auto found = m_moves.find(MoveKey{std::string(service), move_revision});
+  return found == m_moves.end() ? kNothing : found->second;
+}
+
+bool MarkSet::IsRecalled(std::string_view service,
+                         uint64_t move_revision) const {
+  return Progress(service, move_revision).IsRecalled();
+}
+
+std::vector<MoveMark> MarkSet::All() const {
+  std::vector<MoveMark> marks;
+  marks.reserve(m_moves.size());
+  for (const auto& [key, progress] : m_moves) marks.push_back(MarkOf(key));
+  return marks;
+}
+
+MoveMark MarkSet::MarkOf(const MoveKey& key) const {
+  const MoveProgress& progress = Progress(key.service, key.move_revision);
+  MoveMark mark;
+  mark.set_service(key.service);
+  mark.set_move_revision(key.move_revision);
+  for (const auto& [zone, stage] : progress.stage_permille) {
+    (*mark.mutable_stage_permille())[zone] = stage;
+  }
+  for (const auto& [zone, settled] : progress.settled) {
+    (*mark.mutable_settled())[zone] = settled;
+  }
+  for (const auto& [version, recall] : progress.recalls) {
+    *mark.add_recalls() = recall;
+  }
+  return mark;
+}
+
+uint64_t MarkSet::HashOf(const MoveKey& key,
+                         const MoveProgress& progress) const {
+  std::string text = key.service + '\n' + std::to_string(key.move_revision);
+  for (const auto& [zone, stage] : progress.stage_permille) {
+    text += "\ns" + zone + ' ' + std::to_string(stage);
+  }
+  for (const auto& [zone, settled] : progress.settled) text += "\nd" + zone;
+  for (const auto& [version, recall] : progress.recalls) {
+    text += "\nr" + version + ' ' + std::to_string(recall.decided_ms()) + ' ' +
+            recall.decided_by() + ' ' + recall.reason();
+  }
+  return XXH3_64bits(text.data(), text.size());
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/state/routes.cc
@@ -0,0 +1,112 @@
+#include "kumquatmoor/state/routes.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "kumquatmoor/state/batch.h"
+
+namespace kumquatmoor {
+namespace {
+
+using TargetMap = std::map<std::pair<std::string, std::string>,
+                           std::vector<Target>>;  // By (service, version).
+
+TargetMap CollectTargets(std::span<const MemberRecord> members) {
+  TargetMap targets;
+  for (const auto& member : members) {
+    if (member.status() != ALIVE) continue;
+    for (const auto& endpoint : member.endpoints()) {
+      if (endpoint.draining()) continue;
+      targets[{endpoint.service(), endpoint.version()}].push_back(
+          {.member_id = member.id(),
+           .zone = member.zone(),
+           .data_address = member.data_address(),
+           .incarnation = member.incarnation(),
+           .slots = std::max(1U, endpoint.slots())});
+    }
+  }
+  return targets;
+}
+
+ServiceRoutes BuildService(const ServiceConfig& config,
+                           const MoveProgress& progress,
+                           const TargetMap& targets, const std::string& zone) {
+  ServiceRoutes routes;
+  routes.service = config.service();
+  routes.move_revision = config.move_revision();
+  const uint32_t stage = progress.StageOf(zone);
+  const bool recalled = progress.IsRecalled();
+  for (const auto& row : config.rows()) {
+    auto found = targets.find({config.service(), row.version()});
+    if (found == targets.end()) continue;
+    const double read_share = ShareAt(row, stage, recalled);
+    const double write_share = ShareAt(row, PreviousStage(stage), recalled);
+    if (read_share <= 0 && write_share <= 0) continue;
+    routes.versions.push_back({.version = row.version(),
+                               .read_share = read_share,
+                               .write_share = write_share,
+                               .max_concurrent = row.max_concurrent(),
+                               .max_rate = row.max_rate(),
+                               .targets = found->second});
+  }
+  return routes;
+}
+
+}  // namespace
+
+const VersionRoutes* ServiceRoutes::Find(std::string_view version) const {
+  auto found = std::find_if(
+      versions.begin(), versions.end(),
+      [&](const auto& routes) { return routes.version == version; });
+  return found == versions.end() ? nullptr : &*found;
+}
+
+const ServiceRoutes* RouteTable::Find(std::string_view service) const {
+  auto found = services.find(service);
+  return found == services.end() ? nullptr : &found->second;
+}
+
+uint32_t NextStage(uint32_t stage) {
+  const auto* next =
+      std::upper_bound(std::begin(kStages), std::end(kStages), stage);
+  return next == std::end(kStages) ? kFullStage : *next;
+}
+
+uint32_t PreviousStage(uint32_t stage) {
+  // At full stage nothing lags: the goal weights hold for every request.
+  if (stage >= kFullStage) return kFullStage;
+  const auto* at =
+      std::lower_bound(std::begin(kStages), std::end(kStages), stage);
+  return at == std::begin(kStages) ? 0 : *std::prev(at);
+}
+
+double ShareAt(const Row& row, uint32_t stage_permille, bool recalled) {
+  const double from = row.from_weight();
+  const double goal = recalled ? from : row.weight();
+  const double share =
+      from + (goal - from) * stage_permille / static_cast<double>(kFullStage);
+  return share / kFullWeight;
+}
+
+std::shared_ptr<const RouteTable> BuildRoutes(
+    const Batch& batch, const MarkSet& marks,
+    std::span<const MemberRecord> members, const std::string& zone) {
+  const TargetMap targets = CollectTargets(members);
+  auto table = std::make_shared<RouteTable>();
+  table->revision = batch.revision();
+  table->zone = zone;
+  for (const auto& config : batch.services()) {
+    const auto& progress =
+        marks.Progress(config.service(), config.move_revision());
+    for (const auto& [version, recall] : progress.recalls) {
+      table->recalled.emplace(config.service(), version);
+    }
+    ServiceRoutes routes = BuildService(config, progress, targets, zone);
+    if (routes.versions.empty()) continue;
+    table->services.emplace(config.service(), std::move(routes));
+  }
+  return table;
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/transport/http_call.cc
@@ -0,0 +1,75 @@
+// The call runs on an io_context of its own until it ends or the timeout of
+// the stream strikes; Beast's synchronous calls know no timeout.
+
+#include "kumquatmoor/transport/http_call.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <exception>
+
+#include "kumquatmoor/transport/endpoint_address.h"
+
+namespace kumquatmoor {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+// Answers of the platform hold one value of up to a megabyte, quoted.
+constexpr uint64_t kMaxAnswerBytes = 8U << 20U;
+
+struct CallState {
+  bool sent = false;
+  HttpAnswer answer;
+};
+
+asio::awaitable<void> Run(const HttpCallOptions& options,
+                          asio::ip::tcp::endpoint endpoint, CallState* state) {
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(options.timeout);
+  co_await stream.async_connect(endpoint, asio::use_awaitable);
+  http::request<http::string_body> request;
+  request.method(http::string_to_verb(options.method));
+  request.target(options.target);
+  request.version(11);
+  request.set(http::field::host, options.address);
+  request.keep_alive(false);
+  request.body() = options.body;
+  request.prepare_payload();
+  state->sent = true;
+  co_await http::async_write(stream, request, asio::use_awaitable);
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxAnswerBytes);
+  co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
+  state->answer.status = parser.get().result_int();
+  state->answer.body = std::move(parser.get().body());
+}
+
+}  // namespace
+
+Result<HttpAnswer> HttpCall(const HttpCallOptions& options) {
+  const auto endpoint = TcpEndpoint(options.address);
+  if (!endpoint) {
+    return Fail(FailureCode::kInvalid, options.address + " is not IP:PORT");
+  }
+  asio::io_context context(1);
+  CallState state;
+  std::exception_ptr error;
+  asio::co_spawn(context, Run(options, *endpoint, &state),
+                 [&](std::exception_ptr caught) { error = std::move(caught); });
+  context.run();
+  if (error == nullptr) return std::move(state.answer);
+  try {
+    std::rethrow_exception(error);
+  } catch (const std::exception& caught) {
+    return Fail(state.sent ? FailureCode::kUnknown : FailureCode::kUnavailable,
+                options.address + options.target + ": " + caught.what());
+  }
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/transport/upstream_pool.cc
@@ -0,0 +1,66 @@
+#include "kumquatmoor/transport/upstream_pool.h"
+
+#include <boost/asio/buffer.hpp>
+#include <utility>
+
+namespace kumquatmoor {
+namespace {
+
+namespace asio = boost::asio;
+
+// True if the other end neither closed the connection nor sent bytes that
+// belong to no request.
+bool IsQuiet(boost::beast::tcp_stream& stream) {
+  char byte = 0;
+  boost::system::error_code error;
+  stream.socket().non_blocking(true, error);
+  if (error) return false;
+  stream.socket().receive(asio::buffer(&byte, 1),
+                          asio::socket_base::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+}  // namespace
+
+std::unique_ptr<UpstreamConnection> UpstreamPool::TakeIdle(
+    const std::string& address, std::chrono::milliseconds max_age) {
+  auto found = m_idle.find(address);
+  if (found == m_idle.end()) return nullptr;
+  const auto now = std::chrono::steady_clock::now();
+  Idle& idle = found->second;
+  while (!idle.empty()) {
+    auto connection = std::move(idle.back());
+    idle.pop_back();
+    const bool young = now - connection->idle_since <= max_age &&
+                       now - connection->idle_since <= kMaxIdleAge;
+    if (young && IsQuiet(connection->stream)) {
+      connection->reused = true;
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+std::unique_ptr<UpstreamConnection> UpstreamPool::MakeNew(
+    const std::string& address) {
+  return std::make_unique<UpstreamConnection>(m_context, address);
+}
+
+void UpstreamPool::GiveBack(std::unique_ptr<UpstreamConnection> connection) {
+  connection->idle_since = std::chrono::steady_clock::now();
+  connection->stream.expires_never();
+  Idle& idle = m_idle[connection->address];
+  if (idle.size() < kMaxIdlePerAddress) idle.push_back(std::move(connection));
+}
+
+void UpstreamPool::CloseOld() {
+  const auto now = std::chrono::steady_clock::now();
+  for (auto& [address, idle] : m_idle) {
+    std::erase_if(idle, [&](const auto& connection) {
+      return now - connection->idle_since > kMaxIdleAge;
+    });
+  }
+  std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/tools/cluster.py
@@ -0,0 +1,362 @@
+"""Starts a deployment as real processes on loopback, for the demo, the proofs
+and the bench.
+
+    with Cluster("deploy/sagarmatha", network=10) as cluster:
+        cluster.start()
+        cluster.apply(rows)
+
+Each host gets an address of its own, 127.NETWORK.ZONE.HOST, with the same
+ports. Every process that is started is ended, by its id, when the block ends.
+"""
+
+import csv
+import io
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+BUILD = os.environ.get("KUMQUATMOOR_BUILD", os.path.join(ROOT, "build"))
+CALLER_PORT, DATA_PORT, CONTROL_PORT, ADMIN_PORT = 7000, 7001, 7002, 7003
+PLATFORM_PORT, BACKEND_PORT = 7100, 8000
+READY_TIMEOUT_S = 20
+STOP_TIMEOUT_S = 15
+
+
+def post(address, path, body, timeout=2):
+    """POSTs JSON and returns the parsed answer, or None without one."""
+    request = urllib.request.Request(
+        f"http://{address}{path}", json.dumps(body).encode(), method="POST")
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return json.loads(answer.read() or b"{}")
+    except (urllib.error.URLError, OSError, ValueError):
+        return None
+
+
+def table_csv(rows):
+    """CSV text of rows given as dictionaries."""
+    columns = ["service", "version", "weight", "max_concurrent", "max_rate",
+               "move_by"]
+    text = io.StringIO()
+    writer = csv.DictWriter(text, columns, restval="", lineterminator="\r\n")
+    writer.writeheader()
+    writer.writerows(rows)
+    return text.getvalue()
+
+
+class Host:
+    """One backend server host: its node and its backend servers."""
+
+    def __init__(self, name, zone, address):
+        self.name, self.zone, self.address = name, zone, address
+        self.node = None
+        self.backends = {}
+
+    def at(self, port):
+        return f"{self.address}:{port}"
+
+
+class Cluster:
+    def __init__(self, deployment, network, keep_logs=False):
+        with open(os.path.join(ROOT, deployment, "deployment.json")) as file:
+            self.spec = json.load(file)
+        self.network = network
+        self.keep_logs = keep_logs
+        self.directory = tempfile.mkdtemp(prefix="kumquatmoor-")
+        self.platform_address = f"127.{network}.0.1:{PLATFORM_PORT}"
+        self.platform = None
+        self.processes = []
+        self.hosts = []
+        for zone_index, zone in enumerate(self.spec["zones"], 1):
+            names = [host for host in self.spec["hosts"]
+                     if host["zone"] == zone]
+            for host_index, host in enumerate(names, 1):
+                address = f"127.{network}.{zone_index}.{host_index}"
+                self.hosts.append(Host(host["name"], zone, address))
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes:
+            process.wait()
+        if self.keep_logs:
+            print(f"logs are kept in {self.directory}")
+        else:
+            shutil.rmtree(self.directory, ignore_errors=True)
+
+    def path(self, name):
+        return os.path.join(self.directory, name)
+
+    def run(self, name, *arguments):
+        log = open(self.path(f"{name}.log"), "ab")
+        process = subprocess.Popen(
+            arguments, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        log.close()
+        self.processes.append(process)
+        return process
+
+    def program(self, name):
+        return os.path.join(BUILD, name)
+
+    # Starting.
+
+    def start_platform(self):
+        self.platform = self.run(
+            "platform", self.program("fake_platform"),
+            f"--address={self.platform_address}")
+        self.wait(lambda: self.platform_test({}) is not None, "the platform")
+
+    def start_node(self, host):
+        seeds = [other.at(CONTROL_PORT) for other in self.hosts[::3]]
+        settings = {
+            "id": host.name,
+            "zone": host.zone,
+            "caller_address": host.at(CALLER_PORT),
+            "data_address": host.at(DATA_PORT),
+            "control_address": host.at(CONTROL_PORT),
+            "admin_address": host.at(ADMIN_PORT),
+            "platform_address": self.platform_address,
+            "seeds": seeds,
+            **self.spec.get("node_settings", {}),
+        }
+        path = self.path(f"{host.name}.json")
+        with open(path, "w") as file:
+            json.dump(settings, file, indent=2)
+        host.node = self.run(
+            host.name, self.program("kumquatmoord"), f"--settings={path}",
+            "--enable_fault_injection")
+
+    def start_backend(self, host, service, version, port=BACKEND_PORT,
+                      **flags):
+        name = f"{service}-{version}-{host.name}"
+        options = {**self.spec.get("backend", {}), **flags}
+        process = self.run(
+            name, self.program("fake_backend"),
+            f"--address={host.at(port)}", f"--node={host.at(ADMIN_PORT)}",
+            f"--service={service}", f"--serve_version={version}",
+            f"--runs_file={self.path(name + '.runs')}",
+            *[f"--{key}={value}" for key, value in options.items()])
+        host.backends[(service, version)] = process
+        return process
+
+    def start(self):
+        """The platform, every node, and the first version of each service."""
+        self.start_platform()
+        for host in self.hosts:
+            self.start_node(host)
+        by_name = {host.name: host for host in self.hosts}
+        for host in self.spec["hosts"]:
+            self.start_backend(by_name[host["name"]], host["service"], "v1")
+        self.wait(self.all_joined, "every node to join")
+        self.wait_targets(len(self.spec["hosts"]))
+
+    def start_version(self, service, version, port, hosts=None, **flags):
+        """A new version beside the old one, on each host of the service."""
+        names = [host["name"] for host in self.spec["hosts"]
+                 if host["service"] == service]
+        for host in self.hosts:
+            if host.name in (hosts or names):
+                self.start_backend(host, service, version, port, **flags)
+
+    # Watching.
+
+    def wait(self, condition, what, timeout=READY_TIMEOUT_S, pause=0.05):
+        end = time.monotonic() + timeout
+        while not condition():
+            if time.monotonic() > end:
+                raise TimeoutError(f"waited {timeout} s for {what}")
+            time.sleep(pause)
+
+    def metrics(self, host):
+        try:
+            with urllib.request.urlopen(
+                    f"http://{host.at(ADMIN_PORT)}/metrics",
+                    timeout=2) as answer:
+                lines = answer.read().decode().splitlines()
+        except (urllib.error.URLError, OSError):
+            return {}
+        pairs = [line.rsplit(" ", 1) for line in lines
+                 if not line.startswith("#")]
+        return {name: float(value) for name, value in pairs}
+
+    def revision(self, host):
+        return int(self.metrics(host).get("kumquatmoor_revision", -1))
+
+    def live_hosts(self):
+        return [host for host in self.hosts
+                if host.node is not None and host.node.poll() is None]
+
+    def all_joined(self):
+        return all(
+            self.metrics(host).get("kumquatmoor_ready") == 1 and
+            self.metrics(host).get("kumquatmoor_members") >= len(self.hosts)
+            for host in self.live_hosts())
+
+    def targets(self, host):
+        """Live targets that a node knows, as (service, version, node)."""
+        nodes = self.ctl_json("nodes", nodes=[host.at(CONTROL_PORT)])
+        return {(endpoint["service"], endpoint["version"], member["id"])
+                for member in nodes["members"]
+                if member["status"] == "ALIVE"
+                for endpoint in member["endpoints"]
+                if not endpoint["draining"]}
+
+    def wait_targets(self, count, timeout=READY_TIMEOUT_S):
+        """Waits until every node knows so many live targets."""
+        for host in self.live_hosts():
+            self.wait(lambda host=host: len(self.targets(host)) == count,
+                      f"{count} targets to be known on {host.name}", timeout)
+
+    def wait_in_force(self, revision, hosts=None, timeout=READY_TIMEOUT_S):
+        """Waits until every node holds the revision; seconds it took."""
+        begin = time.monotonic()
+        waiting = list(hosts or self.live_hosts())
+        end = begin + timeout
+        while waiting:
+            waiting = [host for host in waiting
+                       if self.revision(host) < revision]
+            if waiting and time.monotonic() > end:
+                names = ", ".join(host.name for host in waiting)
+                raise TimeoutError(f"revision {revision} is missing on {names}")
+            if waiting:
+                time.sleep(0.01)
+        return time.monotonic() - begin
+
+    # Operating.
+
+    def ctl(self, *arguments, nodes=None, timeout=30):
+        addresses = nodes or [host.at(CONTROL_PORT)
+                              for host in self.live_hosts()[:3]]
+        command = [self.program("kumquatmoorctl"),
+                   f"--platform={self.platform_address}",
+                   f"--nodes={','.join(addresses)}", "--author=test",
+                   *arguments]
+        return subprocess.run(command, capture_output=True, text=True,
+                              timeout=timeout, check=False)
+
+    def ctl_json(self, *arguments, **options):
+        result = self.ctl("--output=json", *arguments, **options)
+        try:
+            return json.loads(result.stdout)
+        except ValueError:
+            raise RuntimeError(
+                f"kumquatmoorctl {' '.join(arguments)}: exit code "
+                f"{result.returncode}, {result.stderr}") from None
+
+    def apply(self, rows):
+        path = self.path("table.csv")
+        with open(path, "w", newline="") as file:
+            file.write(table_csv(rows))
+        return self.ctl_json("table", "apply", path)
+
+    def apply_first_table(self):
+        services = sorted({host["service"] for host in self.spec["hosts"]})
+        answer = self.apply([{"service": service, "version": "v1",
+                              "weight": 100} for service in services])
+        self.wait_in_force(answer["revision"])
+        return answer
+
+    def status(self, **options):
+        return self.ctl_json("status", **options)
+
+    def service_status(self, service, **options):
+        return next(entry for entry in self.status(**options)["services"]
+                    if entry["service"] == service)
+
+    # Faults.
+
+    def platform_test(self, body):
+        return post(self.platform_address, "/v1/test", body)
+
+    def set_faults(self, host, rules):
+        if post(host.at(ADMIN_PORT), "/faults", rules) is None:
+            raise RuntimeError(f"{host.name} does not take faults")
+
+    def cut_zone(self, zone, platform=False):
+        """Cuts a zone off from the others, in both directions."""
+        del platform  # The platform's client has no injected faults.
+        for host in self.live_hosts():
+            if host.zone == zone:
+                rules = [{"kind": "cut", "zone": other}
+                         for other in self.spec["zones"] if other != zone]
+            else:
+                rules = [{"kind": "cut", "zone": zone}]
+            self.set_faults(host, rules)
+
+    def heal(self):
+        for host in self.live_hosts():
+            self.set_faults(host, [])
+
+    # Load.
+
+    def start_load(self, name, mix, rate, seconds, hosts=None, **flags):
+        nodes = ",".join(host.at(CALLER_PORT) for host in hosts or self.hosts)
+        return self.run(
+            name, self.program("load"), f"--nodes={nodes}",
+            f"--mix={','.join(mix)}", f"--rate={rate}",
+            f"--seconds={seconds}", f"--id_prefix={name}",
+            f"--output={self.path(name + '.result')}",
+            f"--not_run_file={self.path(name + '.not_run')}",
+            f"--calls_file={self.path(name + '.calls')}",
+            *[f"--{key}={value}" for key, value in flags.items()])
+
+    def finish_load(self, name, process):
+        process.wait(timeout=120)
+        with open(self.path(name + ".result")) as file:
+            return json.load(file)
+
+    def calls(self, name):
+        """(id, service, method, outcome, version, milliseconds) per call."""
+        with open(self.path(name + ".calls")) as file:
+            for line in file:
+                head, version, milliseconds = line.rsplit(" ", 2)
+                call_id, service, method, outcome = head.split(" ", 3)
+                yield (call_id, service, method, outcome, version,
+                       float(milliseconds))
+
+    def runs(self):
+        """How often each non-idempotent request was run, by id."""
+        counts = {}
+        for name in os.listdir(self.directory):
+            if not name.endswith(".runs"):
+                continue
+            with open(self.path(name)) as file:
+                for line in file:
+                    counts[line.strip()] = counts.get(line.strip(), 0) + 1
+        return counts
+
+    def double_runs(self):
+        return sum(1 for count in self.runs().values() if count > 1)
+
+    def false_not_runs(self):
+        """Requests that were told NotRun and yet ran."""
+        runs = self.runs()
+        told = set()
+        for name in os.listdir(self.directory):
+            if name.endswith(".not_run"):
+                with open(self.path(name)) as file:
+                    told.update(line.strip() for line in file)
+        return sum(1 for call_id in told if runs.get(call_id, 0) > 0)
+
+
+def stop_gracefully(process, timeout=STOP_TIMEOUT_S):
+    process.send_signal(signal.SIGTERM)
+    return process.wait(timeout=timeout)
+
+
+def fail(message):
+    print(message, file=sys.stderr)
+    sys.exit(1)
