--- a/include/kumquatmoor/node/mover.h
+++ b/include/kumquatmoor/node/mover.h
@@ -59,7 +59,7 @@
   explicit Mover(MoverOptions options) : m_options(std::move(options)) {}
 
   void OnOutcome(const Outcome& outcome) { m_ledger.Add(outcome); }
-  // Load of a local backend server, to report along.
+  // A local backend server and its slots, to report along.
   void SetLoad(const std::string& service, const std::string& version,
                uint32_t slots);
 
@@ -79,6 +79,7 @@
     std::unique_ptr<MoveJudge> judge;
   };
 
+  void RestartCounts(const Batch& batch);
   // Judges of this node's zone, and of the whole mesh.
   std::vector<std::string> ZoneJudges(
       const std::string& service, const std::vector<MemberRecord>& live) const;
--- /dev/null
+++ b/src/node/admission_test.cc
@@ -0,0 +1,117 @@
+#include "kumquatmoor/node/admission.h"
+
+#include <catch2/catch.hpp>
+
+namespace kumquatmoor {
+namespace {
+
+using std::chrono::seconds;
+
+const TimePoint kNow = TimePoint() + seconds(100);
+
+LocalBackend MakeBackend(uint32_t slots) {
+  return {.service = "s",
+          .version = "v1",
+          .address = "127.0.0.1:8000",
+          .slots = slots,
+          .announced = kNow};
+}
+
+AdmissionRequest MakeRequest(const std::string& id, bool idempotent) {
+  return {.service = "s",
+          .version = "v1",
+          .request_id = id,
+          .idempotent = idempotent};
+}
+
+TEST_CASE("Slots are never exceeded, and the last is kept for writes") {
+  Admission admission;
+  admission.SetBackends({MakeBackend(10)});
+  for (int i = 0; i < 9; ++i) {
+    CHECK(admission.Enter(MakeRequest("", true), kNow).admitted);
+  }
+  CHECK_FALSE(admission.Enter(MakeRequest("", true), kNow).admitted);
+  CHECK(admission.Enter(MakeRequest("w1", false), kNow).admitted);
+  const auto refused = admission.Enter(MakeRequest("w2", false), kNow);
+  CHECK(refused.reason == "all slots are taken");
+  CHECK_FALSE(refused.leaving);
+  admission.Leave(MakeRequest("", true), true);
+  CHECK(admission.Enter(MakeRequest("w2", false), kNow).admitted);
+  CHECK(admission.TotalInFlight() == 10);
+}
+
+TEST_CASE("A request id runs once, unless it is proved not to have run") {
+  Admission admission;
+  admission.SetBackends({MakeBackend(10)});
+  CHECK(admission.Enter(MakeRequest("a", false), kNow).admitted);
+  CHECK(admission.Enter(MakeRequest("a", false), kNow).duplicate);
+  admission.Leave(MakeRequest("a", false), true);
+  CHECK(admission.Enter(MakeRequest("a", false), kNow).duplicate);
+  CHECK(admission.Enter(MakeRequest("b", false), kNow).admitted);
+  admission.Leave(MakeRequest("b", false), false);
+  CHECK(admission.Enter(MakeRequest("b", false), kNow).admitted);
+  // Idempotent requests may run as often as they come.
+  CHECK(admission.Enter(MakeRequest("c", true), kNow).admitted);
+  CHECK(admission.Enter(MakeRequest("c", true), kNow).admitted);
+}
+
+TEST_CASE("Draining, recalled and unknown versions are refused") {
+  Admission admission;
+  LocalBackend backend = MakeBackend(10);
+  admission.SetBackends({backend});
+  AdmissionRequest other = MakeRequest("", true);
+  other.version = "v2";
+  CHECK(admission.Enter(other, kNow).reason == "no such backend server here");
+  RouteTable routes;
+  routes.recalled.insert({"s", "v1"});
+  admission.SetRoutes(routes);
+  CHECK(admission.Enter(MakeRequest("", true), kNow).reason ==
+        "version was recalled");
+  admission.SetRoutes(RouteTable());
+  CHECK(admission.Enter(MakeRequest("", true), kNow).admitted);
+  backend.draining = true;
+  admission.SetBackends({backend});
+  const auto refused = admission.Enter(MakeRequest("", true), kNow);
+  CHECK(refused.reason == "draining");
+  CHECK(refused.leaving);
+  // What is in flight stays counted until it ends.
+  admission.SetBackends({});
+  CHECK(admission.InFlight("s", "v1") == 1);
+}
+
+TEST_CASE("A target takes its part of the row's limits") {
+  Admission admission;
+  admission.SetBackends({MakeBackend(100)});
+  RouteTable routes;
+  ServiceRoutes& service = routes.services["s"];
+  service.versions.push_back({.version = "v1",
+                              .max_concurrent = 10,
+                              .max_rate = 400,
+                              .targets = std::vector<Target>(4)});
+  admission.SetRoutes(routes);
+  int admitted = 0;
+  for (int i = 0; i < 20; ++i) {
+    if (admission.Enter(MakeRequest("", true), kNow).admitted) ++admitted;
+  }
+  // A quarter of 10, rounded up.
+  CHECK(admitted == 3);
+  for (int i = 0; i < 3; ++i) admission.Leave(MakeRequest("", true), true);
+  admitted = 0;
+  for (int ms = 1; ms <= 5'000; ++ms) {
+    const auto now = kNow + std::chrono::milliseconds(ms);
+    if (!admission.Enter(MakeRequest("", true), now).admitted) continue;
+    ++admitted;
+    admission.Leave(MakeRequest("", true), true);
+  }
+  CHECK(admitted == Approx(500).margin(15));
+}
+
+TEST_CASE("Latencies of a cold start are not judged") {
+  Admission admission;
+  admission.SetBackends({MakeBackend(10)});
+  CHECK_FALSE(admission.Enter(MakeRequest("", true), kNow).warm);
+  CHECK(admission.Enter(MakeRequest("", true), kNow + seconds(3)).warm);
+}
+
+}  // namespace
+}  // namespace kumquatmoor
--- a/src/node/mover.cc
+++ b/src/node/mover.cc
@@ -136,19 +136,25 @@
   return top.empty() ? "" : top.front();
 }
 
+void Mover::RestartCounts(const Batch& batch) {
+  for (const auto& [key, slots] : m_slots) {
+    const ServiceConfig* config = FindService(batch, key.first);
+    if (config == nullptr) continue;
+    uint64_t& move = m_counted_move[key.first];
+    if (move == config->move_revision()) continue;
+    move = config->move_revision();
+    m_ledger.Restart(key.first);
+  }
+}
+
 std::vector<EvidenceReport> Mover::TakeReports(const Replica& replica) {
+  RestartCounts(replica.CurrentBatch());
   std::vector<EvidenceReport> reports;
   std::optional<std::vector<MemberRecord>> live;
   for (const auto& key : m_ledger.Versions()) {
     const auto& [service, version] = key;
     const ServiceConfig* config = FindService(replica.CurrentBatch(), service);
     if (config == nullptr || !IsOpen(*config, replica)) continue;
-    uint64_t& move = m_counted_move[service];
-    if (move != config->move_revision()) {
-      move = config->move_revision();
-      m_ledger.Restart(service);
-      continue;
-    }
     Evidence evidence = m_ledger.Report(service, version);
     uint64_t& reported = m_reported[key];
     if (reported == evidence.sequence()) continue;
--- /dev/null
+++ b/src/node/mover_test.cc
@@ -0,0 +1,163 @@
+#include "kumquatmoor/node/mover.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "kumquatmoor/node/backend_registry.h"
+#include "kumquatmoor/node/status.h"
+#include "kumquatmoor/state/batch.h"
+
+namespace kumquatmoor {
+namespace {
+
+using std::chrono::seconds;
+
+const TimePoint kNow = TimePoint() + seconds(100);
+
+TEST_CASE("Judges move only when one of them goes") {
+  std::vector<std::string> ids;
+  for (int i = 0; i < 50; ++i) ids.push_back("n" + std::to_string(i));
+  std::set<std::string> judges;
+  for (int s = 0; s < 100; ++s) {
+    const std::string subject = "s" + std::to_string(s);
+    const auto top = RendezvousTop(ids, subject, 2);
+    REQUIRE(top.size() == 2);
+    judges.insert(top[0]);
+    std::vector<std::string> fewer = ids;
+    std::erase(fewer, top[0]);
+    CHECK(RendezvousTop(fewer, subject, 1).front() == top[1]);
+  }
+  // The work is spread.
+  CHECK(judges.size() > 30);
+  CHECK(RendezvousTop({}, "s", 2).empty());
+}
+
+// One node that holds a move from v1 to v2 and judges it alone.
+class Fixture {
+ public:
+  Fixture()
+      : m_replica({.id = "n", .zone = "z", .control_address = "n"}, kNow) {
+    const Batch first =
+        BuildBatch({}, std::vector<TableRow>{{"s", "v1", 100}}, {}, {});
+    m_replica.Offer(BuildBatch(
+        first, std::vector<TableRow>{{"s", "v1", 0}, {"s", "v2", 100}}, {},
+        {}));
+    Endpoint endpoint;
+    endpoint.set_service("s");
+    endpoint.set_version("v2");
+    endpoint.set_slots(10);
+    m_mover.SetLoad("s", "v1", 10);
+    m_mover.SetLoad("s", "v2", 10);
+    m_replica.SetEndpoints(std::vector<Endpoint>{endpoint}, kNow);
+  }
+
+  void Calls(const std::string& version, int count, bool error) {
+    for (int i = 0; i < count; ++i) {
+      m_mover.OnOutcome({.service = "s",
+                         .version = version,
+                         .route = "GET /x",
+                         .error = error,
+                         .latency_ms = 5});
+    }
+  }
+
+  void Step() {
+    m_time.now += seconds(1);
+    m_time.unix_ms += 1'000;
+    for (const auto& report : m_mover.TakeReports(m_replica)) {
+      m_mover.OnEvidence("n", 1, report.evidence);
+    }
+    for (const auto& mark : m_mover.Judge(m_replica, m_time)) {
+      m_replica.JoinMark(mark);
+    }
+  }
+
+  ServiceStatus Status() const {
+    return MakeServiceStatus(*FindService(m_replica.CurrentBatch(), "s"),
+                             m_replica, m_mover, m_time.unix_ms);
+  }
+
+  Replica m_replica;
+  Mover m_mover{{.id = "n", .zone = "z"}};
+  JudgeTime m_time{.now = kNow, .unix_ms = 1'000'000};
+};
+
+TEST_CASE("A move runs from report to mark to done") {
+  Fixture f;
+  f.Step();
+  CHECK(f.Status().outcome() == "moving");
+  for (int i = 0; i < 200 && f.Status().outcome() != "done"; ++i) {
+    f.Calls("v1", 50, false);
+    f.Calls("v2", 50, false);
+    f.Step();
+  }
+  CHECK(f.Status().outcome() == "done");
+}
+
+TEST_CASE("Evidence of an earlier move is not held against the next") {
+  Fixture f;
+  f.Step();
+  f.Calls("v1", 100, false);
+  f.Calls("v2", 100, true);
+  for (int i = 0; i < 4; ++i) f.Step();
+  REQUIRE(f.Status().outcome() == "taken back");
+  CHECK_THAT(f.Status().reason(), Catch::Contains("GET /x: 100 of 100"));
+  // The operator tries the same version once more.
+  const Batch again =
+      BuildBatch(f.m_replica.CurrentBatch(),
+                 std::vector<TableRow>{{"s", "v1", 0}, {"s", "v2", 100, 7}},
+                 f.m_replica.Marks(), {});
+  f.m_replica.Offer(again);
+  for (int i = 0; i < 6; ++i) {
+    f.Calls("v1", 50, false);
+    f.Calls("v2", 50, false);
+    f.Step();
+  }
+  CHECK(f.Status().outcome() == "moving");
+}
+
+TEST_CASE("An operator can take back only what is being moved to") {
+  Fixture f;
+  RecallRequest request;
+  request.set_service("s");
+  request.set_version("v1");
+  const Batch& batch = f.m_replica.CurrentBatch();
+  CHECK_FALSE(MakeRecallMark(request, batch, 1).problem.empty());
+  request.set_service("t");
+  CHECK(MakeRecallMark(request, batch, 1).problem ==
+        "the table has no service t");
+  request.set_service("s");
+  request.set_version("v2");
+  const RecallMark recall = MakeRecallMark(request, batch, 1);
+  CHECK(recall.problem.empty());
+  CHECK(f.m_replica.JoinMark(recall.mark));
+  CHECK(f.Status().outcome() == "taken back");
+}
+
+TEST_CASE("An announcement is checked, renewed and expires") {
+  const std::string good =
+      R"({"service":"s","version":"v","address":"127.0.0.1:1","slots":3})";
+  auto parsed = Attempt([&] { return ParseAnnouncement(good); });
+  REQUIRE(std::holds_alternative<Announcement>(parsed));
+  Announcement announcement = std::get<Announcement>(parsed);
+  BackendRegistry registry;
+  CHECK(registry.Announce(announcement, kNow));
+  CHECK_FALSE(registry.Announce(announcement, kNow + seconds(2)));
+  CHECK_FALSE(registry.Expire(kNow + seconds(4)));
+  announcement.draining = true;
+  CHECK(registry.Announce(announcement, kNow + seconds(4)));
+  CHECK(registry.Backends()[0].announced == kNow);
+  CHECK(registry.Expire(kNow + seconds(8)));
+  CHECK(registry.Endpoints().empty());
+  for (const char* bad :
+       {"", "[]", "{}", R"({"service":"s","version":"v","address":"x"})",
+        R"({"service":"s","version":"v","address":"127.0.0.1:1","slots":0})",
+        R"({"service":"s","version":"v","address":"127.0.0.1:1","slot":1})"}) {
+    INFO(bad);
+    auto refused = Attempt([&] { return ParseAnnouncement(bad); });
+    CHECK(std::holds_alternative<Failure>(refused));
+  }
+}
+
+}  // namespace
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/node/node_settings_test.cc
@@ -0,0 +1,74 @@
+#include "kumquatmoor/node/node_settings.h"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+#include <random>
+
+namespace kumquatmoor {
+namespace {
+
+constexpr char kGood[] = R"({
+  "id": "n1", "zone": "a",
+  "caller_address": "127.0.0.1:7000", "data_address": "127.0.0.1:7001",
+  "control_address": "127.0.0.1:7002", "admin_address": "127.0.0.1:7003",
+  "platform_address": "127.0.0.1:7100", "seeds": ["127.0.0.2:7002"]
+})";
+
+// What is wrong with settings of this text, or "".
+std::string ProblemOf(const std::string& text) {
+  const std::string path = "node_settings_test.json";
+  std::ofstream(path, std::ios::binary) << text;
+  auto read = Attempt([&] { return ReadNodeSettings(path); });
+  std::remove(path.c_str());
+  const auto* failure = std::get_if<Failure>(&read);
+  return failure == nullptr ? "" : failure->message;
+}
+
+std::string Replaced(const std::string& what, const std::string& by) {
+  std::string text = kGood;
+  text.replace(text.find(what), what.size(), by);
+  return text;
+}
+
+TEST_CASE("Good settings are read") { CHECK(ProblemOf(kGood).empty()); }
+
+TEST_CASE("Bad settings give a line with the key") {
+  struct Case {
+    const char* what;
+    const char* by;
+    const char* problem;
+  };
+  const Case cases[] = {
+      {"\"zone\"", "\"zonee\"", "zone: is missing"},
+      {"\"n1\"", "1", "id: expected a string"},
+      {"127.0.0.1:7001", "127.0.0.1:7000",
+       "data_address: is the same as caller_address"},
+      {"\"seeds\"", "\"max_attempts\": 0, \"seeds\"",
+       "max_attempts: expected 1 to 10, got 0"},
+      {"\"seeds\"", "\"log_level\": \"loud\", \"seeds\"",
+       "log_level: expected trace"},
+      {"127.0.0.2:7002", "somewhere", "seeds[0]: expected IP:PORT"},
+  };
+  for (const auto& c : cases) {
+    INFO(c.by);
+    CHECK_THAT(ProblemOf(Replaced(c.what, c.by)), Catch::Contains(c.problem));
+  }
+}
+
+TEST_CASE("Garbage and truncated files end in one clear line") {
+  std::mt19937_64 rng(1);
+  std::string garbage(500'000, ' ');
+  for (char& c : garbage) c = static_cast<char>(rng());
+  CHECK_THAT(ProblemOf(garbage), Catch::Contains("not valid JSON"));
+  CHECK_THAT(ProblemOf(std::string(500'000, '[')),
+             Catch::Contains("not valid JSON"));
+  CHECK_THAT(ProblemOf(std::string(kGood, 100)),
+             Catch::Contains("not valid JSON"));
+  CHECK_THAT(ProblemOf(std::string(5U << 20U, ' ')),
+             Catch::Contains("larger than 4 MiB"));
+  CHECK_THAT(ProblemOf(""), Catch::Contains("not valid JSON"));
+}
+
+}  // namespace
+}  // namespace kumquatmoor
--- a/standins/fake_backend.cc
+++ b/standins/fake_backend.cc
@@ -93,10 +93,13 @@
       m_runs_file << request[headers::kRequestId] << ' ' << unix_ms
                   << std::endl;
     }
-    asio::steady_timer timer(socket.get_executor());
-    timer.expires_after(std::chrono::duration_cast<milliseconds>(
-        duration<double, std::milli>(TimeFor(target))));
-    co_await timer.async_wait(asio::use_awaitable);
+    const double time_ms = TimeFor(target);
+    if (time_ms > 0) {
+      asio::steady_timer timer(socket.get_executor());
+      timer.expires_after(std::chrono::duration_cast<steady_clock::duration>(
+          duration<double, std::milli>(time_ms)));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
     --m_in_flight;
     if (HasFault("crash", target)) std::_Exit(1);
     if (HasFault("truncate", target)) co_return co_await Truncate(socket);
@@ -118,8 +121,11 @@
   }
 
   double TimeFor(const std::string& target) {
-    std::exponential_distribution<double> extra(4 / FLAGS_latency_ms);
-    double time = FLAGS_latency_ms * 0.75 + extra(m_rng);
+    double time = 0;
+    if (FLAGS_latency_ms > 0) {
+      std::exponential_distribution<double> extra(4 / FLAGS_latency_ms);
+      time = FLAGS_latency_ms * 0.75 + extra(m_rng);
+    }
     if (SecondsSince(m_first) < kColdSeconds) time += FLAGS_cold_ms;
     if (HasFault("slow", target)) time *= FLAGS_fault_slow_factor;
     if (HasFault("hang", target)) time = 3'600'000;
--- a/standins/load.cc
+++ b/standins/load.cc
@@ -33,6 +33,9 @@
 DEFINE_double(rate, 50, "Requests per second.");
 DEFINE_double(seconds, 5, "Duration; SIGTERM ends it early.");
 DEFINE_int32(deadline_ms, 2000, "Deadline of each request.");
+DEFINE_string(direct_version, "",
+              "Version expected of answers that name none, for calls past the "
+              "nodes.");
 DEFINE_uint64(body_bytes, 0, "Least size of the body of a POST.");
 DEFINE_uint64(seed, 1, "Seed of the draws.");
 DEFINE_string(id_prefix, "load", "Start of each request id.");
@@ -196,9 +199,11 @@
       if (verdict != "Ran") return verdict;
       return "status " + std::to_string(response.result_int());
     }
-    const std::string expected = kind.service + " " +
-                                 std::string(response[headers::kServedBy]) +
-                                 " " + id + "\n" + request.body();
+    const std::string version = response.count(headers::kServedBy) > 0
+                                    ? std::string(response[headers::kServedBy])
+                                    : FLAGS_direct_version;
+    const std::string expected =
+        kind.service + " " + version + " " + id + "\n" + request.body();
     if (response.body().compare(0, expected.size(), expected) != 0) {
       ++m_wrong_answers;
       return "wrong answer";
