--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 BUILD ?= build
 PYTHON ?= python3
 
-.PHONY: all deps build test demo bench lint format proto
+.PHONY: all deps build test demo bench moves lint format proto
 
 all: build
 
@@ -31,6 +31,11 @@
 bench: build
 	@KUMQUATMOOR_BUILD=$(abspath $(BUILD)) $(PYTHON) tools/bench.py
 
+# The decisions of moves over seeds and faults, on a virtual clock.
+moves: build
+	@mkdir -p run
+	@$(BUILD)/moves --output=run/moves.json
+
 lint: build
 	@KUMQUATMOOR_BUILD=$(BUILD) tools/lint.sh
 
--- a/include/kumquatmoor/coordination/baseline.h
+++ b/include/kumquatmoor/coordination/baseline.h
@@ -9,7 +9,9 @@
 //
 // It remembers a long and a short stretch and reports the worse of the two, so
 // that a fault which strikes all versions at once is not blamed on the new
-// one. Without requests nothing is forgotten. Not thread-safe.
+// one. A fault that began while both were running goes on to be excused when
+// only the new version is left. Without requests nothing is forgotten. Not
+// thread-safe.
 
 #include <array>
 #include <cstdint>
@@ -37,6 +39,8 @@
 class RouteBaseline {
  public:
   void Add(const OutcomeTally& tally, TimePoint now);
+  // Notes requests of the versions that are compared with this baseline.
+  void NoteOthers(const OutcomeTally& tally, TimePoint now);
 
   // Error rate above which another version is worse than this.
   double AcceptableErrorRate() const;
@@ -66,9 +70,14 @@
     double SlowRateOver(size_t bucket, double longer_rate) const;
   };
 
-  Window m_long{.half_life_s = 10};
+  Window m_long{.half_life_s = 30};
   Window m_short{.half_life_s = 0.4};
   TimePoint m_added_at;
+  // A sudden error rate of this baseline is an excuse for the others, also when
+  // these versions get no more requests, until the others have recovered.
+  Window m_others{.half_life_s = 1};
+  TimePoint m_others_noted_at;
+  double m_excused_rate = 0;
 };
 
 }  // namespace kumquatmoor
--- a/include/kumquatmoor/coordination/judge.h
+++ b/include/kumquatmoor/coordination/judge.h
@@ -10,6 +10,9 @@
 //     std::visit(publisher, ruling);
 //   }
 //
+// A fault on a single target is not held against its version while others do
+// well. A judge that does not see every target leaves it to one that does.
+//
 // The judge compares the rising versions with the others, route by route, for
 // errors and for latency. It raises the stage while nothing is found, planned
 // backwards from the deadline, and recalls a version as soon as it is worse.
@@ -77,10 +80,11 @@
   int64_t unix_ms = 0;
 };
 
-// Slots of the live targets in the whole mesh.
-struct MeshSlots {
-  uint32_t rising = 0;  // Of the versions that gain traffic.
-  uint32_t all = 0;     // Of every version of the service.
+// The targets of the service that can be reached, in the whole mesh.
+struct MeshTargets {
+  uint32_t rising_slots = 0;    // Of the versions that gain traffic.
+  uint32_t all_slots = 0;       // Of every version of the service.
+  uint32_t rising_targets = 0;  // Number of targets that gain traffic.
 };
 
 class MoveJudge {
@@ -94,10 +98,10 @@
   // What follows from the evidence so far. `progress` is what all judges
   // together have decided.
   std::vector<Ruling> Tick(JudgeTime time, const MoveProgress& progress,
-                           MeshSlots slots);
+                           MeshTargets targets);
 
   // Evidence against the rising versions, as a part of what recalls them.
-  double Suspicion() const;
+  double Suspicion(TimePoint now) const;
   // Why the stage does not rise, or "" if it does.
   const std::string& HeldBecause() const { return m_held_because; }
 
@@ -118,13 +122,15 @@
     SequentialTest errors;
     SequentialTest slow;
     SequentialTest tail;
+    TimePoint added_at;  // Of the latest evidence.
     std::map<std::string, OutcomeTally> by_target;
 
     double Score() const;
   };
   struct LoneTarget {
-    std::string member_id;  // "": the errors are of several targets.
-    bool cleared = false;   // Enough requests to the others went well.
+    std::string member_id;      // "": the errors are of several targets.
+    bool cleared = false;       // Enough requests to the others went well.
+    uint32_t targets_seen = 0;  // Of the version, in the evidence.
   };
   // What one target added on one route since the last tick.
   struct Increment {
@@ -135,14 +141,16 @@
 
   bool IsRisingVersion(const std::string& version) const;
   void CollectIncrements(TimePoint now);
-  void TestIncrement(const Increment& increment);
-  std::optional<Ruling> RuleOnRoute(const RouteKey& route, RouteTests* tests);
+  void TakeBlame(const MoveProgress& progress);
+  void TestIncrement(const Increment& increment, TimePoint now);
+  std::optional<Ruling> RuleOnRoute(const RouteKey& route, RouteTests* tests,
+                                    MeshTargets targets);
   LoneTarget FindLoneTarget(const std::string& version,
                             const RouteTests& tests) const;
   void RuleOnStage(JudgeTime time, const MoveProgress& progress,
-                   MeshSlots slots, std::vector<Ruling>* rulings);
+                   MeshTargets targets, std::vector<Ruling>* rulings);
   std::chrono::milliseconds Dwell(JudgeTime time) const;
-  bool FitsSlots(uint32_t stage, MeshSlots slots) const;
+  bool FitsSlots(uint32_t stage, MeshTargets targets) const;
 
   ServiceConfig m_config;
   JudgeOptions m_options;
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -85,7 +85,7 @@
   void DrainCommands();
   void OnBytes(std::string_view bytes);
   void Send(const std::vector<Outgoing>& out);
-  void SendTo(const std::string& member_id, Datagram datagram);
+  void SendTo(const std::string& member_id, const Datagram& datagram);
   void PublishNewBatch();
   void PublishRoutes();
   void PublishBackends();
--- a/include/kumquatmoor/node/mover.h
+++ b/include/kumquatmoor/node/mover.h
@@ -50,9 +50,9 @@
                                        const std::string& subject,
                                        size_t count);
 
-// Slots of the live targets of a service.
-MeshSlots CountSlots(const ServiceConfig& config,
-                     const std::vector<MemberRecord>& members);
+// The targets of a service that `members` have, drained ones left out.
+MeshTargets CountTargets(const ServiceConfig& config,
+                         const std::vector<MemberRecord>& members);
 
 class Mover {
  public:
--- a/include/kumquatmoor/state/marks.h
+++ b/include/kumquatmoor/state/marks.h
@@ -8,12 +8,13 @@
 //   if (marks.IsRecalled("bookings", 7)) ...
 //
 // A mark belongs to (service, move_revision). Stages join by maximum, settled
-// zones by "or", recalls by union, so marks may arrive in any order, late or
-// twice, and nothing that a mark said is ever taken back. Not thread-safe;
-// copies are independent.
+// zones by "or", recalls and blame by union, so marks may arrive in any order,
+// late or twice, and nothing that a mark said is ever taken back. Not
+// thread-safe; copies are independent.
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,8 @@
   std::map<std::string, uint32_t> stage_permille;  // By zone.
   std::map<std::string, bool> settled;             // By zone.
   std::map<std::string, Recall> recalls;           // By version.
+  // Members whose target alone is at fault, not its version.
+  std::set<std::string> blamed;
 
   uint32_t StageOf(const std::string& zone) const;
   bool IsRecalled() const { return !recalls.empty(); }
--- a/src/coordination/ack_tree_test.cc
+++ b/src/coordination/ack_tree_test.cc
@@ -70,7 +70,7 @@
   size_t sent = 0;
   for (int i = 0; i < 6; ++i) sent += zone.Step({});
   // 99 nodes, each at most every third of 6 seconds.
-  CHECK(sent <= 2 * 99);
+  CHECK(sent <= size_t{198});
 }
 
 }  // namespace
--- a/src/coordination/baseline.cc
+++ b/src/coordination/baseline.cc
@@ -15,6 +15,12 @@
 // Weight of the prior, in requests: an unknown rate counts as 1 in this many.
 constexpr double kPriorRequests = 50;
 constexpr double kPriorSlowRequests = 20;
+// Requests from which latencies are compared.
+constexpr double kFewestWarmRequests = 8;
+// Error rate of the baseline, over at least so many requests, that excuses the
+// same of the versions compared with it.
+constexpr double kExcusedErrorRate = 0.1;
+constexpr double kExcuseRequests = 8;
 // Weight of the long window's rate in the short one, in requests.
 constexpr double kShortPriorRequests = 10;
 // Differences among latencies below this are not noticed by callers.
@@ -114,16 +120,31 @@
   m_added_at = now;
   m_long.Add(tally);
   m_short.Add(tally);
+  const double sudden = m_short.ErrorRateOver(m_long.ErrorRate());
+  if (m_short.total >= kExcuseRequests && sudden >= kExcusedErrorRate) {
+    m_excused_rate = std::max(m_excused_rate, sudden);
+  }
+}
+
+void RouteBaseline::NoteOthers(const OutcomeTally& tally, TimePoint now) {
+  const std::chrono::duration<double> passed = now - m_others_noted_at;
+  if (m_others_noted_at != TimePoint()) m_others.Forget(passed.count());
+  m_others_noted_at = now;
+  m_others.Add(tally);
+  const bool recovered = m_others.total >= kExcuseRequests &&
+                         m_others.errors < m_others.total * m_excused_rate / 2;
+  if (recovered) m_excused_rate = 0;
 }
 
 double RouteBaseline::AcceptableErrorRate() const {
   const double rate = m_long.ErrorRate();
-  const double worse = std::max(rate, m_short.ErrorRateOver(rate));
+  const double worse =
+      std::max({rate, m_short.ErrorRateOver(rate), m_excused_rate});
   return std::max(kToleratedErrorRate, kMargin * worse);
 }
 
 bool RouteBaseline::KnowsLatency() const {
-  return m_long.warm_total >= kPriorSlowRequests;
+  return m_long.warm_total >= kFewestWarmRequests;
 }
 
 size_t RouteBaseline::SlowBucket(double part) const {
--- a/src/coordination/judge.cc
+++ b/src/coordination/judge.cc
@@ -26,6 +26,8 @@
 constexpr double kTailPart = 0.01;
 // Suspicion above which the stage does not rise.
 constexpr double kHoldSuspicion = 0.5;
+// Time without evidence on a route after which its suspicion holds nothing.
+constexpr std::chrono::seconds kSuspicionLifetime{8};
 // Requests of the other targets that clear their version.
 constexpr uint64_t kClearingCalls = 5;
 // Evidence, as a multiple of what recalls a version, up to which the judge
@@ -77,15 +79,16 @@
 
 std::vector<Ruling> MoveJudge::Tick(JudgeTime time,
                                     const MoveProgress& progress,
-                                    MeshSlots slots) {
+                                    MeshTargets targets) {
   std::vector<Ruling> rulings;
   if (progress.IsRecalled()) return rulings;
+  TakeBlame(progress);
   std::vector<Increment> due;
   due.swap(m_waiting);
   CollectIncrements(time.now);
-  for (const auto& increment : due) TestIncrement(increment);
+  for (const auto& increment : due) TestIncrement(increment, time.now);
   for (auto& [route, tests] : m_tests) {
-    if (auto ruling = RuleOnRoute(route, &tests)) {
+    if (auto ruling = RuleOnRoute(route, &tests, targets)) {
       rulings.push_back(std::move(*ruling));
     }
   }
@@ -93,10 +96,20 @@
       std::any_of(rulings.begin(), rulings.end(), [](const Ruling& ruling) {
         return std::holds_alternative<RecallVersion>(ruling);
       });
-  if (!recalled) RuleOnStage(time, progress, slots, &rulings);
+  if (!recalled) RuleOnStage(time, progress, targets, &rulings);
   return rulings;
 }
 
+// Another judge may see what this one cannot: that only one target fails.
+void MoveJudge::TakeBlame(const MoveProgress& progress) {
+  for (const auto& member_id : progress.blamed) {
+    if (!m_blamed.insert(member_id).second) continue;
+    for (auto& [route, tests] : m_tests) {
+      if (tests.by_target.count(member_id) > 0) tests = RouteTests();
+    }
+  }
+}
+
 void MoveJudge::CollectIncrements(TimePoint now) {
   for (auto& [key, reporter] : m_reporters) {
     const auto& [version, node] = key;
@@ -116,12 +129,14 @@
   }
 }
 
-void MoveJudge::TestIncrement(const Increment& increment) {
+void MoveJudge::TestIncrement(const Increment& increment, TimePoint now) {
   m_calls_at_stage += increment.tally.total;
   if (m_blamed.count(increment.reporter) > 0) return;
-  const RouteBaseline& baseline = m_baselines[increment.route.second];
+  RouteBaseline& baseline = m_baselines[increment.route.second];
+  baseline.NoteOthers(increment.tally, now);
   RouteTests& tests = m_tests[increment.route];
   const OutcomeTally& tally = increment.tally;
+  tests.added_at = now;
   tests.by_target[increment.reporter].Add(tally);
   tests.errors.Add({.failures = tally.errors,
                     .total = tally.total,
@@ -138,7 +153,8 @@
 }
 
 std::optional<Ruling> MoveJudge::RuleOnRoute(const RouteKey& route,
-                                             RouteTests* tests) {
+                                             RouteTests* tests,
+                                             MeshTargets targets) {
   if (tests->Score() < SequentialTest::kThreshold) return std::nullopt;
   const auto& [version, path] = route;
   const bool errors = tests->errors.Exceeded();
@@ -157,39 +173,44 @@
           .version = version, .member_id = lone.member_id, .reason = reason};
     }
     const bool wait = tests->Score() < kLoneWait * SequentialTest::kThreshold;
-    if (!lone.member_id.empty() && wait) return std::nullopt;
+    const bool sees_all = lone.targets_seen >= targets.rising_targets;
+    const bool alone = targets.rising_targets <= 1;
+    if (!lone.member_id.empty() && !alone && (wait || !sees_all)) {
+      return std::nullopt;
+    }
   }
   return RecallVersion{.version = version, .reason = reason};
 }
 
-// The target that has all the errors while its version has others.
+// The target that has all the errors, if there is one.
 MoveJudge::LoneTarget MoveJudge::FindLoneTarget(const std::string& version,
                                                 const RouteTests& tests) const {
-  size_t targets = 0;
+  LoneTarget lone;
   for (const auto& [key, reporter] : m_reporters) {
-    if (key.first == version && m_blamed.count(key.second) == 0) ++targets;
+    if (key.first == version) ++lone.targets_seen;
   }
-  if (targets < 2) return {};
   OutcomeTally sum;
   for (const auto& [target, tally] : tests.by_target) sum.Add(tally);
   for (const auto& [target, tally] : tests.by_target) {
     if (tally.errors < sum.errors) continue;
-    return {.member_id = target,
-            .cleared = sum.total - tally.total >= kClearingCalls};
+    lone.member_id = target;
+    lone.cleared = sum.total - tally.total >= kClearingCalls;
   }
-  return {};
+  return lone;
 }
 
-double MoveJudge::Suspicion() const {
+double MoveJudge::Suspicion(TimePoint now) const {
   double worst = 0;
   for (const auto& [route, tests] : m_tests) {
+    // A target that gets no more requests must not hold the move for ever.
+    if (now - tests.added_at > kSuspicionLifetime) continue;
     worst = std::max(worst, tests.Score());
   }
   return worst / SequentialTest::kThreshold;
 }
 
 void MoveJudge::RuleOnStage(JudgeTime time, const MoveProgress& progress,
-                            MeshSlots slots, std::vector<Ruling>* rulings) {
+                            MeshTargets targets, std::vector<Ruling>* rulings) {
   const uint32_t stage = progress.StageOf(m_options.zone);
   if (stage != m_stage) {
     m_stage = stage;
@@ -198,16 +219,16 @@
   }
   const auto at_stage = time.now - m_stage_since;
   m_held_because.clear();
-  if (Suspicion() >= kHoldSuspicion) {
+  if (Suspicion(time.now) >= kHoldSuspicion) {
     m_held_because = "the evidence is not clear yet";
   } else if (stage >= kFullStage) {
     if (!m_settled && at_stage >= m_options.settle) {
       m_settled = true;
       rulings->emplace_back(SettleZone{});
     }
-  } else if (slots.rising == 0) {
+  } else if (targets.rising_slots == 0) {
     m_held_because = "no live target of the new version";
-  } else if (!FitsSlots(NextStage(stage), slots)) {
+  } else if (!FitsSlots(NextStage(stage), targets)) {
     m_held_because = "the new version has too few slots for its next share";
   } else if (stage == 0) {
     rulings->emplace_back(
@@ -235,7 +256,7 @@
   return std::clamp(planned, m_options.shortest_dwell, m_options.longest_dwell);
 }
 
-bool MoveJudge::FitsSlots(uint32_t stage, MeshSlots slots) const {
+bool MoveJudge::FitsSlots(uint32_t stage, MeshTargets targets) const {
   double in_flight = 0;
   double zone_slots = 0;
   for (const auto& [key, reporter] : m_reporters) {
@@ -247,8 +268,8 @@
   for (const auto& row : m_config.rows()) {
     if (IsRising(row)) share += ShareAt(row, stage, false);
   }
-  const double demand = in_flight / zone_slots * slots.all;
-  return share * demand <= kSlotsToFill * slots.rising;
+  const double demand = in_flight / zone_slots * targets.all_slots;
+  return share * demand <= kSlotsToFill * targets.rising_slots;
 }
 
 }  // namespace kumquatmoor
--- a/src/coordination/judge_test.cc
+++ b/src/coordination/judge_test.cc
@@ -37,7 +37,7 @@
   std::map<std::string, Behaviour> old_nodes = {{"o1", {}}, {"o2", {}}};
   std::map<std::string, Behaviour> new_nodes = {{"n1", {}}, {"n2", {}}};
   double calls_per_tick = 20;
-  MeshSlots slots{.rising = 20, .all = 40};
+  MeshTargets targets{.rising_slots = 20, .all_slots = 40, .rising_targets = 2};
 
   MoveProgress progress;
   std::string recalled;  // Reason.
@@ -52,7 +52,7 @@
       const double share = progress.StageOf("z") / 1000.0;
       Traffic("v1", old_nodes, calls_per_tick * (1 - share));
       Traffic("v2", new_nodes, calls_per_tick * share);
-      for (const auto& ruling : m_judge.Tick(Time(), progress, slots)) {
+      for (const auto& ruling : m_judge.Tick(Time(), progress, targets)) {
         Take(ruling);
       }
     }
@@ -198,7 +198,7 @@
 
 TEST_CASE("The stage waits for slots and says so") {
   Bench bench(60'000, 1);
-  bench.slots = {.rising = 0, .all = 20};
+  bench.targets = {.all_slots = 20};
   bench.Run(5);
   CHECK(bench.progress.StageOf("z") == 0);
   CHECK(bench.Judge().HeldBecause() == "no live target of the new version");
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -123,7 +123,8 @@
   return datagram;
 }
 
-void ControlLoop::SendTo(const std::string& member_id, Datagram datagram) {
+void ControlLoop::SendTo(const std::string& member_id,
+                         const Datagram& datagram) {
   const MemberRecord* member = m_replica.Members().Find(member_id);
   if (member == nullptr) return;
   m_socket.Send(member->control_address(), member->zone(),
@@ -139,7 +140,7 @@
       m_mover.OnEvidence(report.judge, m_options.replica.started_ms,
                          datagram.evidence());
     } else {
-      SendTo(report.judge, std::move(datagram));
+      SendTo(report.judge, datagram);
     }
   }
   const JudgeTime time{.now = now, .unix_ms = UnixMs()};
@@ -162,7 +163,7 @@
   if (!parent) return;
   Datagram datagram = MakeDatagram(Datagram::SUBTREE);
   *datagram.mutable_subtree() = m_ack_tree.Report(revision, now);
-  SendTo(*parent, std::move(datagram));
+  SendTo(*parent, datagram);
 }
 
 SubtreeReport ControlLoop::ZoneSubtree() const {
--- a/src/node/mover.cc
+++ b/src/node/mover.cc
@@ -28,7 +28,7 @@
                int64_t unix_ms)
       : m_config(config), m_options(options), m_unix_ms(unix_ms) {}
 
-  std::optional<MoveMark> operator()(const RaiseStage& ruling) const {
+  MoveMark operator()(const RaiseStage& ruling) const {
     spdlog::info("move: {} rises to {} per mille in zone {}: {}",
                  m_config.service(), ruling.stage_permille, m_options.zone,
                  ruling.reason);
@@ -37,7 +37,7 @@
     return mark;
   }
 
-  std::optional<MoveMark> operator()(const RecallVersion& ruling) const {
+  MoveMark operator()(const RecallVersion& ruling) const {
     spdlog::warn("move: {}/{} is taken back: {}", m_config.service(),
                  ruling.version, ruling.reason);
     MoveMark mark = Empty();
@@ -49,7 +49,7 @@
     return mark;
   }
 
-  std::optional<MoveMark> operator()(const SettleZone& /*ruling*/) const {
+  MoveMark operator()(const SettleZone& /*ruling*/) const {
     spdlog::info("move: {} is settled in zone {}", m_config.service(),
                  m_options.zone);
     MoveMark mark = Empty();
@@ -57,11 +57,13 @@
     return mark;
   }
 
-  std::optional<MoveMark> operator()(const BlameTarget& ruling) const {
+  MoveMark operator()(const BlameTarget& ruling) const {
     spdlog::warn("move: the target of {} alone fails {}/{}: {}",
                  ruling.member_id, m_config.service(), ruling.version,
                  ruling.reason);
-    return std::nullopt;
+    MoveMark mark = Empty();
+    mark.add_blamed(ruling.member_id);
+    return mark;
   }
 
  private:
@@ -93,9 +95,9 @@
   return order;
 }
 
-MeshSlots CountSlots(const ServiceConfig& config,
-                     const std::vector<MemberRecord>& members) {
-  MeshSlots slots;
+MeshTargets CountTargets(const ServiceConfig& config,
+                         const std::vector<MemberRecord>& members) {
+  MeshTargets targets;
   const auto rising = [&](const std::string& version) {
     return std::any_of(config.rows().begin(), config.rows().end(),
                        [&](const Row& row) {
@@ -107,11 +109,13 @@
     for (const auto& endpoint : member.endpoints()) {
       if (endpoint.service() != config.service()) continue;
       if (endpoint.draining()) continue;
-      slots.all += endpoint.slots();
-      if (rising(endpoint.version())) slots.rising += endpoint.slots();
+      targets.all_slots += endpoint.slots();
+      if (!rising(endpoint.version())) continue;
+      targets.rising_slots += endpoint.slots();
+      ++targets.rising_targets;
     }
   }
-  return slots;
+  return targets;
 }
 
 void Mover::SetLoad(const std::string& service, const std::string& version,
@@ -195,9 +199,13 @@
            config->move_revision() != item.second.move_revision;
   });
   std::optional<std::vector<MemberRecord>> live;
+  std::vector<MemberRecord> routable;
   for (const auto& config : batch.services()) {
     if (!IsOpen(config, replica)) continue;
-    if (!live) live = replica.LiveMembers();
+    if (!live) {
+      live = replica.LiveMembers();
+      routable = replica.RoutableMembers(time.now);
+    }
     const auto zone_judges = ZoneJudges(config.service(), *live);
     const bool judges_zone = std::find(zone_judges.begin(), zone_judges.end(),
                                        m_options.id) != zone_judges.end();
@@ -210,13 +218,11 @@
         replica.Marks().Progress(config.service(), config.move_revision());
     const RulingToMark to_mark(config, m_options, time.unix_ms);
     for (const auto& ruling :
-         judge.Tick(time, progress, CountSlots(config, *live))) {
+         judge.Tick(time, progress, CountTargets(config, routable))) {
       const bool of_zone = std::holds_alternative<RaiseStage>(ruling) ||
                            std::holds_alternative<SettleZone>(ruling);
       if (of_zone && !judges_zone) continue;
-      if (auto mark = std::visit(to_mark, ruling)) {
-        marks.push_back(std::move(*mark));
-      }
+      marks.push_back(std::visit(to_mark, ruling));
     }
   }
   return marks;
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -77,7 +77,7 @@
   std::string text;
   for (const auto& problem : problems) {
     if (!text.empty()) text += "\n";
-    text += path + ": " + problem;
+    text.append(path).append(": ").append(problem);
   }
   return Fail(FailureCode::kInvalid, text);
 }
--- a/src/state/marks.cc
+++ b/src/state/marks.cc
@@ -8,15 +8,14 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <tuple>
 
 namespace kumquatmoor {
 namespace {
 
-auto RecallOrder(const Recall& recall) {
-  return std::make_tuple(recall.decided_ms(),
-                         std::string_view(recall.decided_by()),
-                         std::string_view(recall.reason()));
+bool IsEarlier(const Recall& a, const Recall& b) {
+  if (a.decided_ms() != b.decided_ms()) return a.decided_ms() < b.decided_ms();
+  if (a.decided_by() != b.decided_by()) return a.decided_by() < b.decided_by();
+  return a.reason() < b.reason();
 }
 
 }  // namespace
@@ -38,9 +37,10 @@
   for (const auto& [zone, settled] : mark.settled()) {
     if (settled) progress.settled[zone] = true;
   }
+  progress.blamed.insert(mark.blamed().begin(), mark.blamed().end());
   for (const auto& recall : mark.recalls()) {
     auto [held, is_new] = progress.recalls.emplace(recall.version(), recall);
-    if (!is_new && RecallOrder(recall) < RecallOrder(held->second)) {
+    if (!is_new && IsEarlier(recall, held->second)) {
       held->second = recall;
     }
   }
@@ -101,6 +101,7 @@
   for (const auto& [version, recall] : progress.recalls) {
     *mark.add_recalls() = recall;
   }
+  for (const auto& member : progress.blamed) mark.add_blamed(member);
   return mark;
 }
 
@@ -111,6 +112,7 @@
     text += "\ns" + zone + ' ' + std::to_string(stage);
   }
   for (const auto& [zone, settled] : progress.settled) text += "\nd" + zone;
+  for (const auto& member : progress.blamed) text += "\nb" + member;
   for (const auto& [version, recall] : progress.recalls) {
     text += "\nr" + version + ' ' + std::to_string(recall.decided_ms()) + ' ' +
             recall.decided_by() + ' ' + recall.reason();
--- a/src/state/marks_test.cc
+++ b/src/state/marks_test.cc
@@ -12,7 +12,7 @@
   mark.set_service("s" + std::to_string(rng() % 2));
   mark.set_move_revision(1 + rng() % 2);
   const std::string zone = "z" + std::to_string(rng() % 2);
-  switch (rng() % 3) {
+  switch (rng() % 4) {
     case 0:
       (*mark.mutable_stage_permille())[zone] =
           static_cast<uint32_t>(rng() % 1001);
@@ -20,6 +20,9 @@
     case 1:
       (*mark.mutable_settled())[zone] = true;
       break;
+    case 2:
+      mark.add_blamed("n" + std::to_string(rng() % 3));
+      break;
     default:
       Recall* recall = mark.add_recalls();
       recall->set_version("v" + std::to_string(rng() % 2));
--- a/src/state/table_test.cc
+++ b/src/state/table_test.cc
@@ -161,7 +161,9 @@
 TEST_CASE("Any bytes are read without harm") {
   CHECK(rc::check([](const std::string& bytes) {
     const ParsedTable parsed = ParseCsv(kHeader + bytes, kNow);
-    for (const auto& row : parsed.rows) RC_ASSERT(row.weight <= kFullWeight);
+    for (const auto& row : parsed.rows) {
+      RC_ASSERT(row.weight <= kFullWeight);
+    }
   }));
 }
 
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -148,7 +148,9 @@
     co_await http::async_write(connection.stream, serializer, Into(error));
     if (error == http::error::need_buffer) error = {};
     if (error) co_return error;
-    if (more) co_await inbound.ReadChunk(&chunk);
+    if (more) {
+      co_await inbound.ReadChunk(&chunk);
+    }
   }
   co_return Error();
 }
@@ -301,7 +303,9 @@
   if (!co_await PassFaults(options, options.deadline)) {
     error = beast::error::timeout;
   }
-  if (!error) error = co_await Send(result, inbound, options);
+  if (!error) {
+    error = co_await Send(result, inbound, options);
+  }
   if (!error) {
     if (!inbound.IsWhole()) {
       inbound.Stream().expires_never();
@@ -311,7 +315,9 @@
       error = beast::error::timeout;
     }
   }
-  if (!error) error = co_await ReadAnswer(result, options);
+  if (!error) {
+    error = co_await ReadAnswer(result, options);
+  }
   if (watch != nullptr && watch->CallerGone()) result.caller_gone = true;
   watch.reset();
   if (error || result.caller_gone) {
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -90,7 +90,8 @@
   return [options, shared](tcp::socket socket) -> asio::awaitable<void> {
     // Copies: the lambda object may be gone after the first suspension.
     const MessageOptions limits = options;
-    const std::shared_ptr<MessageHandler> handle = shared;
+    std::shared_ptr<MessageHandler> handle;
+    handle = shared;
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
     bool keep_alive = true;
--- a/standins/fake_backend.cc
+++ b/standins/fake_backend.cc
@@ -102,7 +102,9 @@
     }
     --m_in_flight;
     if (HasFault("crash", target)) std::_Exit(1);
-    if (HasFault("truncate", target)) co_return co_await Truncate(socket);
+    if (HasFault("truncate", target)) {
+      co_return co_await Truncate(socket);
+    }
     co_return Answer(request, target);
   }
 
--- a/standins/fake_platform.cc
+++ b/standins/fake_platform.cc
@@ -67,7 +67,7 @@
     if (error || !value.is_object()) {
       co_return Answer(400, {{"error", "the body is not a JSON object"}});
     }
-    const json::object body = value.as_object();
+    const json::object& body = value.as_object();
     ++m_calls[target];
     if (target == "/v1/test") co_return Inject(body);
     if (m_down) throw NoAnswer();
--- a/standins/load.cc
+++ b/standins/load.cc
@@ -189,7 +189,7 @@
   std::string Judge(const Kind& kind, const std::string& id,
                     const http::request<http::string_body>& request,
                     const http::response<http::string_body>& response) {
-    const std::string verdict(response[headers::kVerdict]);
+    std::string verdict(response[headers::kVerdict]);
     if (verdict == "NotRun" && m_not_run.is_open()) m_not_run << id << '\n';
     if (response[headers::kRequestId] != id) {
       ++m_wrong_answers;
