Keep a node's control work independent of the size of the mesh

The replica tester now compares updated routes with routes built anew after each step; it found that a node's own refutation was not noted as a change.

The remaining walk over all members is the answer to a join.

--- a/include/kumquatmoor/coordination/member_list.h
+++ b/include/kumquatmoor/coordination/member_list.h
@@ -9,15 +9,19 @@
 //
 // A record with a higher incarnation replaces a lower one. Within an
 // incarnation the endpoints with the higher version and the worse status win,
-// each on its own. Records may arrive in any order. Not thread-safe.
+// each on its own. Records may arrive in any order. What is asked often (who
+// lives, in a zone, with a service, and who was lost) is indexed, so that it
+// does not cost a walk over every member. Pointers to records are valid until
+// the member is changed or forgotten. Not thread-safe.
 
 #include <array>
 #include <chrono>
 #include <cstdint>
-#include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "control.pb.h"
@@ -45,8 +49,18 @@
       const std::vector<uint32_t>& buckets) const;
   size_t size() const { return m_entries.size(); }
 
-  // Calls `visit` with each record, by id.
-  void ForEach(const std::function<void(const MemberRecord&)>& visit) const;
+  using Records = std::vector<const MemberRecord*>;
+  // Those that are alive, in no order; all, or in one zone.
+  const Records& Alive() const { return m_alive.records; }
+  const Records& AliveIn(const std::string& zone) const;
+  // Rises whenever the set of those alive changes.
+  uint64_t AliveVersion() const { return m_alive_version; }
+  // The suspected and the dead.
+  Records Lost() const;
+  // Zones that have, or had, a member.
+  std::vector<std::string> Zones() const;
+  // Members with a backend server of `service`, whatever their status.
+  Records MembersOf(std::string_view service) const;
 
   // Equal for equal contents.
   uint64_t Hash() const;
@@ -55,16 +69,33 @@
   }
 
  private:
+  // Records in no order, each of which knows its place.
+  struct Group {
+    Records records;
+    std::unordered_map<const MemberRecord*, size_t> places;
+
+    void Add(const MemberRecord* record);
+    void Remove(const MemberRecord* record);
+  };
   struct Entry {
     MemberRecord record;
     TimePoint status_since;
     uint64_t hash = 0;
   };
 
-  void Rehash(Entry* entry);
+  void Replace(Entry* entry, const MemberRecord& record, TimePoint now);
+  void AddToIndexes(const Entry& entry);
+  void RemoveFromIndexes(const Entry& entry);
 
   std::map<std::string, Entry, std::less<>> m_entries;
   std::array<uint64_t, kMemberBuckets> m_buckets{};
+  Group m_alive;
+  std::map<std::string, Group> m_alive_by_zone;
+  std::set<const MemberRecord*> m_lost;
+  std::set<const MemberRecord*> m_left;
+  std::map<std::string, std::set<const MemberRecord*>, std::less<>>
+      m_by_service;
+  uint64_t m_alive_version = 0;
 };
 
 // The join of two records of one member.
--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -105,6 +105,10 @@
   // The live members that requests may be sent to: those of unreachable zones
   // are left out, also where they have not been suspected one by one.
   std::vector<MemberRecord> RoutableMembers(TimePoint now) const;
+  std::vector<MemberRecord> RoutableMembersOf(
+      std::string_view service, const std::set<std::string>& unreachable) const;
+  // Services whose routes may have changed since the last call.
+  std::set<std::string> TakeChangedServices();
   // Zones of which at least half was lost within the last minute.
   std::set<std::string> UnreachableZones(TimePoint now) const;
   // Rises with each change that routes depend on.
@@ -125,8 +129,7 @@
 
   Datagram MakeDatagram(Datagram::Kind kind) const;
   Outgoing To(const MemberRecord& member, Datagram datagram) const;
-  std::vector<const MemberRecord*> PickMembers(size_t count,
-                                               std::string_view excluded);
+  MemberList::Records PickMembers(size_t count, std::string_view excluded);
   const MemberRecord* PickProbeSubject();
 
   void ForgivePause(TimePoint now);
@@ -149,6 +152,7 @@
   void Spread(Rumour rumour, std::string key);
   void SpreadMember(const std::string& id);
   void RequestSync(const std::string& id);
+  void NoteChangedServices(const MemberRecord& member);
   void Warn(std::string text);
 
   ReplicaOptions m_options;
@@ -168,6 +172,7 @@
   uint32_t m_mismatches = 0;
   std::optional<std::string> m_sync_peer;
   uint64_t m_change_count = 0;
+  std::set<std::string> m_changed_services;
   std::vector<std::string> m_warnings;
 };
 
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -21,6 +21,7 @@
 #include <future>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,7 @@
   void PublishNewBatch();
   void PublishRoutes();
   void PublishBackends();
+  std::vector<std::string> OwnZoneIds() const;
   void UpdateAckTree(TimePoint now);
   void UpdateMoves(TimePoint now);
   void LogChanges();
@@ -108,9 +110,11 @@
   BackendRegistry m_registry;
   bool m_ready = false;
   bool m_draining = false;
+  std::shared_ptr<const RouteTable> m_published;
   uint64_t m_published_change = 0;
+  std::set<std::string> m_published_unreachable;
+  uint64_t m_ack_tree_version = 0;  // Of those alive.
   uint64_t m_published_revision = 0;
-  bool m_published_ready = false;
   uint64_t m_logged_revision = 0;
   int64_t m_in_force_ms = 0;  // Unix time since which it is in force.
   size_t m_logged_warnings = 0;
--- a/include/kumquatmoor/node/gateway.h
+++ b/include/kumquatmoor/node/gateway.h
@@ -64,6 +64,7 @@
   uint64_t m_head_version = 0;
   uint64_t m_written_marks = 0;  // Hash.
   std::string m_written_seeds;
+  std::chrono::steady_clock::time_point m_next_seeds;
   std::atomic<bool> m_active{false};
   std::atomic<bool> m_stopping{false};
   std::thread m_thread;
--- a/include/kumquatmoor/node/mover.h
+++ b/include/kumquatmoor/node/mover.h
@@ -12,10 +12,10 @@
 //   for (auto& mark : mover.Judge(replica, time)) replica.JoinMark(mark);
 //
 // The judges of a service in a zone are the live members of the zone with the
-// highest rendezvous hashes. One more, the highest of the whole mesh, gets the
-// evidence of every zone: it finds a fault in a fraction of the requests that
-// one zone's judge needs, but only recalls, so that a zone which is cut off
-// still decides for itself. Pure: no I/O. Not thread-safe; owned by the
+// highest rendezvous hashes. One more, the highest of the service's hosts, gets
+// the evidence of every zone: it finds a fault in a fraction of the requests
+// that one zone's judge needs, but only recalls, so that a zone which is cut
+// off still decides for itself. Pure: no I/O. Not thread-safe; owned by the
 // control thread.
 
 #include <cstdint>
@@ -81,10 +81,10 @@
 
   void RestartCounts(const Batch& batch);
   // Judges of this node's zone, and of the whole mesh.
-  std::vector<std::string> ZoneJudges(
-      const std::string& service, const std::vector<MemberRecord>& live) const;
+  std::vector<std::string> ZoneJudges(const std::string& service,
+                                      const MemberList& members) const;
   std::string MeshJudge(const std::string& service,
-                        const std::vector<MemberRecord>& live) const;
+                        const MemberList& members) const;
   MoveJudge& JudgeFor(const ServiceConfig& config, JudgeTime time);
 
   MoverOptions m_options;
--- a/include/kumquatmoor/state/routes.h
+++ b/include/kumquatmoor/state/routes.h
@@ -12,6 +12,7 @@
 // to read from any thread.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -56,7 +57,9 @@
 struct RouteTable {
   uint64_t revision = 0;  // Of the batch.
   std::string zone;       // Of the node that routes.
-  std::map<std::string, ServiceRoutes, std::less<>> services;
+  // Unchanged services are shared with the snapshot before.
+  std::map<std::string, std::shared_ptr<const ServiceRoutes>, std::less<>>
+      services;
   // (service, version) pairs that were taken back; targets refuse them.
   std::set<std::pair<std::string, std::string>> recalled;
 
@@ -80,6 +83,15 @@
     const Batch& batch, const MarkSet& marks,
     std::span<const MemberRecord> members, const std::string& zone);
 
+// Gives the members that may have targets of a service.
+using MembersOfService =
+    std::function<std::vector<MemberRecord>(const std::string& service)>;
+
+// The snapshot after `previous`, which differs in the services `changed` only.
+std::shared_ptr<const RouteTable> UpdateRoutes(
+    const RouteTable& previous, const Batch& batch, const MarkSet& marks,
+    const std::set<std::string>& changed, const MembersOfService& members_of);
+
 }  // namespace kumquatmoor
 
 #endif  // KUMQUATMOOR_STATE_ROUTES_H_
--- a/src/coordination/member_list.cc
+++ b/src/coordination/member_list.cc
@@ -41,43 +41,126 @@
   return HasNewerEndpoints(left, right) ? left : right;
 }
 
+void MemberList::Group::Add(const MemberRecord* record) {
+  places[record] = records.size();
+  records.push_back(record);
+}
+
+void MemberList::Group::Remove(const MemberRecord* record) {
+  auto found = places.find(record);
+  if (found == places.end()) return;
+  // The last one takes the place that becomes free.
+  const size_t place = found->second;
+  records[place] = records.back();
+  places[records[place]] = place;
+  records.pop_back();
+  places.erase(record);
+}
+
 bool MemberList::Join(const MemberRecord& record, TimePoint now) {
   if (record.id().empty()) return false;
   auto found = m_entries.find(record.id());
   if (found == m_entries.end()) {
     if (IsGone(record)) return false;
     Entry& entry = m_entries[record.id()];
-    entry.record = record;
     entry.status_since = now;
-    Rehash(&entry);
+    Replace(&entry, record, now);
     return true;
   }
   Entry& entry = found->second;
-  MemberRecord joined = JoinRecords(entry.record, record);
+  const MemberRecord joined = JoinRecords(entry.record, record);
   if (HashOf(joined) == entry.hash) return false;
-  if (joined.status() != entry.record.status()) entry.status_since = now;
-  entry.record = std::move(joined);
-  Rehash(&entry);
+  Replace(&entry, joined, now);
   return true;
 }
 
+void MemberList::Replace(Entry* entry, const MemberRecord& record,
+                         TimePoint now) {
+  if (entry->hash != 0) RemoveFromIndexes(*entry);
+  if (record.status() != entry->record.status()) entry->status_since = now;
+  entry->record = record;
+  uint64_t& bucket = m_buckets[BucketOf(record.id())];
+  bucket ^= entry->hash;
+  entry->hash = HashOf(record);
+  bucket ^= entry->hash;
+  AddToIndexes(*entry);
+}
+
+void MemberList::AddToIndexes(const Entry& entry) {
+  const MemberRecord& record = entry.record;
+  Group& zone = m_alive_by_zone[record.zone()];
+  if (record.status() == ALIVE) {
+    m_alive.Add(&record);
+    zone.Add(&record);
+    ++m_alive_version;
+  } else if (record.status() == LEFT) {
+    m_left.insert(&record);
+  } else {
+    m_lost.insert(&record);
+  }
+  for (const auto& endpoint : record.endpoints()) {
+    m_by_service[endpoint.service()].insert(&record);
+  }
+}
+
+void MemberList::RemoveFromIndexes(const Entry& entry) {
+  const MemberRecord& record = entry.record;
+  if (record.status() == ALIVE) {
+    m_alive.Remove(&record);
+    m_alive_by_zone[record.zone()].Remove(&record);
+    ++m_alive_version;
+  }
+  m_lost.erase(&record);
+  m_left.erase(&record);
+  for (const auto& endpoint : record.endpoints()) {
+    auto found = m_by_service.find(endpoint.service());
+    if (found == m_by_service.end()) continue;
+    found->second.erase(&record);
+    if (found->second.empty()) m_by_service.erase(found);
+  }
+}
+
 void MemberList::Forget(TimePoint now) {
-  for (auto it = m_entries.begin(); it != m_entries.end();) {
-    const Entry& entry = it->second;
-    if (IsGone(entry.record) && now - entry.status_since > kForgetAfter) {
-      m_buckets[BucketOf(it->first)] ^= entry.hash;
-      it = m_entries.erase(it);
-    } else {
-      ++it;
+  std::vector<std::string> forgotten;
+  for (const auto* record : m_lost) {
+    const TimePoint since = StatusSince(record->id());
+    if (IsGone(*record) && now - since > kForgetAfter) {
+      forgotten.push_back(record->id());
+    }
+  }
+  for (const auto* record : m_left) {
+    if (now - StatusSince(record->id()) > kForgetAfter) {
+      forgotten.push_back(record->id());
     }
   }
+  for (const auto& id : forgotten) {
+    auto found = m_entries.find(id);
+    RemoveFromIndexes(found->second);
+    m_buckets[BucketOf(id)] ^= found->second.hash;
+    m_entries.erase(found);
+  }
 }
 
-void MemberList::Rehash(Entry* entry) {
-  uint64_t& bucket = m_buckets[BucketOf(entry->record.id())];
-  bucket ^= entry->hash;
-  entry->hash = HashOf(entry->record);
-  bucket ^= entry->hash;
+const MemberList::Records& MemberList::AliveIn(const std::string& zone) const {
+  static const Records kNone;
+  auto found = m_alive_by_zone.find(zone);
+  return found == m_alive_by_zone.end() ? kNone : found->second.records;
+}
+
+MemberList::Records MemberList::Lost() const {
+  return {m_lost.begin(), m_lost.end()};
+}
+
+std::vector<std::string> MemberList::Zones() const {
+  std::vector<std::string> zones;
+  for (const auto& [zone, group] : m_alive_by_zone) zones.push_back(zone);
+  return zones;
+}
+
+MemberList::Records MemberList::MembersOf(std::string_view service) const {
+  auto found = m_by_service.find(service);
+  if (found == m_by_service.end()) return {};
+  return {found->second.begin(), found->second.end()};
 }
 
 const MemberRecord* MemberList::Find(std::string_view id) const {
@@ -109,11 +192,6 @@
   return records;
 }
 
-void MemberList::ForEach(
-    const std::function<void(const MemberRecord&)>& visit) const {
-  for (const auto& [id, entry] : m_entries) visit(entry.record);
-}
-
 uint64_t MemberList::Hash() const {
   return XXH3_64bits(m_buckets.data(), sizeof(m_buckets));
 }
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -31,9 +31,11 @@
 constexpr std::chrono::milliseconds kLongestTick{300};
 constexpr size_t kMaxWarnings = 16;
 constexpr size_t kMaxRelayed = 64;
-// One probe in this many goes to a member that seems dead, so that two parts
-// of a mesh find each other again after a cut.
-constexpr uint64_t kProbeGoneEvery = 8;
+constexpr uint64_t kProbeLostEvery = 8;
+// Draws of a member other than this one.
+constexpr int kProbeDraws = 16;
+// Up to this size a sample is drawn from a list of all others.
+constexpr size_t kSmallMesh = 32;
 // A zone is unreachable when this part of its members is suspected.
 constexpr double kUnreachablePart = 0.5;
 constexpr size_t kUnreachableAtLeast = 2;
@@ -87,39 +89,51 @@
           .datagram = std::move(datagram)};
 }
 
-std::vector<const MemberRecord*> Replica::PickMembers(
-    size_t count, std::string_view excluded) {
-  std::vector<const MemberRecord*> live;
-  m_members.ForEach([&](const MemberRecord& member) {
-    if (member.status() != ALIVE || member.id() == m_options.id) return;
-    if (member.id() != excluded) live.push_back(&member);
-  });
-  std::vector<const MemberRecord*> picked;
-  std::sample(live.begin(), live.end(), std::back_inserter(picked), count,
-              m_rng);
+// A few draws with replacement would repeat members in a small mesh, so draws
+// go on until enough different ones are found or all are taken.
+MemberList::Records Replica::PickMembers(size_t count,
+                                         std::string_view excluded) {
+  const auto& alive = m_members.Alive();
+  const auto fits = [&](const MemberRecord* member) {
+    return member->id() != m_options.id && member->id() != excluded;
+  };
+  MemberList::Records picked;
+  if (alive.size() <= kSmallMesh) {
+    MemberList::Records others;
+    std::copy_if(alive.begin(), alive.end(), std::back_inserter(others), fits);
+    std::sort(others.begin(), others.end(),
+              [](const MemberRecord* a, const MemberRecord* b) {
+                return a->id() < b->id();
+              });
+    std::sample(others.begin(), others.end(), std::back_inserter(picked), count,
+                m_rng);
+    return picked;
+  }
+  while (picked.size() < count) {
+    const MemberRecord* member = alive[m_rng() % alive.size()];
+    const bool again =
+        std::find(picked.begin(), picked.end(), member) != picked.end();
+    if (!again && fits(member)) picked.push_back(member);
+  }
   return picked;
 }
 
+// Half of the probes go to the own zone, and one in eight to a member that
+// was lost, so that two parts of a mesh find each other again after a cut.
 const MemberRecord* Replica::PickProbeSubject() {
-  std::vector<const MemberRecord*> live;
-  std::vector<const MemberRecord*> near;
-  std::vector<const MemberRecord*> gone;
-  m_members.ForEach([&](const MemberRecord& member) {
-    if (member.id() == m_options.id || member.status() == LEFT) return;
-    if (member.status() == DEAD) {
-      gone.push_back(&member);
-      return;
-    }
-    live.push_back(&member);
-    if (member.zone() == m_options.zone) near.push_back(&member);
-  });
-  if (!gone.empty() && (live.empty() || m_rng() % kProbeGoneEvery == 0)) {
-    live = std::move(gone);
-  } else if (!near.empty() && m_rng() % 2 == 0) {
-    live = std::move(near);
+  const auto lost = m_members.Lost();
+  const bool alone = m_members.Alive().size() <= 1;
+  if (!lost.empty() && (alone || m_rng() % kProbeLostEvery == 0)) {
+    return lost[m_rng() % lost.size()];
+  }
+  const auto& near = m_members.AliveIn(m_options.zone);
+  const auto& from =
+      near.size() > 1 && m_rng() % 2 == 0 ? near : m_members.Alive();
+  for (int tries = 0; tries < kProbeDraws; ++tries) {
+    const MemberRecord* member = from[m_rng() % from.size()];
+    if (member->id() != m_options.id) return member;
   }
-  if (live.empty()) return nullptr;
-  return live[m_rng() % live.size()];
+  return nullptr;
 }
 
 std::vector<Outgoing> Replica::Tick(TimePoint now) {
@@ -220,13 +234,14 @@
 
 void Replica::ExpireSuspects(TimePoint now) {
   std::vector<MemberRecord> expired;
-  const auto unreachable = UnreachableZones(now);
-  m_members.ForEach([&](const MemberRecord& member) {
-    if (member.status() != SUSPECT) return;
-    const TimePoint since = m_members.StatusSince(member.id());
-    if (now - since < m_options.suspicion) return;
-    if (unreachable.count(member.zone()) == 0) expired.push_back(member);
-  });
+  std::optional<std::set<std::string>> unreachable;
+  for (const auto* member : m_members.Lost()) {
+    if (member->status() != SUSPECT) continue;
+    const TimePoint since = m_members.StatusSince(member->id());
+    if (now - since < m_options.suspicion) continue;
+    if (!unreachable) unreachable = UnreachableZones(now);
+    if (unreachable->count(member->zone()) == 0) expired.push_back(*member);
+  }
   for (auto& member : expired) {
     member.set_status(DEAD);
     TakeMember(member, now);
@@ -234,26 +249,19 @@
 }
 
 std::set<std::string> Replica::UnreachableZones(TimePoint now) const {
-  struct Count {
-    size_t all = 0;
-    size_t lost = 0;
-  };
-  std::map<std::string, Count> counts;
-  m_members.ForEach([&](const MemberRecord& member) {
-    const bool lost = member.status() == SUSPECT || member.status() == DEAD;
-    if (!lost && member.status() != ALIVE) return;
+  std::map<std::string, size_t> lost_by_zone;
+  for (const auto* member : m_members.Lost()) {
     // Those lost long ago say nothing of their zone today.
-    const TimePoint since = m_members.StatusSince(member.id());
-    if (member.status() == DEAD && now - since > kLostTogether) return;
-    Count& count = counts[member.zone()];
-    ++count.all;
-    if (lost) ++count.lost;
-  });
+    const TimePoint since = m_members.StatusSince(member->id());
+    if (member->status() == DEAD && now - since > kLostTogether) continue;
+    ++lost_by_zone[member->zone()];
+  }
   std::set<std::string> zones;
-  for (const auto& [zone, count] : counts) {
-    if (zone == m_options.zone || count.lost < kUnreachableAtLeast) continue;
-    if (static_cast<double>(count.lost) >=
-        kUnreachablePart * static_cast<double>(count.all)) {
+  for (const auto& [zone, lost] : lost_by_zone) {
+    if (zone == m_options.zone || lost < kUnreachableAtLeast) continue;
+    const size_t all = lost + m_members.AliveIn(zone).size();
+    if (static_cast<double>(lost) >=
+        kUnreachablePart * static_cast<double>(all)) {
       zones.insert(zone);
     }
   }
@@ -388,8 +396,10 @@
   const MemberRecord* held = m_members.Find(record.id());
   const bool known = held != nullptr;
   const MemberStatus before = known ? held->status() : ALIVE;
+  if (known) NoteChangedServices(*held);
   if (!m_members.Join(record, now)) return;
   ++m_change_count;
+  NoteChangedServices(record);
   const MemberRecord& member = *m_members.Find(record.id());
   if (!known || member.status() != before) {
     spdlog::info("membership: {} in {} is {}", member.id(), member.zone(),
@@ -407,6 +417,8 @@
       (claim.status() != ALIVE || claim.version() > self.version());
   if (!newer && !against) return;
   self.set_incarnation(claim.incarnation() + 1);
+  NoteChangedServices(self);
+  ++m_change_count;
   m_members.Join(self, now);
   SpreadMember(m_options.id);
 }
@@ -441,6 +453,11 @@
 void Replica::ApplyBatch(Batch batch) {
   Rumour rumour;
   *rumour.mutable_delta() = MakeDelta(*m_batch, batch);
+  for (const auto& service : rumour.delta().changed()) {
+    m_changed_services.insert(service.service());
+  }
+  m_changed_services.insert(rumour.delta().removed().begin(),
+                            rumour.delta().removed().end());
   m_batch = std::make_shared<const Batch>(std::move(batch));
   m_batch_digest = BatchDigest(*m_batch);
   m_marks.Prune(*m_batch);
@@ -455,6 +472,7 @@
                             : mark.move_revision() < config->move_revision();
   if (replaced || !m_marks.Join(mark)) return false;
   ++m_change_count;
+  m_changed_services.insert(mark.service());
   Rumour rumour;
   const MoveKey key{mark.service(), mark.move_revision()};
   *rumour.mutable_mark() = m_marks.MarkOf(key);
@@ -465,9 +483,11 @@
 
 void Replica::SetEndpoints(std::span<const Endpoint> endpoints, TimePoint now) {
   MemberRecord self = Self();
+  NoteChangedServices(self);
   self.set_version(self.version() + 1);
   self.clear_endpoints();
   for (const auto& endpoint : endpoints) *self.add_endpoints() = endpoint;
+  NoteChangedServices(self);
   m_members.Join(self, now);
   ++m_change_count;
   SpreadMember(m_options.id);
@@ -476,6 +496,8 @@
 std::vector<Outgoing> Replica::Leave(TimePoint now) {
   MemberRecord self = Self();
   self.set_status(LEFT);
+  NoteChangedServices(self);
+  ++m_change_count;
   m_members.Join(self, now);
   SpreadMember(m_options.id);
   std::vector<Outgoing> out;
@@ -576,9 +598,7 @@
 
 std::vector<MemberRecord> Replica::LiveMembers() const {
   std::vector<MemberRecord> live;
-  m_members.ForEach([&](const MemberRecord& member) {
-    if (member.status() == ALIVE) live.push_back(member);
-  });
+  for (const auto* member : m_members.Alive()) live.push_back(*member);
   return live;
 }
 
@@ -591,6 +611,26 @@
   return members;
 }
 
+std::vector<MemberRecord> Replica::RoutableMembersOf(
+    std::string_view service, const std::set<std::string>& unreachable) const {
+  std::vector<MemberRecord> members;
+  for (const auto* member : m_members.MembersOf(service)) {
+    if (member->status() != ALIVE) continue;
+    if (unreachable.count(member->zone()) == 0) members.push_back(*member);
+  }
+  return members;
+}
+
+std::set<std::string> Replica::TakeChangedServices() {
+  return std::exchange(m_changed_services, {});
+}
+
+void Replica::NoteChangedServices(const MemberRecord& member) {
+  for (const auto& endpoint : member.endpoints()) {
+    m_changed_services.insert(endpoint.service());
+  }
+}
+
 void Replica::Warn(std::string text) {
   if (!m_warnings.empty() && m_warnings.back() == text) return;
   if (m_warnings.size() >= kMaxWarnings) m_warnings.erase(m_warnings.begin());
--- a/src/coordination/replica_test.cc
+++ b/src/coordination/replica_test.cc
@@ -47,6 +47,7 @@
     options.seed = m_rng();
     m_nodes[Id(i)] = std::make_unique<Replica>(options, m_now);
     m_revisions[Id(i)] = 0;
+    m_tables.erase(Id(i));
     Join(Id(i));
   }
 
@@ -206,9 +207,10 @@
       if (batch.revision() > 0) REQUIRE(CheckBatch(batch).empty());
       const auto live = node->LiveMembers();
       const auto table = BuildRoutes(batch, node->Marks(), live, "z0");
+      CheckUpdatedRoutes(id, *table);
       for (const auto& [name, service] : table->services) {
         REQUIRE(FindService(batch, name) != nullptr);
-        for (const auto& version : service.versions) {
+        for (const auto& version : service->versions) {
           REQUIRE_FALSE(version.targets.empty());
           const auto* config = FindService(batch, name);
           if (node->Marks().IsRecalled(name, config->move_revision())) {
@@ -223,6 +225,44 @@
     }
   }
 
+  // Routes that are updated service by service are those that are built anew.
+  void CheckUpdatedRoutes(const std::string& id, const RouteTable& built) {
+    Replica& node = *m_nodes.at(id);
+    auto& updated = m_tables[id];
+    if (updated == nullptr) {
+      node.TakeChangedServices();
+      updated = std::make_shared<const RouteTable>(built);
+      return;
+    }
+    updated = UpdateRoutes(*updated, node.CurrentBatch(), node.Marks(),
+                           node.TakeChangedServices(),
+                           [&](const std::string& service) {
+                             return node.RoutableMembersOf(service, {});
+                           });
+    REQUIRE(TextOf(*updated) == TextOf(built));
+  }
+
+  static std::string TextOf(const RouteTable& table) {
+    std::set<std::string> lines;
+    for (const auto& [name, service] : table.services) {
+      for (const auto& version : service->versions) {
+        for (const auto& target : version.targets) {
+          lines.insert(
+              name + " " + std::to_string(service->move_revision) + " " +
+              version.version + " " + std::to_string(version.read_share) + " " +
+              std::to_string(version.write_share) + " " + target.member_id +
+              " " + std::to_string(target.incarnation));
+        }
+      }
+    }
+    for (const auto& [service, version] : table.recalled) {
+      lines.insert("recalled " + service + " " + version);
+    }
+    std::string text = std::to_string(table.revision);
+    for (const auto& line : lines) text += "\n" + line;
+    return text;
+  }
+
   std::mt19937_64 m_rng;
   TimePoint m_now = TimePoint() + std::chrono::hours(1);
   TimePoint m_next_read;
@@ -230,6 +270,7 @@
   uint64_t m_sent = 0;
   std::map<std::string, std::unique_ptr<Replica>> m_nodes;
   std::map<std::string, uint64_t> m_revisions;
+  std::map<std::string, std::shared_ptr<const RouteTable>> m_tables;
   std::multimap<TimePoint, std::pair<std::string, Datagram>> m_queue;
   Batch m_latest;
   std::vector<Batch> m_batches;
--- a/src/node/admission_test.cc
+++ b/src/node/admission_test.cc
@@ -83,11 +83,12 @@
   Admission admission;
   admission.SetBackends({MakeBackend(100)});
   RouteTable routes;
-  ServiceRoutes& service = routes.services["s"];
+  ServiceRoutes service;
   service.versions.push_back({.version = "v1",
                               .max_concurrent = 10,
                               .max_rate = 400,
                               .targets = std::vector<Target>(4)});
+  routes.services["s"] = std::make_shared<const ServiceRoutes>(service);
   admission.SetRoutes(routes);
   int admitted = 0;
   for (int i = 0; i < 20; ++i) {
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -152,12 +152,19 @@
   if (news) Send(m_replica.Tick(now));
 }
 
-void ControlLoop::UpdateAckTree(TimePoint now) {
+std::vector<std::string> ControlLoop::OwnZoneIds() const {
   std::vector<std::string> ids;
-  for (const auto& member : m_replica.LiveMembers()) {
-    if (member.zone() == m_options.replica.zone) ids.push_back(member.id());
+  const auto& alive = m_replica.Members().AliveIn(m_options.replica.zone);
+  for (const auto* member : alive) ids.push_back(member->id());
+  return ids;
+}
+
+void ControlLoop::UpdateAckTree(TimePoint now) {
+  const uint64_t alive_version = m_replica.Members().AliveVersion();
+  if (alive_version != m_ack_tree_version) {
+    m_ack_tree_version = alive_version;
+    m_ack_tree.SetMembers(OwnZoneIds());
   }
-  m_ack_tree.SetMembers(std::move(ids));
   const uint64_t revision = m_published_revision;
   const auto parent = m_ack_tree.ReportDue(revision, now);
   if (!parent) return;
@@ -171,25 +178,23 @@
 }
 
 std::vector<MemberRecord> ControlLoop::ZoneRoots() const {
-  std::map<std::string, std::vector<std::string>> zones;
-  for (const auto& member : m_replica.LiveMembers()) {
-    zones[member.zone()].push_back(member.id());
-  }
+  const MemberList& members = m_replica.Members();
   std::vector<MemberRecord> roots;
-  for (const auto& [zone, ids] : zones) {
-    roots.push_back(*m_replica.Members().Find(AckTreeRoot(ids)));
+  for (const auto& zone : members.Zones()) {
+    std::vector<std::string> ids;
+    for (const auto* member : members.AliveIn(zone)) {
+      ids.push_back(member->id());
+    }
+    if (!ids.empty()) roots.push_back(*members.Find(AckTreeRoot(ids)));
   }
   return roots;
 }
 
 bool ControlLoop::IsGatewayCandidate() const {
   if (!m_ready) return false;
-  std::vector<std::string> ids;
-  for (const auto& member : m_replica.LiveMembers()) {
-    if (member.zone() == m_options.replica.zone) ids.push_back(member.id());
-  }
-  const auto candidates = RendezvousTop(
-      ids, "gateway", m_options.gateways_per_zone * kCandidatesPerLease);
+  const auto candidates =
+      RendezvousTop(OwnZoneIds(), "gateway",
+                    m_options.gateways_per_zone * kCandidatesPerLease);
   return std::find(candidates.begin(), candidates.end(),
                    m_options.replica.id) != candidates.end();
 }
@@ -230,16 +235,31 @@
 
 void ControlLoop::PublishRoutes() {
   if (!m_ready) return;
+  auto unreachable = m_replica.UnreachableZones(Clock::now());
   const uint64_t change = m_replica.ChangeCount();
-  if (m_published_ready && change == m_published_change) return;
-  m_published_change = change;
-  m_published_ready = true;
-  const uint64_t revision = m_replica.CurrentBatch().revision();
+  const bool zones_changed = unreachable != m_published_unreachable;
+  if (m_published != nullptr && change == m_published_change &&
+      !zones_changed) {
+    return;
+  }
+  const auto changed = m_replica.TakeChangedServices();
+  if (m_published == nullptr || zones_changed) {
+    m_published = BuildRoutes(m_replica.CurrentBatch(), m_replica.Marks(),
+                              m_replica.RoutableMembers(Clock::now()),
+                              m_options.replica.zone);
+  } else {
+    m_published =
+        UpdateRoutes(*m_published, m_replica.CurrentBatch(), m_replica.Marks(),
+                     changed, [&](const std::string& service) {
+                       return m_replica.RoutableMembersOf(service, unreachable);
+                     });
+  }
+  const uint64_t revision = m_published->revision;
   if (revision != m_published_revision) m_in_force_ms = UnixMs();
   m_published_revision = revision;
-  m_proxy->SetRoutes(BuildRoutes(m_replica.CurrentBatch(), m_replica.Marks(),
-                                 m_replica.RoutableMembers(Clock::now()),
-                                 m_options.replica.zone));
+  m_published_change = change;
+  m_published_unreachable = std::move(unreachable);
+  m_proxy->SetRoutes(m_published);
 }
 
 void ControlLoop::LogChanges() {
--- a/src/node/control_service.cc
+++ b/src/node/control_service.cc
@@ -42,18 +42,18 @@
   parts.own_report = loop.ZoneSubtree();
   parts.reply.set_node(parts.own_id);
   parts.reply.set_revision(replica.CurrentBatch().revision());
-  for (const auto& member : replica.LiveMembers()) {
-    ++parts.live_by_zone[member.zone()];
+  for (const auto* member : replica.Members().Alive()) {
+    ++parts.live_by_zone[member->zone()];
   }
   const auto unreachable = replica.UnreachableZones(Clock::now());
   for (const auto& zone : unreachable) {
     parts.reply.add_warnings("zone " + zone + " is unreachable from here");
   }
-  replica.Members().ForEach([&](const MemberRecord& member) {
-    if (member.status() != SUSPECT) return;
-    parts.reply.add_warnings(member.id() + " in zone " + member.zone() +
+  for (const auto* member : replica.Members().Lost()) {
+    if (member->status() != SUSPECT) continue;
+    parts.reply.add_warnings(member->id() + " in zone " + member->zone() +
                              " does not answer and is not counted");
-  });
+  }
   for (const auto& warning : replica.Warnings()) {
     parts.reply.add_warnings(warning);
   }
--- a/src/node/gateway.cc
+++ b/src/node/gateway.cc
@@ -14,6 +14,7 @@
 
 constexpr milliseconds kPollInterval{100};
 constexpr size_t kPublishedSeeds = 16;
+constexpr milliseconds kSeedsInterval{20'000};
 
 }  // namespace
 
@@ -147,6 +148,9 @@
 }
 
 void Gateway::PublishSeeds() {
+  const auto now = std::chrono::steady_clock::now();
+  if (now < m_next_seeds) return;
+  m_next_seeds = now + kSeedsInterval;
   const auto seeds = m_loop->Run<std::string>([](ControlLoop& loop) {
     boost::json::array list;
     for (const auto& root : loop.ZoneRoots()) {
--- a/src/node/mover.cc
+++ b/src/node/mover.cc
@@ -4,7 +4,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <optional>
 
 #include "kumquatmoor/state/batch.h"
 
@@ -123,19 +122,23 @@
   m_slots[{service, version}] = slots;
 }
 
-std::vector<std::string> Mover::ZoneJudges(
-    const std::string& service, const std::vector<MemberRecord>& live) const {
+std::vector<std::string> Mover::ZoneJudges(const std::string& service,
+                                           const MemberList& members) const {
   std::vector<std::string> ids;
-  for (const auto& member : live) {
-    if (member.zone() == m_options.zone) ids.push_back(member.id());
+  for (const auto* member : members.AliveIn(m_options.zone)) {
+    ids.push_back(member->id());
   }
   return RendezvousTop(ids, "judge/" + service, m_options.judges_per_zone);
 }
 
+// Drawn from the hosts of the service, so that nobody has to walk over every
+// member of the mesh.
 std::string Mover::MeshJudge(const std::string& service,
-                             const std::vector<MemberRecord>& live) const {
+                             const MemberList& members) const {
   std::vector<std::string> ids;
-  for (const auto& member : live) ids.push_back(member.id());
+  for (const auto* member : members.MembersOf(service)) {
+    if (member->status() == ALIVE) ids.push_back(member->id());
+  }
   const auto top = RendezvousTop(ids, "judge/" + service, 1);
   return top.empty() ? "" : top.front();
 }
@@ -154,7 +157,6 @@
 std::vector<EvidenceReport> Mover::TakeReports(const Replica& replica) {
   RestartCounts(replica.CurrentBatch());
   std::vector<EvidenceReport> reports;
-  std::optional<std::vector<MemberRecord>> live;
   for (const auto& key : m_ledger.Versions()) {
     const auto& [service, version] = key;
     const ServiceConfig* config = FindService(replica.CurrentBatch(), service);
@@ -165,9 +167,8 @@
     reported = evidence.sequence();
     evidence.set_move_revision(config->move_revision());
     evidence.set_slots(m_slots[key]);
-    if (!live) live = replica.LiveMembers();
-    auto judges = ZoneJudges(service, *live);
-    const std::string mesh_judge = MeshJudge(service, *live);
+    auto judges = ZoneJudges(service, replica.Members());
+    const std::string mesh_judge = MeshJudge(service, replica.Members());
     if (std::find(judges.begin(), judges.end(), mesh_judge) == judges.end()) {
       judges.push_back(mesh_judge);
     }
@@ -198,24 +199,22 @@
     return config == nullptr || !IsOpen(*config, replica) ||
            config->move_revision() != item.second.move_revision;
   });
-  std::optional<std::vector<MemberRecord>> live;
-  std::vector<MemberRecord> routable;
+  const auto unreachable = replica.UnreachableZones(time.now);
   for (const auto& config : batch.services()) {
     if (!IsOpen(config, replica)) continue;
-    if (!live) {
-      live = replica.LiveMembers();
-      routable = replica.RoutableMembers(time.now);
-    }
-    const auto zone_judges = ZoneJudges(config.service(), *live);
+    const MemberList& members = replica.Members();
+    const auto zone_judges = ZoneJudges(config.service(), members);
     const bool judges_zone = std::find(zone_judges.begin(), zone_judges.end(),
                                        m_options.id) != zone_judges.end();
-    if (!judges_zone && MeshJudge(config.service(), *live) != m_options.id) {
+    if (!judges_zone && MeshJudge(config.service(), members) != m_options.id) {
       m_judged.erase(config.service());
       continue;
     }
     MoveJudge& judge = JudgeFor(config, time);
     const auto& progress =
         replica.Marks().Progress(config.service(), config.move_revision());
+    const auto routable =
+        replica.RoutableMembersOf(config.service(), unreachable);
     const RulingToMark to_mark(config, m_options, time.unix_ms);
     for (const auto& ruling :
          judge.Tick(time, progress, CountTargets(config, routable))) {
--- a/src/node/sync_worker.cc
+++ b/src/node/sync_worker.cc
@@ -71,8 +71,8 @@
   std::vector<ControlPeer> seeds = PeersFromSettings();
   const auto live = m_loop->Run<std::set<std::string>>([](ControlLoop& loop) {
     std::set<std::string> addresses;
-    for (const auto& member : loop.GetReplica().LiveMembers()) {
-      addresses.insert(member.control_address());
+    for (const auto* member : loop.GetReplica().Members().Alive()) {
+      addresses.insert(member->control_address());
     }
     return addresses;
   });
@@ -147,10 +147,10 @@
   auto peers = m_loop->Run<std::vector<ControlPeer>>([](ControlLoop& loop) {
     std::set<std::string> zones = {loop.GetReplica().Self().zone()};
     std::vector<ControlPeer> picked;
-    for (const auto& member : loop.GetReplica().LiveMembers()) {
-      if (!zones.insert(member.zone()).second) continue;
+    for (const auto* member : loop.GetReplica().Members().Alive()) {
+      if (!zones.insert(member->zone()).second) continue;
       picked.push_back(
-          {.address = member.control_address(), .zone = member.zone()});
+          {.address = member->control_address(), .zone = member->zone()});
     }
     return picked;
   });
--- a/src/state/routes.cc
+++ b/src/state/routes.cc
@@ -64,7 +64,7 @@
 
 const ServiceRoutes* RouteTable::Find(std::string_view service) const {
   auto found = services.find(service);
-  return found == services.end() ? nullptr : &found->second;
+  return found == services.end() ? nullptr : found->second.get();
 }
 
 uint32_t NextStage(uint32_t stage) {
@@ -89,6 +89,29 @@
   return share / kFullWeight;
 }
 
+namespace {
+
+// Puts one service into `table`, or takes it out if it has no route.
+void PutService(const std::string& service, const Batch& batch,
+                const MarkSet& marks, const TargetMap& targets,
+                RouteTable* table) {
+  table->services.erase(service);
+  std::erase_if(table->recalled,
+                [&](const auto& item) { return item.first == service; });
+  const ServiceConfig* config = FindService(batch, service);
+  if (config == nullptr) return;
+  const auto& progress = marks.Progress(service, config->move_revision());
+  for (const auto& [version, recall] : progress.recalls) {
+    table->recalled.emplace(service, version);
+  }
+  ServiceRoutes routes = BuildService(*config, progress, targets, table->zone);
+  if (routes.versions.empty()) return;
+  table->services.emplace(
+      service, std::make_shared<const ServiceRoutes>(std::move(routes)));
+}
+
+}  // namespace
+
 std::shared_ptr<const RouteTable> BuildRoutes(
     const Batch& batch, const MarkSet& marks,
     std::span<const MemberRecord> members, const std::string& zone) {
@@ -97,14 +120,19 @@
   table->revision = batch.revision();
   table->zone = zone;
   for (const auto& config : batch.services()) {
-    const auto& progress =
-        marks.Progress(config.service(), config.move_revision());
-    for (const auto& [version, recall] : progress.recalls) {
-      table->recalled.emplace(config.service(), version);
-    }
-    ServiceRoutes routes = BuildService(config, progress, targets, zone);
-    if (routes.versions.empty()) continue;
-    table->services.emplace(config.service(), std::move(routes));
+    PutService(config.service(), batch, marks, targets, table.get());
+  }
+  return table;
+}
+
+std::shared_ptr<const RouteTable> UpdateRoutes(
+    const RouteTable& previous, const Batch& batch, const MarkSet& marks,
+    const std::set<std::string>& changed, const MembersOfService& members_of) {
+  auto table = std::make_shared<RouteTable>(previous);
+  table->revision = batch.revision();
+  for (const auto& service : changed) {
+    const auto members = members_of(service);
+    PutService(service, batch, marks, CollectTargets(members), table.get());
   }
   return table;
 }
--- a/src/state/routes_test.cc
+++ b/src/state/routes_test.cc
@@ -89,8 +89,8 @@
     const auto table = BuildRoutes(batch, {}, members, "a");
     for (const auto& [name, service] : table->services) {
       CHECK(FindService(batch, name) != nullptr);
-      CHECK_FALSE(service.versions.empty());
-      for (const auto& version : service.versions) {
+      CHECK_FALSE(service->versions.empty());
+      for (const auto& version : service->versions) {
         CHECK_FALSE(version.targets.empty());
         for (const auto& target : version.targets) {
           CHECK(live.count(name + version.version + target.member_id) == 1);
