--- a/src/coordination/replica_test.cc
+++ b/src/coordination/replica_test.cc
@@ -259,7 +259,7 @@
       lines.insert("recalled " + service + " " + version);
     }
     std::string text = std::to_string(table.revision);
-    for (const auto& line : lines) text += "\n" + line;
+    for (const auto& line : lines) text.append("\n").append(line);
     return text;
   }
 
--- /dev/null
+++ b/tools/capacity.py
@@ -0,0 +1,104 @@
+"""Measures nodes at rest and with changes at several sizes of the mesh, and
+fits slopes against the number of nodes. Writes run/capacity.json.
+
+    capacity.py [NODES ...]    16, 48 and 96 without arguments
+"""
+
+import json
+import os
+import statistics
+import sys
+import time
+
+from bench import OUTPUT, control_rates, resident_mb
+from cluster import Cluster
+
+ZONES = 4
+SIZES = [16, 48, 96]
+SERVICES = ["bookings", "listings", "media", "reports"]
+REST_SECONDS = 10
+CHANGES = 10
+SETTLE_SECONDS = 5
+
+
+def mesh(nodes):
+    """A deployment of so many nodes; the first 16 have backend servers."""
+    cluster = Cluster("deploy/sagarmatha", 45)
+    zones = cluster.spec["zones"]
+    hosts = cluster.spec["hosts"]
+    for number in range(len(hosts), nodes):
+        hosts.append({"name": f"extra-{number}", "zone": zones[number % ZONES],
+                      "service": SERVICES[number % len(SERVICES)]})
+    cluster.place_hosts()
+    return cluster
+
+
+def measure(nodes):
+    with mesh(nodes) as cluster:
+        cluster.start_platform()
+        begin = time.monotonic()
+        for host in cluster.hosts:
+            cluster.start_node(host)
+        for host, entry in zip(cluster.hosts_in_spec_order()[:16],
+                               cluster.spec["hosts"]):
+            cluster.start_backend(host, entry["service"], "v1")
+        cluster.wait(cluster.all_joined, "every node to join", 60, 0.5)
+        joined = time.monotonic() - begin
+        cluster.apply_first_table()
+        time.sleep(SETTLE_SECONDS)
+        rest = control_rates(cluster, REST_SECONDS)
+        times = []
+
+        def change():
+            for number in range(CHANGES):
+                answer = cluster.ctl_json("table", "edit", "media", "v1",
+                                          f"--max_rate={1000 + number}")
+                times.append(cluster.convergence_ms(answer))
+                time.sleep(0.5)
+
+        changing = control_rates(cluster, REST_SECONDS, change)
+        return {
+            "nodes": nodes, "joined_s": round(joined, 1),
+            "convergence_median_ms": statistics.median(times),
+            "convergence_worst_ms": max(times),
+            "rest": rest, "changing": changing,
+            "resident_mb": round(max(resident_mb(host.node)
+                                     for host in cluster.hosts), 1)}
+
+
+def slope(points):
+    """Least squares through (x, y): slope and its standard error."""
+    xs, ys = zip(*points)
+    mean_x, mean_y = statistics.mean(xs), statistics.mean(ys)
+    spread = sum((x - mean_x) ** 2 for x in xs)
+    fit = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    rest = sum((y - mean_y - fit * (x - mean_x)) ** 2 for x, y in points)
+    error = (rest / max(1, len(points) - 2) / spread) ** 0.5
+    return fit, error
+
+
+def main():
+    sizes = [int(text) for text in sys.argv[1:]] or SIZES
+    rows = []
+    for size in sizes:
+        rows.append(measure(size))
+        print(json.dumps(rows[-1]), flush=True)
+    lines = {
+        "resident MB": lambda row: row["resident_mb"],
+        "bytes/s at rest": lambda row: row["rest"]["bytes_per_node_s"],
+        "core % at rest": lambda row: row["rest"]["core_percent_per_node"],
+        "platform calls/s": lambda row: row["rest"]["platform_calls_per_s"],
+    }
+    slopes = {}
+    if len(rows) > 2:
+        for name, value in lines.items():
+            fit, error = slope([(row["nodes"], value(row)) for row in rows])
+            slopes[name] = {"per_node": fit, "error": error}
+            print(f"{name}: {fit:+.4f} per node, standard error {error:.4f}")
+    os.makedirs(OUTPUT, exist_ok=True)
+    with open(os.path.join(OUTPUT, "capacity.json"), "w") as file:
+        json.dump({"sizes": rows, "slopes": slopes}, file, indent=2)
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -74,14 +74,23 @@
         self.platform_address = f"127.{network}.0.1:{PLATFORM_PORT}"
         self.platform = None
         self.processes = []
+        self.place_hosts()
+
+    def place_hosts(self):
+        """Gives each host of the deployment its address."""
         self.hosts = []
         for zone_index, zone in enumerate(self.spec["zones"], 1):
             names = [host for host in self.spec["hosts"]
                      if host["zone"] == zone]
             for host_index, host in enumerate(names, 1):
-                address = f"127.{network}.{zone_index}.{host_index}"
+                address = (f"127.{self.network}.{zone_index}."
+                           f"{host_index}")
                 self.hosts.append(Host(host["name"], zone, address))
 
+    def hosts_in_spec_order(self):
+        by_name = {host.name: host for host in self.hosts}
+        return [by_name[entry["name"]] for entry in self.spec["hosts"]]
+
     def __enter__(self):
         return self
 
