--- a/src/coordination/replica_test.cc
+++ b/src/coordination/replica_test.cc
@@ -5,6 +5,8 @@
 
 #include "kumquatmoor/coordination/replica.h"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <map>
@@ -256,7 +258,7 @@
       }
     }
     for (const auto& [service, version] : table.recalled) {
-      lines.insert("recalled " + service + " " + version);
+      lines.insert(fmt::format("recalled {} {}", service, version));
     }
     std::string text = std::to_string(table.revision);
     for (const auto& line : lines) text.append("\n").append(line);
