--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -32,16 +32,19 @@
      "proof_damaged_batch_is_refused_whole"),
     ("routes to a target that is not live", "src/state/routes.cc",
      "if (member.status() != ALIVE) continue;", "", "state"),
+    # Callers' nodes route by it and the target's node refuses by it; either
+    # alone is enough, so both are broken: what both read is lost.
     ("lets a recall lapse", "src/state/routes.cc",
-     "const double goal = recalled ? from : row.weight();",
-     "const double goal = row.weight();",
+     "const auto& progress = marks.Progress(service, config->move_revision());",
+     "auto progress = marks.Progress(service, config->move_revision());\n"
+     "  progress.recalls.clear();",
      "proof_bad_version_is_taken_back"),
     ("never judges", "src/coordination/sequential_test.cc",
      "return *std::max_element(m_sums.begin(), m_sums.end());", "return 0;",
      "proof_bad_version_is_taken_back"),
     ("passes on another request's answer", "src/transport/exchange.cc",
-     "return echoed->value() != request[headers::kRequestId];",
-     "return false;", "proof_answers_are_whole_and_own"),
+     "return echoed->value() != request_id;",
+     "return echoed->value() == request_id && false;", "proof_answers_are_whole_and_own"),
     ("admits while draining", "src/node/admission.cc",
      "if (m_draining || entry->backend.draining) return kDraining;", "",
      "proof_drained_backend_gets_nothing_new"),
