Judge: test the requests of all routes together as well

Each route by itself saw too few requests in 100 s; the comment that a test over all routes would add nothing was wrong. Ruled out: longer watching, since the same cases are found after the deadline. Change: three more tests per version take every request, each against the baseline of its own route.

--- a/bench/moves.cc
+++ b/bench/moves.cc
@@ -133,6 +133,7 @@
   uint64_t calls = 0;           // Of the service while it was watched.
   uint64_t met_bad = 0;         // Of those, on the bad version.
   uint64_t writes_met_bad = 0;  // Reservations and payments among them.
+  uint64_t writes_harmed = 0;   // Of those, failed or slowed by the fault.
   double last_harm_s = 0;       // From the fault's first showing.
 };
 
@@ -315,7 +316,9 @@
     if (pick.target == nullptr) return;
     ++m_result.calls;
     const std::string& version = pick.version->version;
-    const Outcome outcome = End(version, pick.target->member_id, *route);
+    bool harmed = false;
+    const Outcome outcome =
+        End(version, pick.target->member_id, *route, &harmed);
     loads.OnSent(pick.target->member_id, now);
     loads.OnDone(pick.target->member_id, outcome.error, now);
     if (outcome.latency_ms >= kTimeoutSeconds * 1'000) {
@@ -326,13 +329,16 @@
     }
     if (version != "v2" || !m_case.fault->bad) return;
     ++m_result.met_bad;
-    if (!route->idempotent) ++m_result.writes_met_bad;
+    if (!route->idempotent) {
+      ++m_result.writes_met_bad;
+      if (harmed) ++m_result.writes_harmed;
+    }
     if (m_shown_s > 0) m_result.last_harm_s = m_seconds - m_shown_s;
   }
 
-  // How a request ends on this target.
+  // How a request ends on this target, and if the fault had a part in it.
   Outcome End(const std::string& version, const std::string& target,
-              const Route& route) {
+              const Route& route, bool* harmed) {
     const Fault& fault = *m_case.fault;
     std::lognormal_distribution<double> spread(0, 0.3);
     Outcome outcome{.service = "s",
@@ -349,12 +355,13 @@
       error_rate *= std::min(1.0, (m_seconds - first) / fault.grows_over_s);
     }
     outcome.error = Uniform() < error_rate;
-    if (Uniform() < fault.slow_rate) outcome.latency_ms *= fault.slow_factor;
+    const bool slowed = Uniform() < fault.slow_rate;
+    if (slowed) outcome.latency_ms *= fault.slow_factor;
     if (outcome.error && fault.hangs) {
       outcome.latency_ms = kTimeoutSeconds * 1'000;
     }
-    const bool harm = outcome.error || fault.slow_factor > 1;
-    if (harm && m_shown_s == 0) m_shown_s = m_seconds;
+    *harmed = outcome.error || (slowed && fault.slow_factor > 1);
+    if (*harmed && m_shown_s == 0) m_shown_s = m_seconds;
     return outcome;
   }
 
@@ -490,15 +497,17 @@
   Share false_recalls;
   Share wrong_blame;
   std::vector<double> harmful;  // Part of the traffic, writes on a bad version.
+  std::vector<double> harmed;   // The same, only those that the fault hit.
   std::vector<double> last_harm_s;
 
   void Add(const Case& c, const CaseResult& result) {
     if (c.fault->bad) {
       bad_taken_back.Add(result.recalled);
       wrong_blame.Add(result.blamed && !result.recalled);
-      harmful.push_back(
-          static_cast<double>(result.writes_met_bad) /
-          static_cast<double>(std::max<uint64_t>(1, result.calls)));
+      const auto calls =
+          static_cast<double>(std::max<uint64_t>(1, result.calls));
+      harmful.push_back(static_cast<double>(result.writes_met_bad) / calls);
+      harmed.push_back(static_cast<double>(result.writes_harmed) / calls);
       if (result.recalled) last_harm_s.push_back(result.last_harm_s);
       return;
     }
@@ -517,12 +526,14 @@
 void PrintSummary(const std::string& name, const Summary& summary) {
   std::cout << fmt::format(
       "{:<24} good in time {}  bad taken back {}  false recalls {}\n"
-      "{:<24} harmful writes p50 {:.3f}% p99 {:.3f}%  fault shown to last "
-      "request p50 {:.1f} s p99 {:.1f} s\n",
+      "{:<24} writes on it p50 {:.3f}% p99 {:.3f}%  writes hit by the fault "
+      "p50 {:.3f}% p99 {:.3f}%  fault shown to last request p50 {:.1f} s p99 "
+      "{:.1f} s\n",
       name, summary.good_in_time.Text(), summary.bad_taken_back.Text(),
       summary.false_recalls.Text(), "", 100 * Quantile(summary.harmful, 0.5),
-      100 * Quantile(summary.harmful, 0.99), Quantile(summary.last_harm_s, 0.5),
-      Quantile(summary.last_harm_s, 0.99));
+      100 * Quantile(summary.harmful, 0.99),
+      100 * Quantile(summary.harmed, 0.5), 100 * Quantile(summary.harmed, 0.99),
+      Quantile(summary.last_harm_s, 0.5), Quantile(summary.last_harm_s, 0.99));
 }
 
 json::object ToJson(const Summary& summary) {
@@ -532,6 +543,7 @@
           {"bad", summary.bad_taken_back.total},
           {"false_recalls", summary.false_recalls.count},
           {"harmful_p99", Quantile(summary.harmful, 0.99)},
+          {"harmed_p99", Quantile(summary.harmed, 0.99)},
           {"last_harm_p99_s", Quantile(summary.last_harm_s, 0.99)}};
 }
 
--- a/include/kumquatmoor/coordination/judge.h
+++ b/include/kumquatmoor/coordination/judge.h
@@ -126,6 +126,8 @@
     std::map<std::string, OutcomeTally> by_target;
 
     double Score() const;
+    // Tests requests against how the route's other versions behave.
+    void Add(const OutcomeTally& tally, const RouteBaseline& baseline);
   };
   struct LoneTarget {
     std::string member_id;      // "": the errors are of several targets.
@@ -142,11 +144,15 @@
   bool IsRisingVersion(const std::string& version) const;
   void CollectIncrements(TimePoint now);
   void TakeBlame(const MoveProgress& progress);
+  void ForgetTestsWith(const std::string& member_id);
   void TestIncrement(const Increment& increment, TimePoint now);
   std::optional<Ruling> RuleOnRoute(const RouteKey& route, RouteTests* tests,
                                     MeshTargets targets);
-  LoneTarget FindLoneTarget(const std::string& version,
+  LoneTarget FindLoneTarget(const RouteKey& route,
                             const RouteTests& tests) const;
+  // Requests to targets other than `member_id` on the routes that it fails.
+  uint64_t ClearingCalls(const RouteKey& route,
+                         const std::string& member_id) const;
   void RuleOnStage(JudgeTime time, const MoveProgress& progress,
                    MeshTargets targets, std::vector<Ruling>* rulings);
   std::chrono::milliseconds Dwell(JudgeTime time) const;
--- a/src/coordination/judge.cc
+++ b/src/coordination/judge.cc
@@ -4,7 +4,8 @@
 // the same moment is in the baseline before they are compared with it. Each
 // (version, route) has three sequential tests: errors, requests slower than
 // three quarters of the baseline, and requests slower than nearly all of it.
-// A whole-version test would add nothing: a fault on all routes shows on each.
+// Three more take the requests of all routes, each against the baseline of its
+// own route: with little traffic a fault on every route shows there first.
 
 #include "kumquatmoor/coordination/judge.h"
 
@@ -33,6 +34,8 @@
 // Evidence, as a multiple of what recalls a version, up to which the judge
 // waits for requests to other targets while all errors are of one target.
 constexpr double kLoneWait = 2;
+// The route of the tests that take every request of a version.
+constexpr char kAllRoutes[] = "all routes";
 // Part of the rising versions' slots that a stage may fill.
 constexpr double kSlotsToFill = 0.9;
 
@@ -103,10 +106,13 @@
 // Another judge may see what this one cannot: that only one target fails.
 void MoveJudge::TakeBlame(const MoveProgress& progress) {
   for (const auto& member_id : progress.blamed) {
-    if (!m_blamed.insert(member_id).second) continue;
-    for (auto& [route, tests] : m_tests) {
-      if (tests.by_target.count(member_id) > 0) tests = RouteTests();
-    }
+    if (m_blamed.insert(member_id).second) ForgetTestsWith(member_id);
+  }
+}
+
+void MoveJudge::ForgetTestsWith(const std::string& member_id) {
+  for (auto& [route, tests] : m_tests) {
+    if (tests.by_target.count(member_id) > 0) tests = RouteTests();
   }
 }
 
@@ -134,22 +140,29 @@
   if (m_blamed.count(increment.reporter) > 0) return;
   RouteBaseline& baseline = m_baselines[increment.route.second];
   baseline.NoteOthers(increment.tally);
-  RouteTests& tests = m_tests[increment.route];
-  const OutcomeTally& tally = increment.tally;
-  tests.added_at = now;
-  tests.by_target[increment.reporter].Add(tally);
-  tests.errors.Add({.failures = tally.errors,
-                    .total = tally.total,
-                    .expected_rate = baseline.AcceptableErrorRate()});
+  const auto& [version, path] = increment.route;
+  for (const std::string& tested : {path, std::string(kAllRoutes)}) {
+    RouteTests& tests = m_tests[{version, tested}];
+    tests.added_at = now;
+    tests.by_target[increment.reporter].Add(increment.tally);
+    tests.Add(increment.tally, baseline);
+  }
+}
+
+void MoveJudge::RouteTests::Add(const OutcomeTally& tally,
+                                const RouteBaseline& baseline) {
+  errors.Add({.failures = tally.errors,
+              .total = tally.total,
+              .expected_rate = baseline.AcceptableErrorRate()});
   if (!baseline.KnowsLatency()) return;
-  const size_t slow = baseline.SlowBucket(kSlowPart);
-  tests.slow.Add({.failures = tally.SlowerThan(slow),
-                  .total = tally.warm_total,
-                  .expected_rate = baseline.AcceptableSlowRate(slow)});
-  const size_t tail = baseline.SlowBucket(kTailPart);
-  tests.tail.Add({.failures = tally.SlowerThan(tail),
-                  .total = tally.warm_total,
-                  .expected_rate = baseline.AcceptableSlowRate(tail)});
+  const size_t slow_bucket = baseline.SlowBucket(kSlowPart);
+  slow.Add({.failures = tally.SlowerThan(slow_bucket),
+            .total = tally.warm_total,
+            .expected_rate = baseline.AcceptableSlowRate(slow_bucket)});
+  const size_t tail_bucket = baseline.SlowBucket(kTailPart);
+  tail.Add({.failures = tally.SlowerThan(tail_bucket),
+            .total = tally.warm_total,
+            .expected_rate = baseline.AcceptableSlowRate(tail_bucket)});
 }
 
 std::optional<Ruling> MoveJudge::RuleOnRoute(const RouteKey& route,
@@ -165,10 +178,10 @@
                            sum.total)
              : fmt::format("{}: slower than the version before", path);
   if (errors) {
-    const LoneTarget lone = FindLoneTarget(version, *tests);
+    const LoneTarget lone = FindLoneTarget(route, *tests);
     if (lone.cleared) {
       m_blamed.insert(lone.member_id);
-      *tests = RouteTests();
+      ForgetTestsWith(lone.member_id);
       return BlameTarget{
           .version = version, .member_id = lone.member_id, .reason = reason};
     }
@@ -182,23 +195,41 @@
   return RecallVersion{.version = version, .reason = reason};
 }
 
-// The target that has all the errors, if there is one.
-MoveJudge::LoneTarget MoveJudge::FindLoneTarget(const std::string& version,
+// The target that has all the errors, if there is one. It is cleared by
+// requests to other targets on the routes that it fails.
+MoveJudge::LoneTarget MoveJudge::FindLoneTarget(const RouteKey& route,
                                                 const RouteTests& tests) const {
   LoneTarget lone;
   for (const auto& [key, reporter] : m_reporters) {
-    if (key.first == version) ++lone.targets_seen;
+    if (key.first == route.first) ++lone.targets_seen;
   }
   OutcomeTally sum;
   for (const auto& [target, tally] : tests.by_target) sum.Add(tally);
   for (const auto& [target, tally] : tests.by_target) {
-    if (tally.errors < sum.errors) continue;
-    lone.member_id = target;
-    lone.cleared = sum.total - tally.total >= kClearingCalls;
+    if (tally.errors == sum.errors) lone.member_id = target;
+  }
+  if (!lone.member_id.empty()) {
+    lone.cleared = ClearingCalls(route, lone.member_id) >= kClearingCalls;
   }
   return lone;
 }
 
+uint64_t MoveJudge::ClearingCalls(const RouteKey& route,
+                                  const std::string& member_id) const {
+  uint64_t calls = 0;
+  for (const auto& [key, tests] : m_tests) {
+    const auto& [version, path] = key;
+    if (version != route.first || path == kAllRoutes) continue;
+    if (route.second != kAllRoutes && path != route.second) continue;
+    auto own = tests.by_target.find(member_id);
+    if (own == tests.by_target.end() || own->second.errors == 0) continue;
+    for (const auto& [target, tally] : tests.by_target) {
+      if (target != member_id) calls += tally.total;
+    }
+  }
+  return calls;
+}
+
 double MoveJudge::Suspicion(TimePoint now) const {
   double worst = 0;
   for (const auto& [route, tests] : m_tests) {
--- a/src/coordination/judge_test.cc
+++ b/src/coordination/judge_test.cc
@@ -37,6 +37,7 @@
   std::map<std::string, Behaviour> old_nodes = {{"o1", {}}, {"o2", {}}};
   std::map<std::string, Behaviour> new_nodes = {{"n1", {}}, {"n2", {}}};
   double calls_per_tick = 20;
+  uint64_t routes = 1;
   MeshTargets targets{.rising_slots = 20, .all_slots = 40, .rising_targets = 2};
 
   MoveProgress progress;
@@ -80,7 +81,7 @@
       for (int i = 0; i < count; ++i) {
         ledger.Add({.service = "s",
                     .version = version,
-                    .route = "GET /x",
+                    .route = "GET /" + std::to_string(m_rng() % routes),
                     .error = error(m_rng),
                     .latency_ms = behaviour.latency_ms * spread(m_rng)});
         if (version == "v2") ++new_calls;
@@ -162,6 +163,18 @@
   }
 }
 
+TEST_CASE("A fault on every route shows in all routes together") {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    Bench bench(60'000, seed);
+    bench.routes = 12;
+    bench.calls_per_tick = 1;
+    for (auto& [id, node] : bench.new_nodes) node.error_rate = 0.3;
+    bench.Run(60);
+    CHECK_FALSE(bench.recalled.empty());
+  }
+}
+
 TEST_CASE("A fault that begins after the move is done is still found") {
   Bench bench(10'000, 3);
   bench.Run(15);
