make moves: conditions around the move; split into small files

Change: each zone has marks and routes of its own; six conditions: judges' clocks apart, evidence late and lost, judges killed, a zone cut off, writes only, a deadline in 30 s. Cases, run, the compared way and the report are files of their own.

--- /dev/null
+++ b/bench/move_report.h
@@ -0,0 +1,66 @@
+#ifndef KUMQUATMOOR_BENCH_MOVE_REPORT_H_
+#define KUMQUATMOOR_BENCH_MOVE_REPORT_H_
+
+// What the results of `make moves` add up to, as text and as JSON.
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "move_cases.h"
+#include "move_run.h"
+
+namespace kumquatmoor {
+
+// A count out of a total, with the 95% interval of Wilson.
+struct Share {
+  uint64_t count = 0;
+  uint64_t total = 0;
+
+  void Add(bool hit) {
+    ++total;
+    if (hit) ++count;
+  }
+  std::string Text() const;
+};
+
+struct Summary {
+  Share good_in_time;
+  Share bad_taken_back;
+  Share false_recalls;
+  Share wrong_blame;
+  std::vector<double> harmful;  // Part of the traffic, writes on a bad version.
+  std::vector<double> harmed;   // The same, only those that the fault hit.
+  std::vector<double> last_harm_s;
+
+  void Add(const Case& c, const CaseResult& result) {
+    if (c.fault->bad) {
+      bad_taken_back.Add(result.recalled);
+      wrong_blame.Add(result.blamed && !result.recalled);
+      const auto calls =
+          static_cast<double>(std::max<uint64_t>(1, result.calls));
+      harmful.push_back(static_cast<double>(result.writes_met_bad) / calls);
+      harmed.push_back(static_cast<double>(result.writes_harmed) / calls);
+      if (result.recalled) last_harm_s.push_back(result.last_harm_s);
+      return;
+    }
+    good_in_time.Add(result.full_in_time && !result.recalled);
+    false_recalls.Add(result.recalled);
+  }
+};
+
+// The smallest value that `part` of the values do not exceed; 0 without any.
+double Quantile(std::vector<double> values, double part);
+
+// Prints one way to judge, in parts and over all, and each miss if asked to;
+// adds it to `report`. Gives the summary over all.
+Summary Tell(const std::string& way, bool show_misses,
+             const std::vector<Case>& cases,
+             const std::vector<CaseResult>& results,
+             boost::json::object* report);
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_BENCH_MOVE_REPORT_H_
--- /dev/null
+++ b/bench/move_run.h
@@ -0,0 +1,413 @@
+#ifndef KUMQUATMOOR_BENCH_MOVE_RUN_H_
+#define KUMQUATMOOR_BENCH_MOVE_RUN_H_
+
+// Run: one move on a virtual clock, judged by `Judge` (MoveJudge, or what it
+// is compared with).
+//
+//   CaseResult result = Run<MoveJudge>(c).Watch();
+//
+// It is no simulator of a cluster: requests end as the fault says, evidence and
+// marks take a random time, each zone has its own routes and marks, and nothing
+// else is modelled.
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "kumquatmoor/coordination/judge.h"
+#include "kumquatmoor/node/mover.h"
+#include "kumquatmoor/state/batch.h"
+#include "kumquatmoor/state/picker.h"
+#include "kumquatmoor/state/routes.h"
+#include "move_cases.h"
+
+namespace kumquatmoor {
+
+inline constexpr double kTickSeconds = 0.25;  // Of reports and judges.
+inline constexpr double kWatchedSeconds = 100;
+inline constexpr double kTimeoutSeconds = 2;
+inline constexpr double kBaseLatencyMs = 5;
+// While a zone is cut off.
+inline constexpr double kCutSeconds = 10;
+inline constexpr double kHealSeconds = 50;
+// Slots of each target.
+inline constexpr uint32_t kSlots = 10;
+
+// A kind of request and its part of the traffic.
+struct Route {
+  const char* name;
+  bool idempotent;
+  double part;
+};
+inline constexpr Route kRoutes[] = {{"GET /check", true, 0.5},
+                                    {"POST /reserve", false, 0.25},
+                                    {"POST /pay", false, 0.25}};
+
+struct CaseResult {
+  bool full_in_time = false;
+  bool recalled = false;
+  std::string reason;  // Of the first recall, and when.
+  bool blamed = false;
+  uint64_t calls = 0;           // Of the service while it was watched.
+  uint64_t met_bad = 0;         // Of those, on the bad version.
+  uint64_t writes_met_bad = 0;  // Reservations and payments among them.
+  uint64_t writes_harmed = 0;   // Of those, failed or slowed by the fault.
+  double last_harm_s = 0;       // From the fault's first showing.
+};
+
+// The table row that moves service "s" from v1 to v2.
+inline ServiceConfig MakeConfig(double deadline_s) {
+  const Batch first =
+      BuildBatch({}, std::vector<TableRow>{{"s", "v1", 100}}, {}, {});
+  const auto deadline_ms = static_cast<int64_t>(deadline_s * 1'000);
+  const Batch second =
+      BuildBatch(first,
+                 std::vector<TableRow>{{"s", "v1", 0},
+                                       {"s", "v2", 100, 0, 0, deadline_ms}},
+                 {}, {});
+  return second.services(0);
+}
+
+// One move from its start until `kWatchedSeconds`.
+template <typename Judge>
+class Run {
+ public:
+  explicit Run(const Case& c)
+      : m_case(c),
+        m_rng(c.seed),
+        m_config(MakeConfig(c.condition->deadline_s)) {
+    const auto& zones = c.deployment->zones;
+    const double apart_s = c.condition->clocks_apart_s;
+    for (const auto& zone : zones) {
+      m_known[zone];
+      m_clock_s[zone] = apart_s * (2 * Uniform() - 1);
+    }
+    m_kill_s = 5 + 40 * Uniform();
+    StartJudges();
+    for (size_t i = 0; i < c.deployment->targets; ++i) {
+      AddMember("v1", i, zones[i % zones.size()]);
+      AddMember("v2", i, zones[i % zones.size()]);
+    }
+    *m_batch.add_services() = m_config;
+    m_batch.set_revision(m_config.move_revision());
+  }
+
+  CaseResult Watch() {
+    while (m_seconds < kWatchedSeconds) {
+      m_seconds += kTickSeconds;
+      if (m_case.condition->judges_killed && m_seconds >= m_kill_s) {
+        m_kill_s = kWatchedSeconds + 1;
+        StartJudges();
+      }
+      Serve();
+      Report();
+      Judgement();
+      Deliver();
+      if (m_seconds <= m_case.condition->deadline_s && IsFull()) {
+        m_result.full_in_time = true;
+      }
+    }
+    m_result.recalled =
+        std::any_of(m_known.begin(), m_known.end(), [&](const auto& item) {
+          return item.second.IsRecalled("s", m_config.move_revision());
+        });
+    return m_result;
+  }
+
+ private:
+  // The mesh's judge has this key, and runs in the first zone.
+  static constexpr char kMeshJudge[] = "";
+
+  struct Pending {
+    double due = 0;
+    std::string from;  // Zone.
+    std::string to;    // Zone.
+    std::string judge;
+    std::string reporter;
+    Evidence evidence;
+    MoveMark mark;
+    bool is_mark = false;
+  };
+
+  void StartJudges() {
+    m_judges.clear();
+    for (const auto& zone : m_case.deployment->zones) {
+      m_judges.emplace(zone,
+                       Judge(m_config, JudgeOptions{.zone = zone}, Time(zone)));
+    }
+    m_judges.emplace(kMeshJudge,
+                     Judge(m_config, JudgeOptions{}, Time(kMeshJudge)));
+  }
+
+  void AddMember(const std::string& version, size_t number,
+                 const std::string& zone) {
+    MemberRecord member;
+    member.set_id(fmt::format("{}-{}", version, number));
+    member.set_zone(zone);
+    Endpoint* endpoint = member.add_endpoints();
+    endpoint->set_service("s");
+    endpoint->set_version(version);
+    endpoint->set_slots(kSlots);
+    m_members.push_back(std::move(member));
+  }
+
+  const std::string& ZoneOf(const std::string& judge) const {
+    return judge == kMeshJudge ? m_case.deployment->zones.front() : judge;
+  }
+
+  // True if nothing passes between the zones now.
+  bool IsCut(const std::string& a, const std::string& b) const {
+    if (!m_case.condition->zone_cut_off || a == b) return false;
+    if (m_seconds < kCutSeconds || m_seconds >= kHealSeconds) return false;
+    const std::string& cut = m_case.deployment->zones.back();
+    return a == cut || b == cut;
+  }
+
+  std::vector<MemberRecord> Reachable(const std::string& zone) const {
+    std::vector<MemberRecord> members = m_members;
+    std::erase_if(members, [&](const MemberRecord& member) {
+      return IsCut(zone, member.zone());
+    });
+    return members;
+  }
+
+  JudgeTime Time(const std::string& judge) const {
+    const milliseconds passed(static_cast<int64_t>(m_seconds * 1'000));
+    const auto apart = m_clock_s.find(ZoneOf(judge));
+    const double clock_s =
+        m_seconds + (apart == m_clock_s.end() ? 0 : apart->second);
+    return {.now = TimePoint() + std::chrono::hours(1) + passed,
+            .unix_ms = static_cast<int64_t>(clock_s * 1'000)};
+  }
+  TimePoint Now() const { return Time(kMeshJudge).now; }
+
+  const MoveProgress& Progress(const std::string& zone) const {
+    return m_known.at(zone).Progress("s", m_config.move_revision());
+  }
+
+  bool IsFull() const {
+    const auto& zones = m_case.deployment->zones;
+    return std::all_of(zones.begin(), zones.end(), [&](const auto& zone) {
+      return Progress(zone).StageOf(zone) >= kFullStage;
+    });
+  }
+
+  double Uniform() {
+    return std::uniform_real_distribution<double>(0, 1)(m_rng);
+  }
+
+  void Serve() {
+    const auto& zones = m_case.deployment->zones;
+    std::poisson_distribution<int> draw(m_case.calls_per_s * kTickSeconds);
+    const int calls = draw(m_rng);
+    std::map<std::string, std::shared_ptr<const RouteTable>> tables;
+    for (int i = 0; i < calls; ++i) {
+      const std::string& zone = zones[m_rng() % zones.size()];
+      auto& table = tables[zone];
+      if (table == nullptr) {
+        table = BuildRoutes(m_batch, m_known.at(zone), Reachable(zone), zone);
+      }
+      if (const auto* service = table->Find("s")) ServeOne(*service, zone);
+    }
+  }
+
+  const Route& DrawRoute() {
+    while (true) {
+      double at = Uniform();
+      const Route* route = &kRoutes[0];
+      for (const auto& candidate : kRoutes) {
+        route = &candidate;
+        at -= candidate.part;
+        if (at < 0) break;
+      }
+      if (!m_case.condition->writes_only || !route->idempotent) return *route;
+    }
+  }
+
+  void ServeOne(const ServiceRoutes& service, const std::string& zone) {
+    const Route& route = DrawRoute();
+    TargetLoads& loads = m_loads[zone];
+    const Pick pick =
+        PickTarget(service, {.zone = zone, .idempotent = route.idempotent},
+                   loads, Now(), m_rng);
+    if (pick.target == nullptr) return;
+    ++m_result.calls;
+    const std::string& version = pick.version->version;
+    const std::string& target = pick.target->member_id;
+    bool harmed = false;
+    const Outcome outcome = End(version, target, route, &harmed);
+    loads.OnSent(target, Now());
+    loads.OnDone(target, outcome.error, Now());
+    if (outcome.latency_ms >= kTimeoutSeconds * 1'000) {
+      m_late.push_back({m_seconds + kTimeoutSeconds, {target, outcome}});
+    } else {
+      m_ledgers[target].Add(outcome);
+    }
+    if (version != "v2" || !m_case.fault->bad) return;
+    ++m_result.met_bad;
+    if (!route.idempotent) {
+      ++m_result.writes_met_bad;
+      if (harmed) ++m_result.writes_harmed;
+    }
+    if (m_shown_s > 0) m_result.last_harm_s = m_seconds - m_shown_s;
+  }
+
+  // How a request ends on this target, and if the fault had a part in it.
+  Outcome End(const std::string& version, const std::string& target,
+              const Route& route, bool* harmed) {
+    const Fault& fault = *m_case.fault;
+    std::lognormal_distribution<double> spread(0, 0.3);
+    Outcome outcome{.service = "s",
+                    .version = version,
+                    .route = route.name,
+                    .idempotent = route.idempotent,
+                    .latency_ms = kBaseLatencyMs * spread(m_rng)};
+    double& first = m_first_s[target];
+    if (first == 0) first = m_seconds;
+    outcome.warm = m_seconds - first >= 3;
+    if (!Shows(fault, version, target, route)) return outcome;
+    double error_rate = fault.error_rate;
+    if (fault.grows_over_s > 0) {
+      error_rate *= std::min(1.0, (m_seconds - first) / fault.grows_over_s);
+    }
+    outcome.error = Uniform() < error_rate;
+    const bool slowed = Uniform() < fault.slow_rate;
+    if (slowed) outcome.latency_ms *= fault.slow_factor;
+    if (outcome.error && fault.hangs) {
+      outcome.latency_ms = kTimeoutSeconds * 1'000;
+    }
+    *harmed = outcome.error || (slowed && fault.slow_factor > 1);
+    if (*harmed && m_shown_s == 0) m_shown_s = m_seconds;
+    return outcome;
+  }
+
+  bool Shows(const Fault& fault, const std::string& version,
+             const std::string& target, const Route& route) const {
+    if (!fault.every_version && version != "v2") return false;
+    if (fault.one_target && target != "v2-0") return false;
+    if (!fault.route.empty() && fault.route != route.name) return false;
+    if (m_seconds < fault.after_s) return false;
+    if (fault.cold_s > 0 && m_seconds - m_first_s.at(target) > fault.cold_s) {
+      return false;
+    }
+    const std::string& zone = m_case.deployment->zones.front();
+    return Progress(zone).StageOf(zone) >= fault.above_share * kFullStage;
+  }
+
+  void Report() {
+    for (auto it = m_late.begin(); it != m_late.end();) {
+      if (it->first > m_seconds) {
+        ++it;
+        continue;
+      }
+      m_ledgers[it->second.first].Add(it->second.second);
+      it = m_late.erase(it);
+    }
+    const Condition& condition = *m_case.condition;
+    for (const auto& member : m_members) {
+      const std::string& version = member.endpoints(0).version();
+      Evidence evidence = m_ledgers[member.id()].Report("s", version);
+      evidence.set_slots(kSlots);
+      for (const std::string& judge :
+           {member.zone(), std::string(kMeshJudge)}) {
+        // Evidence is late, lost or crossed now and then.
+        const bool cut = IsCut(member.zone(), ZoneOf(judge));
+        if (Uniform() < condition.evidence_loss || cut) continue;
+        m_pending.push_back(
+            {.due = m_seconds + condition.evidence_late_s * Uniform(),
+             .from = member.zone(),
+             .to = ZoneOf(judge),
+             .judge = judge,
+             .reporter = member.id(),
+             .evidence = evidence});
+      }
+    }
+  }
+
+  void Judgement() {
+    for (auto& [key, judge] : m_judges) {
+      const std::string& zone = ZoneOf(key);
+      const auto& progress = Progress(zone);
+      const auto targets = CountTargets(m_config, progress, Reachable(zone));
+      for (const auto& ruling : judge.Tick(Time(key), progress, targets)) {
+        Publish(key, ruling);
+      }
+    }
+  }
+
+  void Publish(const std::string& judge, const Ruling& ruling) {
+    MoveMark mark;
+    mark.set_service("s");
+    mark.set_move_revision(m_config.move_revision());
+    if (const auto* raise = std::get_if<RaiseStage>(&ruling)) {
+      if (judge == kMeshJudge) return;
+      (*mark.mutable_stage_permille())[judge] = raise->stage_permille;
+    } else if (const auto* recall = std::get_if<RecallVersion>(&ruling)) {
+      mark.add_recalls()->set_version(recall->version);
+      if (m_result.reason.empty()) {
+        m_result.reason =
+            fmt::format("{:.2f} s: {}", m_seconds, recall->reason);
+      }
+    } else if (const auto* blame = std::get_if<BlameTarget>(&ruling)) {
+      m_result.blamed = true;
+      mark.add_blamed(blame->member_id);
+    } else if (judge != kMeshJudge) {
+      (*mark.mutable_settled())[judge] = true;
+    }
+    for (const auto& zone : m_case.deployment->zones) {
+      m_pending.push_back({.due = m_seconds + 0.5 * Uniform(),
+                           .from = ZoneOf(judge),
+                           .to = zone,
+                           .mark = mark,
+                           .is_mark = true});
+    }
+  }
+
+  void Deliver() {
+    std::vector<Pending> later;
+    for (auto& pending : m_pending) {
+      // Marks that a cut holds up come with the digests afterwards.
+      const bool held = pending.is_mark && IsCut(pending.from, pending.to);
+      if (pending.due > m_seconds + kTickSeconds || held) {
+        later.push_back(std::move(pending));
+      } else if (pending.is_mark) {
+        m_known.at(pending.to).Join(pending.mark);
+      } else {
+        m_judges.at(pending.judge)
+            .OnEvidence(pending.reporter, 1, pending.evidence);
+      }
+    }
+    m_pending = std::move(later);
+  }
+
+  using milliseconds = std::chrono::milliseconds;
+
+  const Case& m_case;
+  std::mt19937_64 m_rng;
+  ServiceConfig m_config;
+  Batch m_batch;
+  std::vector<MemberRecord> m_members;
+  std::map<std::string, Judge> m_judges;    // By zone; "" is the mesh's.
+  std::map<std::string, double> m_clock_s;  // Ahead of the true time. By zone.
+  std::map<std::string, OutcomeLedger> m_ledgers;
+  std::map<std::string, TargetLoads> m_loads;  // By caller's zone.
+  std::map<std::string, double> m_first_s;     // First request of a target.
+  std::vector<std::pair<double, std::pair<std::string, Outcome>>> m_late;
+  std::vector<Pending> m_pending;
+  std::map<std::string, MarkSet> m_known;  // By zone.
+  double m_seconds = 0;
+  double m_kill_s = 0;   // When judges are killed.
+  double m_shown_s = 0;  // When the fault showed first.
+  CaseResult m_result;
+};
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_BENCH_MOVE_RUN_H_
