--- a/bench/move_report.h
+++ b/bench/move_report.h
@@ -34,8 +34,12 @@
   std::vector<double> harmful;  // Part of the traffic, writes on a bad version.
   std::vector<double> harmed;   // The same, only those that the fault hit.
   std::vector<double> last_harm_s;
+  std::vector<double> evidence_rate;  // Bytes per second, a target.
 
   void Add(const Case& c, const CaseResult& result) {
+    const auto targets = static_cast<double>(2 * c.deployment->targets);
+    evidence_rate.push_back(static_cast<double>(result.evidence_bytes) /
+                            targets / kWatchedSeconds);
     if (c.fault->bad) {
       bad_taken_back.Add(result.recalled);
       wrong_blame.Add(result.blamed && !result.recalled);
--- a/include/kumquatmoor/node/mover.h
+++ b/include/kumquatmoor/node/mover.h
@@ -18,6 +18,7 @@
 // off still decides for itself. Pure: no I/O. Not thread-safe; owned by the
 // control thread.
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -32,6 +33,11 @@
 
 namespace kumquatmoor {
 
+// Time between reports to the judges of the zone, and to the mesh's, which
+// hears every target of the service.
+inline constexpr std::chrono::milliseconds kZoneReportInterval{1'000};
+inline constexpr std::chrono::milliseconds kMeshReportInterval{4'000};
+
 struct MoverOptions {
   std::string id;
   std::string zone;
@@ -65,7 +71,8 @@
                uint32_t slots);
 
   // Reports for judges, for moves in progress only.
-  std::vector<EvidenceReport> TakeReports(const Replica& replica);
+  std::vector<EvidenceReport> TakeReports(const Replica& replica,
+                                          TimePoint now);
   void OnEvidence(const std::string& reporter, int64_t incarnation,
                   const Evidence& evidence);
   // Rules on the moves that this node judges; the marks that follow.
@@ -91,7 +98,12 @@
   MoverOptions m_options;
   OutcomeLedger m_ledger;
   std::map<std::pair<std::string, std::string>, uint32_t> m_slots;
-  std::map<std::pair<std::string, std::string>, uint64_t> m_reported;
+  // When to report each version of a service.
+  struct Pacers {
+    ReportPacer zone{kZoneReportInterval};
+    ReportPacer mesh{kMeshReportInterval};
+  };
+  std::map<std::pair<std::string, std::string>, Pacers> m_pacers;
   // The move that the ledger counts for, by service. Counts start anew with
   // each move, so evidence of another move is never judged.
   std::map<std::string, uint64_t> m_counted_move;
--- a/include/kumquatmoor/state/evidence.h
+++ b/include/kumquatmoor/state/evidence.h
@@ -12,6 +12,7 @@
 // the receiver keeps the highest. Not thread-safe.
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -20,6 +21,7 @@
 #include <vector>
 
 #include "control.pb.h"
+#include "kumquatmoor/state/limits.h"
 
 namespace kumquatmoor {
 
@@ -50,6 +52,37 @@
 // "GET /search" for any path below /search.
 std::string RouteOf(std::string_view method, std::string_view path);
 
+// ReportPacer: decides when the counts of one target go to one kind of judge.
+// New failures, and requests slower than those before, go at once; other counts
+// go at an interval, and twice, since a report may be lost.
+class ReportPacer {
+ public:
+  explicit ReportPacer(std::chrono::milliseconds interval)
+      : m_interval(interval) {}
+
+  // True if `evidence` is due now; it counts as sent then.
+  bool Take(const Evidence& evidence, TimePoint now);
+
+ private:
+  static constexpr int kSendings = 2;
+
+  struct Sums {
+    uint64_t failures = 0;
+    uint64_t timed = 0;    // Requests with a latency.
+    uint64_t buckets = 0;  // Sum of their latency buckets.
+  };
+
+  static Sums SumsOf(const Evidence& evidence);
+  bool IsNews(const Sums& sums) const;
+
+  std::chrono::milliseconds m_interval;
+  TimePoint m_sent_at;
+  uint64_t m_sequence = 0;
+  uint64_t m_move_revision = 0;
+  Sums m_sent;
+  int m_left = 0;  // Sendings of the same counts that are left.
+};
+
 class OutcomeLedger {
  public:
   void Add(const Outcome& outcome);
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -133,7 +133,7 @@
 
 void ControlLoop::UpdateMoves(TimePoint now) {
   if (!m_ready) return;
-  for (auto& report : m_mover.TakeReports(m_replica)) {
+  for (auto& report : m_mover.TakeReports(m_replica, now)) {
     Datagram datagram = MakeDatagram(Datagram::EVIDENCE);
     *datagram.mutable_evidence() = std::move(report.evidence);
     if (report.judge == m_options.replica.id) {
--- a/src/node/mover.cc
+++ b/src/node/mover.cc
@@ -156,7 +156,8 @@
   }
 }
 
-std::vector<EvidenceReport> Mover::TakeReports(const Replica& replica) {
+std::vector<EvidenceReport> Mover::TakeReports(const Replica& replica,
+                                               TimePoint now) {
   RestartCounts(replica.CurrentBatch());
   std::vector<EvidenceReport> reports;
   for (const auto& key : m_ledger.Versions()) {
@@ -164,16 +165,17 @@
     const ServiceConfig* config = FindService(replica.CurrentBatch(), service);
     if (config == nullptr || !IsOpen(*config, replica)) continue;
     Evidence evidence = m_ledger.Report(service, version);
-    uint64_t& reported = m_reported[key];
-    if (reported == evidence.sequence()) continue;
-    reported = evidence.sequence();
     evidence.set_move_revision(config->move_revision());
     evidence.set_slots(m_slots[key]);
-    auto judges = ZoneJudges(service, replica.Members());
-    const std::string mesh_judge = MeshJudge(service, replica.Members());
-    if (std::find(judges.begin(), judges.end(), mesh_judge) == judges.end()) {
-      judges.push_back(mesh_judge);
+    Pacers& pacers = m_pacers[key];
+    std::vector<std::string> judges;
+    if (pacers.zone.Take(evidence, now)) {
+      judges = ZoneJudges(service, replica.Members());
     }
+    const std::string mesh_judge = MeshJudge(service, replica.Members());
+    const bool told =
+        std::find(judges.begin(), judges.end(), mesh_judge) != judges.end();
+    if (pacers.mesh.Take(evidence, now) && !told) judges.push_back(mesh_judge);
     for (const auto& judge : judges) {
       reports.push_back({.judge = judge, .evidence = evidence});
     }
--- a/src/state/evidence.cc
+++ b/src/state/evidence.cc
@@ -13,6 +13,10 @@
 
 // Weight of one request in the moving average of the load.
 constexpr double kLoadWeight = 0.05;
+// Requests that are slower by so many latency buckets on average (a factor of
+// 2), and how many of them, are news.
+constexpr double kSlowerBuckets = 2;
+constexpr uint64_t kFewestTimed = 3;
 
 }  // namespace
 
@@ -32,6 +36,46 @@
          std::string(path.substr(0, kMaxRouteBytes));
 }
 
+ReportPacer::Sums ReportPacer::SumsOf(const Evidence& evidence) {
+  Sums sums;
+  for (const auto& route : evidence.routes()) {
+    sums.failures += route.errors();
+    for (int i = 0; i < route.latency_size(); ++i) {
+      sums.timed += route.latency(i);
+      sums.buckets += static_cast<uint64_t>(i) * route.latency(i);
+    }
+  }
+  return sums;
+}
+
+bool ReportPacer::IsNews(const Sums& sums) const {
+  if (sums.failures > m_sent.failures) return true;
+  if (m_sent.timed == 0 || sums.timed < m_sent.timed + kFewestTimed) {
+    return false;
+  }
+  const double before =
+      static_cast<double>(m_sent.buckets) / static_cast<double>(m_sent.timed);
+  const double since = static_cast<double>(sums.buckets - m_sent.buckets) /
+                       static_cast<double>(sums.timed - m_sent.timed);
+  return since >= before + kSlowerBuckets;
+}
+
+bool ReportPacer::Take(const Evidence& evidence, TimePoint now) {
+  const Sums sums = SumsOf(evidence);
+  const bool other_move = evidence.move_revision() != m_move_revision;
+  const bool changed = other_move || evidence.sequence() != m_sequence;
+  if (changed) m_left = kSendings;
+  if (m_left == 0) return false;
+  const bool news = other_move || (changed && IsNews(sums));
+  if (!news && now - m_sent_at < m_interval) return false;
+  --m_left;
+  m_sent_at = now;
+  m_sequence = evidence.sequence();
+  m_move_revision = evidence.move_revision();
+  m_sent = sums;
+  return true;
+}
+
 void OutcomeLedger::Add(const Outcome& outcome) {
   auto& version = m_versions[{outcome.service, outcome.version}];
   ++version.sequence;
--- a/src/state/evidence_test.cc
+++ b/src/state/evidence_test.cc
@@ -51,5 +51,58 @@
   CHECK(after.sequence() == evidence.sequence());
 }
 
+// Ticks of 250 ms; each row adds requests to the ledger and says if a report
+// is due then.
+TEST_CASE("Reports are paced, news goes at once") {
+  struct Tick {
+    int calls;
+    bool error;
+    double latency_ms;
+    bool due;
+  };
+  const Tick ticks[] = {
+      {0, false, 0, true},     // The first, of a new move.
+      {5, false, 5, false},    // Nothing new for the judge:
+      {5, false, 5, false},    //
+      {5, false, 5, false},    //
+      {5, false, 5, true},     // after a second it is told,
+      {0, false, 0, false},    //
+      {0, false, 0, false},    //
+      {0, false, 0, false},    //
+      {0, false, 0, true},     // and once more, as that may be lost.
+      {0, false, 0, false},    //
+      {0, false, 0, false},    //
+      {0, false, 0, false},    //
+      {0, false, 0, false},    // Then no more.
+      {1, true, 5, true},      // A failure,
+      {1, true, 5, true},      // and the next.
+      {2, false, 100, false},  // Two slow requests may be chance,
+      {1, false, 100, true},   // three are news.
+      {9, false, 5, false},    //
+  };
+  OutcomeLedger ledger;
+  ReportPacer pacer(std::chrono::milliseconds(1'000));
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  int number = 0;
+  for (const auto& tick : ticks) {
+    INFO("tick " << number++);
+    for (int i = 0; i < tick.calls; ++i) {
+      ledger.Add({.service = "s",
+                  .version = "v",
+                  .route = "GET /x",
+                  .error = tick.error,
+                  .latency_ms = tick.latency_ms});
+    }
+    Evidence evidence = ledger.Report("s", "v");
+    evidence.set_move_revision(1);
+    CHECK(pacer.Take(evidence, now) == tick.due);
+    now += std::chrono::milliseconds(250);
+  }
+  // Another move starts anew.
+  Evidence evidence = ledger.Report("s", "v");
+  evidence.set_move_revision(2);
+  CHECK(pacer.Take(evidence, now));
+}
+
 }  // namespace
 }  // namespace kumquatmoor
