Capacity: 25 to 200 real nodes, and a herd's return, measured for the first time

Cause: make capacity had never run; docs/CAPACITY.md rested on 16 nodes. Change: sizes 25, 50, 100 and 200; each ends with every node killed at once and started again. bench.py and capacity.py share the loop over changes.

--- a/tools/bench.py
+++ b/tools/bench.py
@@ -132,6 +132,17 @@
             100 * delta["cpu"] / nodes / passed, 3)}
 
 
+def change_rows(cluster, changes, pause_s):
+    """Edits one row again and again; milliseconds to the last node, each."""
+    times = []
+    for number in range(changes):
+        answer = cluster.ctl_json("table", "edit", "media", "v1",
+                                  f"--max_rate={1000 + number}")
+        times.append(cluster.convergence_ms(answer))
+        time.sleep(pause_s)
+    return times
+
+
 def measure_distribution():
     with quiet_cluster(42) as cluster:
         cluster.start()
@@ -139,15 +150,9 @@
         time.sleep(3)
         idle = control_rates(cluster, IDLE_SECONDS)
         times = []
-
-        def change():
-            for number in range(CHANGES):
-                answer = cluster.ctl_json("table", "edit", "media", "v1",
-                                          f"--max_rate={1000 + number}")
-                times.append(cluster.convergence_ms(answer))
-                time.sleep(0.3)
-
-        changing = control_rates(cluster, CHANGE_SECONDS, change)
+        changing = control_rates(
+            cluster, CHANGE_SECONDS,
+            lambda: times.extend(change_rows(cluster, CHANGES, 0.3)))
         resident = [resident_mb(host.node) for host in cluster.hosts]
     times.sort()
     return {
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -1,7 +1,7 @@
 """Measures nodes at rest and with changes at several sizes of the mesh, and
 fits slopes against the number of nodes. Writes run/capacity.json.
 
-    capacity.py [NODES ...]    16, 48 and 96 without arguments
+    capacity.py [NODES ...]    25, 50, 100 and 200 without arguments
 """
 
 import json
@@ -10,11 +10,12 @@
 import sys
 import time
 
-from bench import OUTPUT, control_rates, resident_mb
+from bench import OUTPUT, change_rows, control_rates, resident_mb
 from cluster import Cluster
 
 ZONES = 4
-SIZES = [16, 48, 96]
+SIZES = [25, 50, 100, 200]
+HERD_MIX = ["listings:GET:/search", "bookings:POST:/reserve"]
 SERVICES = ["bookings", "listings", "media", "reports"]
 REST_SECONDS = 10
 CHANGES = 10
@@ -48,22 +49,36 @@
         time.sleep(SETTLE_SECONDS)
         rest = control_rates(cluster, REST_SECONDS)
         times = []
-
-        def change():
-            for number in range(CHANGES):
-                answer = cluster.ctl_json("table", "edit", "media", "v1",
-                                          f"--max_rate={1000 + number}")
-                times.append(cluster.convergence_ms(answer))
-                time.sleep(0.5)
-
-        changing = control_rates(cluster, REST_SECONDS, change)
+        changing = control_rates(
+            cluster, REST_SECONDS,
+            lambda: times.extend(change_rows(cluster, CHANGES, 0.5)))
+        resident = max(resident_mb(host.node) for host in cluster.hosts)
         return {
             "nodes": nodes, "joined_s": round(joined, 1),
             "convergence_median_ms": statistics.median(times),
             "convergence_worst_ms": max(times),
             "rest": rest, "changing": changing,
-            "resident_mb": round(max(resident_mb(host.node)
-                                     for host in cluster.hosts), 1)}
+            "resident_mb": round(resident, 1),
+            **herd_return(cluster)}
+
+
+def herd_return(cluster):
+    """Kills every node at once and starts them all again; seconds until all
+    have joined, and how calls through all of them then end."""
+    for host in cluster.hosts:
+        host.node.kill()
+    for host in cluster.hosts:
+        host.node.wait()
+    begin = time.monotonic()
+    for host in cluster.hosts:
+        cluster.start_node(host)
+    started = time.monotonic() - begin
+    cluster.wait(cluster.all_joined, "the herd to return", 60, 0.5)
+    returned = time.monotonic() - begin
+    load = cluster.start_load("herd", HERD_MIX, 200, 3)
+    outcomes = cluster.finish_load("herd", load)["outcomes"]
+    return {"herd_started_s": round(started, 1),
+            "herd_returned_s": round(returned, 1), "herd_calls": outcomes}
 
 
 def slope(points):
