Judge: a lone blamed target is no fault of its version when others are lost

Cause, found by reading: the number of targets that may be blamed is a quarter of those that can be reached. With one reachable it is none, so after a cut or lost hosts one target that had been set aside recalled a good version. And with only targets that are to blame left, their requests were judged by nobody.

--- a/src/coordination/judge_test.cc
+++ b/src/coordination/judge_test.cc
@@ -263,6 +263,21 @@
   CHECK(bench.recalled == "2 targets fail");
 }
 
+TEST_CASE("A blamed target is no reason for a recall when others are lost") {
+  Bench bench(60'000, 1);
+  bench.targets.rising_targets = 4;
+  bench.Run(10);
+  bench.progress.blamed = {"n1"};
+  bench.Run(2);
+  bench.targets = {.rising_slots = 10, .all_slots = 30, .rising_targets = 1};
+  bench.Run(5);
+  CHECK(bench.recalled.empty());
+  // Now only the one that is to blame can be reached.
+  bench.targets = {.rising_slots = 0, .all_slots = 30, .rising_targets = 1};
+  bench.Run(1);
+  CHECK(bench.recalled == "every target that is left fails");
+}
+
 TEST_CASE("A fault of every version at little traffic does not hold a move") {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     INFO("seed " << seed);
