Routing: believe a refusal before any report; make choice compares the ways

Cause: the choice of target had not been measured against others. The proxy's path is not measured again; the check is one map lookup a candidate.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 BUILD ?= build
 PYTHON ?= python3
 
-.PHONY: all deps build test demo bench moves capacity mutants fuzz sanitize lint format proto
+.PHONY: all deps build test demo bench moves choice capacity mutants fuzz sanitize lint format proto
 
 all: build
 
@@ -36,6 +36,10 @@
 	@mkdir -p run
 	@$(BUILD)/moves --output=run/moves.json
 
+# Ways to choose a target, on a virtual clock.
+choice: build
+	@$(BUILD)/choice
+
 # Nodes at rest and with changes, at several sizes of the mesh.
 capacity: build
 	@KUMQUATMOOR_BUILD=$(abspath $(BUILD)) $(PYTHON) tools/capacity.py
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -331,6 +331,8 @@
       !result.answered && result.verdict == Verdict::kNotRun;
   if (attempt.leaving || (unreachable && !attempt.local)) {
     m_loads.OnRefused(pick.target->member_id, now);
+  } else if (result.verdict == Verdict::kNotRun) {
+    m_loads.OnFull(*pick.target, now);
   }
   spdlog::info("route: {} {} {} to {} of {} in {}, {}: {} {} {}",
                call.request_id, call.service, call.route, attempt.call.version,
--- a/src/state/picker.cc
+++ b/src/state/picker.cc
@@ -1,6 +1,7 @@
 // Two candidates are drawn at random and the less loaded one is taken. Of two
 // candidates with lagging reports this keeps the herd from all running to the
-// one target that was idle a moment ago. Targets of other zones are candidates
+// one target that was idle a moment ago. A refusal is believed before any
+// report: who is full rests for a moment. Targets of other zones are candidates
 // only when both draws in the own zone are full.
 
 #include "kumquatmoor/state/picker.h"
@@ -39,6 +40,17 @@
   return healthy.size() * 2 >= targets.size() ? healthy : targets;
 }
 
+// Leaves out targets that just said they are full, unless that leaves none.
+Candidates TargetsWithRoom(const Candidates& targets, const TargetLoads& loads,
+                           TimePoint now) {
+  Candidates room;
+  std::copy_if(targets.begin(), targets.end(), std::back_inserter(room),
+               [&](const Target* target) {
+                 return !loads.IsFull(target->member_id, now);
+               });
+  return room.empty() ? targets : room;
+}
+
 const Target* LessLoadedOfTwo(const Candidates& targets,
                               const TargetLoads& loads, TimePoint now,
                               std::mt19937_64& rng) {
@@ -68,8 +80,9 @@
 Pick PickInVersion(const VersionRoutes& version, const PickOptions& options,
                    const TargetLoads& loads, TimePoint now,
                    std::mt19937_64& rng) {
-  const Candidates all =
+  const Candidates healthy =
       HealthyTargets(UntriedTargets(version, options), loads, now);
+  const Candidates all = TargetsWithRoom(healthy, loads, now);
   Candidates own_zone;
   std::copy_if(
       all.begin(), all.end(), std::back_inserter(own_zone),
@@ -118,6 +131,11 @@
       std::max(entry.ejected_until, now + m_options.refusal_ejection);
 }
 
+void TargetLoads::OnFull(const Target& target, TimePoint now) {
+  m_entries[target.member_id].full_until = now + m_options.full_rest;
+  OnReport(target.member_id, target.slots, now);
+}
+
 void TargetLoads::OnReport(const std::string& member_id, uint32_t in_flight,
                            TimePoint now) {
   Entry& entry = m_entries[member_id];
@@ -130,6 +148,11 @@
   return found != m_entries.end() && now < found->second.ejected_until;
 }
 
+bool TargetLoads::IsFull(const std::string& member_id, TimePoint now) const {
+  auto found = m_entries.find(member_id);
+  return found != m_entries.end() && now < found->second.full_until;
+}
+
 double TargetLoads::LoadOf(const Target& target, TimePoint now) const {
   auto found = m_entries.find(target.member_id);
   if (found == m_entries.end()) return 0;
--- a/src/state/picker_test.cc
+++ b/src/state/picker_test.cc
@@ -141,5 +141,34 @@
   CHECK(taken == Approx(500).margin(6));
 }
 
+TEST_CASE("A target that says it is full rests, whatever it reports") {
+  const ServiceRoutes service = MakeService();
+  TargetLoads loads;
+  std::mt19937_64 rng(9);
+  const TimePoint now = TimePoint() + seconds(100);
+  const auto picks_of = [&](const std::string& id, TimePoint at) {
+    int count = 0;
+    for (int i = 0; i < 200; ++i) {
+      const Pick pick = PickTarget(service, {.zone = "a", .idempotent = false},
+                                   loads, at, rng);
+      REQUIRE(pick.target != nullptr);
+      if (pick.target->member_id == id) ++count;
+    }
+    return count;
+  };
+  loads.OnFull({.member_id = "old0", .slots = 10}, now);
+  loads.OnReport("old0", 0, now);  // It lies.
+  CHECK(picks_of("old0", now) == 0);
+  CHECK(picks_of("old1", now) == 200);
+  CHECK(picks_of("old0", now + milliseconds(30)) > 0);
+  // With the zone full the next one serves; with all full any is tried.
+  loads.OnFull({.member_id = "old0", .slots = 10}, now);
+  loads.OnFull({.member_id = "old1", .slots = 10}, now);
+  CHECK(picks_of("old0", now) + picks_of("old1", now) == 0);
+  loads.OnFull({.member_id = "old2", .slots = 10}, now);
+  loads.OnFull({.member_id = "old3", .slots = 10}, now);
+  CHECK(picks_of("old0", now) + picks_of("old1", now) > 0);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
