--- a/src/coordination/decoders_test.cc
+++ b/src/coordination/decoders_test.cc
@@ -190,12 +190,15 @@
   Datagram datagram;
   datagram.set_kind(Datagram::PUSH);
   datagram.set_from("a");
-  for (const auto& record : {highest, status}) {
+  MemberRecord far = SomeMember("far");
+  far.set_incarnation(kHighestIncarnation + 1);
+  for (const auto& record : {highest, status, far}) {
     *datagram.add_rumours()->mutable_member() = record;
   }
   replica.OnDatagram(datagram, kNow);
   CHECK(replica.Self().incarnation() == before);
   CHECK(replica.Members().Find("a") == nullptr);
+  CHECK(replica.Members().Find("far") == nullptr);
 }
 
 TEST_CASE("A damaged head gives an error, not a table", "[fuzz]") {
