Moves: a bad old version is no excuse; refusals carry the load

(2) errors over the threshold left a time behind that let a later ruling skip the comparison. (3) dropping errors dropped the evidence of latency too. (4) a refusal for a row's limit or the slots kept for writes counted the target as full for up to a second, for payments as well.

--- a/bench/choice.cc
+++ b/bench/choice.cc
@@ -24,6 +24,7 @@
 
 DEFINE_double(seconds, 30, "Virtual time of each run.");
 DEFINE_double(load, 0.7, "Requests, as a part of what healthy targets serve.");
+DEFINE_bool(believe_refusals, true, "A refusal says the load, and rests.");
 DEFINE_uint64(seed, 1, "Seed of the random numbers.");
 
 namespace kumquatmoor {
@@ -163,7 +164,10 @@
     uint32_t& in_flight = m_in_flight[target];
     if (in_flight >= kSlots) {
       m_loads[caller].OnDone(id, false, Now());
-      m_loads[caller].OnFull({.member_id = id, .slots = kSlots}, Now());
+      if (FLAGS_believe_refusals) {
+        m_loads[caller].OnFull(id, Now());
+        m_loads[caller].OnReport(id, in_flight, Now());
+      }
       return false;
     }
     ++in_flight;
--- a/bench/move_report.cc
+++ b/bench/move_report.cc
@@ -16,14 +16,15 @@
       "{:<24} good in time {}  bad taken back {}  false recalls {}\n"
       "{:<24} writes on it p50 {:.3f}% p99 {:.3f}%  writes hit by the fault "
       "p50 {:.3f}% p99 {:.3f}%  fault shown to last request p50 {:.1f} s p99 "
-      "{:.1f} s\n{:<24} evidence, bytes/s a target p50 {:.0f} p99 {:.0f}\n",
+      "{:.1f} s\n{:<24} evidence, bytes/s a target p50 {:.0f} p99 {:.0f}  "
+      "wrong blame {}\n",
       name, summary.good_in_time.Text(), summary.bad_taken_back.Text(),
       summary.false_recalls.Text(), "", 100 * Quantile(summary.harmful, 0.5),
       100 * Quantile(summary.harmful, 0.99),
       100 * Quantile(summary.harmed, 0.5), 100 * Quantile(summary.harmed, 0.99),
       Quantile(summary.last_harm_s, 0.5), Quantile(summary.last_harm_s, 0.99),
       "", Quantile(summary.evidence_rate, 0.5),
-      Quantile(summary.evidence_rate, 0.99));
+      Quantile(summary.evidence_rate, 0.99), summary.wrong_blame.Text());
 }
 
 json::object ToJson(const Summary& summary) {
@@ -32,6 +33,7 @@
           {"bad_taken_back", summary.bad_taken_back.count},
           {"bad", summary.bad_taken_back.total},
           {"false_recalls", summary.false_recalls.count},
+          {"wrong_blame", summary.wrong_blame.count},
           {"harmful_p99", Quantile(summary.harmful, 0.99)},
           {"harmed_p99", Quantile(summary.harmed, 0.99)},
           {"last_harm_p99_s", Quantile(summary.last_harm_s, 0.99)},
--- a/bench/move_report.h
+++ b/bench/move_report.h
@@ -30,7 +30,7 @@
   Share good_in_time;
   Share bad_taken_back;
   Share false_recalls;
-  Share wrong_blame;
+  Share wrong_blame;  // Of a target, though no single one is at fault.
   std::vector<double> harmful;  // Part of the traffic, writes on a bad version.
   std::vector<double> harmed;   // The same, only those that the fault hit.
   std::vector<double> last_harm_s;
@@ -42,7 +42,6 @@
                             targets / kWatchedSeconds);
     if (c.fault->bad) {
       bad_taken_back.Add(result.recalled);
-      wrong_blame.Add(result.blamed && !result.recalled);
       const auto calls =
           static_cast<double>(std::max<uint64_t>(1, result.calls));
       harmful.push_back(static_cast<double>(result.writes_met_bad) / calls);
@@ -50,6 +49,7 @@
       if (result.recalled) last_harm_s.push_back(result.last_harm_s);
       return;
     }
+    if (!c.fault->one_target) wrong_blame.Add(result.blamed);
     good_in_time.Add(result.full_in_time && !result.recalled);
     false_recalls.Add(result.recalled);
   }
--- a/include/kumquatmoor/coordination/baseline.h
+++ b/include/kumquatmoor/coordination/baseline.h
@@ -70,6 +70,9 @@
     double SlowRateOver(size_t bucket, double longer_rate) const;
   };
 
+  // True if the last requests failed too often for the last 30 s.
+  bool HasMoreErrorsThanUsual() const;
+
   Window m_long{.half_life = 30};   // Seconds.
   Window m_short{.half_life = 12};  // Requests, so that it works at any rate.
   // Requests; for latency, where a dozen requests say little of a rate near a
--- a/include/kumquatmoor/state/picker.h
+++ b/include/kumquatmoor/state/picker.h
@@ -34,8 +34,8 @@
   // A new target's load counts more until this time has passed.
   std::chrono::milliseconds slow_start{3'000};
   std::chrono::milliseconds refusal_ejection{1'000};
-  // A target that refused since it was full gets no requests for so long, as
-  // long as others are left. Its own reports may lag or lie.
+  // A target that refused since it was full or at a limit gets no requests for
+  // so long, as long as others are left. Its own reports may lag or lie.
   std::chrono::milliseconds full_rest{20};
   // A load report older than this is not used.
   std::chrono::milliseconds report_lifetime{1'000};
@@ -51,8 +51,8 @@
   void OnDone(const std::string& member_id, bool failed, TimePoint now);
   // The target refuses requests for now, such as while it drains.
   void OnRefused(const std::string& member_id, TimePoint now);
-  // The target refused a request since all its slots were taken.
-  void OnFull(const Target& target, TimePoint now);
+  // The target refused a request since its slots or a limit were taken up.
+  void OnFull(const std::string& member_id, TimePoint now);
   // The target's own report, which counts requests of all callers.
   void OnReport(const std::string& member_id, uint32_t in_flight,
                 TimePoint now);
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -121,6 +121,7 @@
   std::string reason;
   std::string request_id;
   uint32_t retry_after_s = 0;  // 0: no such header.
+  std::string load;            // "IN_FLIGHT/SLOTS" between nodes, or "".
 };
 boost::asio::awaitable<void> WriteOwnAnswer(Inbound& inbound,
                                             const OwnAnswer& answer);
--- a/src/coordination/baseline.cc
+++ b/src/coordination/baseline.cc
@@ -21,6 +21,10 @@
 // same of the versions compared with it.
 constexpr double kExcusedErrorRate = 0.1;
 constexpr double kExcuseRequests = 8;
+// Requests from which the error rate over 30 s is known well.
+constexpr double kManyRequests = 200;
+// Standard deviations above the usual number of errors that are no chance.
+constexpr double kDeviations = 3;
 // The others have recovered when, over at least so many requests, they fail at
 // most this part of what is excused.
 constexpr double kRecoveryRequests = 20;
@@ -131,10 +135,17 @@
   m_medium.Add(tally);
   const double sudden = m_short.ErrorRateOver(m_long.ErrorRate());
   if (m_short.total < kExcuseRequests) return;
-  const bool excused = sudden >= kExcusedErrorRate;
+  // Once begun, an excuse lasts while the errors do.
+  const bool excused = sudden >= kExcusedErrorRate &&
+                       (m_excused_rate > 0 || HasMoreErrorsThanUsual());
   m_excused_rate = excused ? std::max(m_excused_rate, sudden) : 0;
 }
 
+bool RouteBaseline::HasMoreErrorsThanUsual() const {
+  const double usual = m_long.ErrorRate() * m_short.total;
+  return m_short.errors > usual + kDeviations * std::sqrt(usual);
+}
+
 void RouteBaseline::NoteOthers(const OutcomeTally& tally) {
   m_others.Forget(static_cast<double>(tally.total));
   m_others.Add(tally);
@@ -146,7 +157,12 @@
 
 double RouteBaseline::AcceptableErrorRate() const {
   const double rate = m_long.ErrorRate();
-  const double worse = std::max(rate, m_short.ErrorRateOver(rate));
+  // Where the usual rate is known well, chance in a dozen requests must not
+  // cover a version that is twice as bad.
+  const bool chance =
+      m_long.total >= kManyRequests && !HasMoreErrorsThanUsual();
+  const double worse =
+      chance ? rate : std::max(rate, m_short.ErrorRateOver(rate));
   const double excused =
       m_excused_rate <= 0
           ? 0
--- a/src/coordination/judge.cc
+++ b/src/coordination/judge.cc
@@ -43,6 +43,8 @@
 // Part of a rising version's error rate that excuses it if the steady versions
 // have it too.
 constexpr double kSamePart = 0.5;
+// ... and if it is this many times their error rate before.
+constexpr double kSuddenRise = 2;
 // One in this many targets may be at fault, and at least one, before their
 // version is.
 constexpr uint32_t kTargetsPerBlame = 4;
@@ -206,7 +208,8 @@
   const auto& [version, path] = route;
   const bool doubt =
       tests->errors.Score() >= kHoldSuspicion * SequentialTest::kThreshold;
-  if (doubt && SteadyFailsAlike(path, *tests)) *tests = RouteTests();
+  if (doubt && SteadyFailsAlike(path, *tests)) tests->errors = FailureTest();
+  if (!tests->errors.Exceeded()) tests->exceeded_at.reset();
   if (tests->Score() < SequentialTest::kThreshold) return std::nullopt;
   std::string reason = path + ": slower than the version before";
   const FailureTest* test =
@@ -236,7 +239,8 @@
           .errors = found->second.errors - tests.steady_at_start.errors};
 }
 
-// A fault of every version is not the rising one's.
+// A fault that has just struck every version is not the rising one's. That the
+// steady versions always fail as often says nothing: it is in the baseline.
 bool MoveJudge::SteadyFailsAlike(const std::string& path,
                                  const RouteTests& tests) const {
   const RequestCount steady = SteadySince(path, tests);
@@ -244,7 +248,12 @@
   const auto errors = static_cast<double>(steady.errors);
   const auto requests = static_cast<double>(tests.errors.Requests());
   const auto failures = static_cast<double>(tests.errors.Failures());
-  return errors > 0 && errors * requests >= kSamePart * failures * total;
+  const auto total_before = static_cast<double>(tests.steady_at_start.total);
+  const auto errors_before = static_cast<double>(tests.steady_at_start.errors);
+  const bool alike = errors * requests >= kSamePart * failures * total;
+  const bool sudden =
+      errors * total_before > kSuddenRise * errors_before * total;
+  return errors > 0 && alike && (sudden || total_before <= 0);
 }
 
 // What the steady versions met at the same time may still be on its way.
--- a/src/coordination/judge_test.cc
+++ b/src/coordination/judge_test.cc
@@ -210,6 +210,18 @@
   }
 }
 
+TEST_CASE(
+    "A version that fails twice as often as a bad old one is taken back") {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    Bench bench(60'000, seed);
+    for (auto& [id, node] : bench.old_nodes) node.error_rate = 0.08;
+    for (auto& [id, node] : bench.new_nodes) node.error_rate = 0.16;
+    bench.Run(100);
+    CHECK_FALSE(bench.recalled.empty());
+  }
+}
+
 TEST_CASE("One bad target is blamed, not its version") {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     INFO("seed " << seed);
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -54,6 +54,11 @@
   return {text.data(), text.size()};
 }
 
+// "3/10": requests in flight and slots.
+std::string LoadText(const AdmissionAnswer& admission) {
+  return fmt::format("{}/{}", admission.in_flight, admission.slots);
+}
+
 std::optional<uint32_t> ParseCount(std::string_view text) {
   uint32_t count = 0;
   auto [end, error] =
@@ -332,7 +337,11 @@
   if (attempt.leaving || (unreachable && !attempt.local)) {
     m_loads.OnRefused(pick.target->member_id, now);
   } else if (result.verdict == Verdict::kNotRun) {
-    m_loads.OnFull(*pick.target, now);
+    m_loads.OnFull(pick.target->member_id, now);
+    // Another node's refusal has said its load in a header.
+    if (attempt.local) {
+      m_loads.OnReport(m_options.id, attempt.local->admission.in_flight, now);
+    }
   }
   spdlog::info("route: {} {} {} to {} of {} in {}, {}: {} {} {}",
                call.request_id, call.service, call.route, attempt.call.version,
@@ -367,9 +376,7 @@
   run.result.head.set(headers::kVerdict, VerdictName(run.result.verdict));
   run.result.head.set(headers::kRequestId, call.request_id);
   run.result.head.set(headers::kServedBy, call.version);
-  run.result.head.set(
-      headers::kLoad,
-      fmt::format("{}/{}", run.admission.in_flight, run.admission.slots));
+  run.result.head.set(headers::kLoad, LoadText(run.admission));
 }
 
 void Proxy::FinishLocalRun(const Call& call, LocalRun& run, bool whole) {
@@ -448,6 +455,7 @@
   answer.request_id = call.request_id;
   // Without this header the other node looks elsewhere for a while.
   answer.retry_after_s = run.admission.leaving ? 0 : kRetryAfterSeconds;
+  if (run.admission.slots > 0) answer.load = LoadText(run.admission);
   if (answer.verdict != Verdict::kNotRun) {
     answer.status = run.result.timed_out ? 504 : 502;
   }
--- a/src/state/picker.cc
+++ b/src/state/picker.cc
@@ -131,9 +131,8 @@
       std::max(entry.ejected_until, now + m_options.refusal_ejection);
 }
 
-void TargetLoads::OnFull(const Target& target, TimePoint now) {
-  m_entries[target.member_id].full_until = now + m_options.full_rest;
-  OnReport(target.member_id, target.slots, now);
+void TargetLoads::OnFull(const std::string& member_id, TimePoint now) {
+  m_entries[member_id].full_until = now + m_options.full_rest;
 }
 
 void TargetLoads::OnReport(const std::string& member_id, uint32_t in_flight,
--- a/src/state/picker_test.cc
+++ b/src/state/picker_test.cc
@@ -156,17 +156,17 @@
     }
     return count;
   };
-  loads.OnFull({.member_id = "old0", .slots = 10}, now);
+  loads.OnFull("old0", now);
   loads.OnReport("old0", 0, now);  // It lies.
   CHECK(picks_of("old0", now) == 0);
   CHECK(picks_of("old1", now) == 200);
   CHECK(picks_of("old0", now + milliseconds(30)) > 0);
   // With the zone full the next one serves; with all full any is tried.
-  loads.OnFull({.member_id = "old0", .slots = 10}, now);
-  loads.OnFull({.member_id = "old1", .slots = 10}, now);
+  loads.OnFull("old0", now);
+  loads.OnFull("old1", now);
   CHECK(picks_of("old0", now) + picks_of("old1", now) == 0);
-  loads.OnFull({.member_id = "old2", .slots = 10}, now);
-  loads.OnFull({.member_id = "old3", .slots = 10}, now);
+  loads.OnFull("old2", now);
+  loads.OnFull("old3", now);
   CHECK(picks_of("old0", now) + picks_of("old1", now) > 0);
 }
 
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -414,6 +414,7 @@
   if (!answer.request_id.empty()) {
     response.set(headers::kRequestId, answer.request_id);
   }
+  if (!answer.load.empty()) response.set(headers::kLoad, answer.load);
   if (answer.retry_after_s > 0) {
     response.set(http::field::retry_after,
                  std::to_string(answer.retry_after_s));
