Tests: errors are compared anew; one Quantile; datagrams stay small when damaged

Change: a test that fails without the reset and passes with it; bench/quantile.h; datagrams of at most 1,400 bytes are checked; four targets set up in one place. Conclusion: no change of the product.

--- a/bench/choice.cc
+++ b/bench/choice.cc
@@ -21,6 +21,7 @@
 
 #include "kumquatmoor/state/picker.h"
 #include "kumquatmoor/state/routes.h"
+#include "quantile.h"
 
 DEFINE_double(seconds, 30, "Virtual time of each run.");
 DEFINE_double(load, 0.7, "Requests, as a part of what healthy targets serve.");
@@ -218,16 +219,6 @@
   Result m_result;
 };
 
-double Quantile(std::vector<double>* values, double part) {
-  if (values->empty()) return 0;
-  const auto at =
-      static_cast<size_t>(part * static_cast<double>(values->size() - 1));
-  std::nth_element(values->begin(),
-                   values->begin() + static_cast<std::ptrdiff_t>(at),
-                   values->end());
-  return (*values)[at];
-}
-
 int Main() {
   const std::pair<Way, const char*> ways[] = {
       {Way::kTwoChoices, "two choices"},
@@ -242,8 +233,8 @@
           "p99 {:.1f} ms\n",
           condition.name, name,
           100 * static_cast<double>(result.refused) / calls,
-          static_cast<double>(result.tries) / calls, Quantile(&result.ms, 0.5),
-          Quantile(&result.ms, 0.99));
+          static_cast<double>(result.tries) / calls, Quantile(result.ms, 0.5),
+          Quantile(result.ms, 0.99));
     }
   }
   return 0;
--- a/bench/move_report.cc
+++ b/bench/move_report.cc
@@ -54,13 +54,6 @@
                      100 * (center - half), 100 * (center + half));
 }
 
-double Quantile(std::vector<double> values, double part) {
-  if (values.empty()) return 0;
-  std::sort(values.begin(), values.end());
-  const auto last = static_cast<double>(values.size() - 1);
-  return values[static_cast<size_t>(std::ceil(part * last))];
-}
-
 Summary Tell(const std::string& way, bool show_misses,
              const std::vector<Case>& cases,
              const std::vector<CaseResult>& results, json::object* report) {
--- a/bench/move_report.h
+++ b/bench/move_report.h
@@ -11,6 +11,7 @@
 
 #include "move_cases.h"
 #include "move_run.h"
+#include "quantile.h"
 
 namespace kumquatmoor {
 
@@ -55,9 +56,6 @@
   }
 };
 
-// The smallest value that `part` of the values do not exceed; 0 without any.
-double Quantile(std::vector<double> values, double part);
-
 // Prints one way to judge, in parts and over all, and each miss if asked to;
 // adds it to `report`. Gives the summary over all.
 Summary Tell(const std::string& way, bool show_misses,
--- a/src/coordination/decoders_test.cc
+++ b/src/coordination/decoders_test.cc
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr TimePoint kNow = TimePoint() + std::chrono::hours(1);
+constexpr size_t kLargestDatagram = 1'400;  // Bytes.
 const ReplicaOptions kOptions = {
     .id = "self", .zone = "z", .control_address = "x", .started_ms = 5};
 
@@ -172,7 +173,9 @@
         ++taken;
         replica.AnswerSync(request, now);
       }
-      replica.Tick(now);
+      for (const auto& out : replica.Tick(now)) {
+        REQUIRE(out.datagram.ByteSizeLong() <= kLargestDatagram);
+      }
       CheckSound(replica, before);
     }
     // The damage must let enough through to mean something.
--- a/src/coordination/judge_test.cc
+++ b/src/coordination/judge_test.cc
@@ -61,6 +61,12 @@
     }
   }
 
+  // Of the new version.
+  void UseFourTargets() {
+    new_nodes = {{"n1", {}}, {"n2", {}}, {"n3", {}}, {"n4", {}}};
+    targets.rising_targets = 4;
+  }
+
   const MoveJudge& Judge() const { return m_judge; }
 
  private:
@@ -180,8 +186,7 @@
     Bench bench(60'000, seed);
     bench.routes = 12;
     bench.calls_per_tick = 1;
-    bench.new_nodes = {{"n1", {}}, {"n2", {}}, {"n3", {}}, {"n4", {}}};
-    bench.targets.rising_targets = 4;
+    bench.UseFourTargets();
     for (auto& [id, node] : bench.new_nodes) node.error_rate = 0.3;
     bench.Run(100);
     CHECK_FALSE(bench.recalled.empty());
@@ -239,8 +244,7 @@
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     INFO("seed " << seed);
     Bench bench(60'000, seed);
-    bench.new_nodes = {{"n1", {}}, {"n2", {}}, {"n3", {}}, {"n4", {}}};
-    bench.targets.rising_targets = 4;
+    bench.UseFourTargets();
     bench.Run(15);
     bench.new_nodes["n2"].latency_ms = 100;
     bench.Run(20);
@@ -253,8 +257,7 @@
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     INFO("seed " << seed);
     Bench bench(60'000, seed);
-    bench.new_nodes = {{"n1", {}}, {"n2", {}}, {"n3", {}}, {"n4", {}}};
-    bench.targets.rising_targets = 4;
+    bench.UseFourTargets();
     bench.new_nodes["n1"].error_rate = 1;
     bench.new_nodes["n3"].error_rate = 1;
     bench.Run(60);
@@ -305,6 +308,48 @@
   }
 }
 
+TEST_CASE("Errors are compared anew each time they are too many") {
+  MoveJudge judge(MakeConfig(0), {.zone = "z"}, {});
+  std::map<std::string, OutcomeLedger> ledgers;
+  JudgeTime time{.now = TimePoint() + seconds(1'000)};
+  // Requests in a tick of 250 ms; true if the version is blamed or recalled.
+  const auto tick = [&](int old_calls, int new_calls, bool new_errors) {
+    for (const char* node : {"o1", "n1", "n2"}) {
+      const bool is_old = node[0] == 'o';
+      const std::string version = is_old ? "v1" : "v2";
+      for (int i = 0; i < (is_old ? old_calls : new_calls); ++i) {
+        ledgers[node].Add({.service = "s",
+                           .version = version,
+                           .route = "GET /x",
+                           .error = !is_old && new_errors,
+                           .latency_ms = 5});
+      }
+      judge.OnEvidence(node, 1, ledgers[node].Report("s", version));
+    }
+    time.now += milliseconds(250);
+    const MeshTargets targets{
+        .rising_slots = 20, .all_slots = 30, .rising_targets = 2};
+    for (const auto& ruling : judge.Tick(time, {}, targets)) {
+      if (std::holds_alternative<BlameTarget>(ruling)) return true;
+      if (std::holds_alternative<RecallVersion>(ruling)) return true;
+    }
+    return false;
+  };
+  tick(100, 0, false);
+  tick(1, 3, true);
+  // The old version has served too little to compare with, ...
+  CHECK_FALSE(tick(0, 500, false));
+  // ... and the new one recovers meanwhile.
+  for (int i = 0; i < 40; ++i) CHECK_FALSE(tick(5, 5, false));
+  CHECK_FALSE(tick(5, 3, true));
+  // The reports of the old version get their time again.
+  CHECK_FALSE(tick(5, 0, false));
+  CHECK_FALSE(tick(5, 0, false));
+  bool ruled = false;
+  for (int i = 0; i < 8; ++i) ruled = tick(5, 0, false) || ruled;
+  CHECK(ruled);
+}
+
 TEST_CASE("The stage waits for slots and says so") {
   Bench bench(60'000, 1);
   bench.targets = {.all_slots = 20};
