--- /dev/null
+++ b/src/state/slot_queue_test.cc
@@ -0,0 +1,156 @@
+#include "kumquatmoor/state/slot_queue.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+namespace kumquatmoor {
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint kNow = TimePoint() + std::chrono::hours(1);
+
+QueuedRequest Request(uint64_t id, int objective_ms, int deadline_ms,
+                      uint32_t priority = 1) {
+  return {.id = id,
+          .priority = priority,
+          .objective = kNow + milliseconds(objective_ms),
+          .deadline = kNow + milliseconds(deadline_ms)};
+}
+
+// A queue whose only slot is taken.
+SlotQueue FullQueue(int run_time_ms) {
+  SlotQueue queue(
+      {.slots = 1, .first_run_time = milliseconds(run_time_ms)});
+  queue.Enter(Request(1, 1'000, 1'000), kNow);
+  return queue;
+}
+
+std::vector<uint64_t> Order(SlotQueue* queue, TimePoint now) {
+  std::vector<uint64_t> order;
+  queue->OnRunEnded({});
+  while (auto id = queue->TakeNext(now)) {
+    order.push_back(*id);
+    queue->OnRunEnded({});
+  }
+  return order;
+}
+
+TEST_CASE("A request runs at once while a slot is free") {
+  SlotQueue queue({.slots = 2});
+  CHECK(queue.Enter(Request(1, 100, 200), kNow).admission ==
+        QueueAdmission::kRunNow);
+  CHECK(queue.Enter(Request(2, 100, 200), kNow).admission ==
+        QueueAdmission::kRunNow);
+  CHECK(queue.Enter(Request(3, 100, 200), kNow).admission ==
+        QueueAdmission::kWaits);
+  CHECK(queue.Running() == 2);
+  CHECK(queue.Waiting() == 1);
+}
+
+TEST_CASE("Waiting requests are taken by lateness, priority and objective") {
+  struct Case {
+    const char* name;
+    std::vector<QueuedRequest> requests;
+    std::vector<uint64_t> order;
+  };
+  const Case cases[] = {
+      {"earliest objective first",
+       {Request(2, 300, 900), Request(3, 200, 900), Request(4, 250, 900)},
+       {3, 4, 2}},
+      {"priority before objective",
+       {Request(2, 200, 900, 2), Request(3, 300, 900, 0)},
+       {3, 2}},
+      {"what can still be in time before what is late",
+       {Request(2, 5, 900, 0), Request(3, 300, 900, 2)},
+       {3, 2}},
+      {"equal requests in their order",
+       {Request(2, 300, 900), Request(3, 300, 900)},
+       {2, 3}},
+  };
+  for (const auto& c : cases) {
+    INFO(c.name);
+    SlotQueue queue = FullQueue(10);
+    for (const auto& request : c.requests) {
+      CHECK(queue.Enter(request, kNow).admission == QueueAdmission::kWaits);
+    }
+    CHECK(Order(&queue, kNow) == c.order);
+  }
+}
+
+TEST_CASE("Whoever cannot end in time is refused at once with the wait") {
+  SlotQueue queue = FullQueue(100);
+  CHECK(queue.Enter(Request(2, 100, 250), kNow).admission ==
+        QueueAdmission::kWaits);
+  const QueueAnswer refused = queue.Enter(Request(3, 150, 250), kNow);
+  CHECK(refused.admission == QueueAdmission::kRefused);
+  CHECK(refused.wait == milliseconds(200));
+  // One that goes before the waiting one still fits.
+  CHECK(queue.Enter(Request(4, 105, 210, 0), kNow).admission ==
+        QueueAdmission::kWaits);
+}
+
+TEST_CASE("Requests that became hopeless are removed") {
+  SlotQueue queue = FullQueue(100);
+  queue.Enter(Request(2, 100, 250), kNow);
+  CHECK(queue.TakeHopeless(kNow + milliseconds(200)).empty());
+  CHECK(queue.TakeHopeless(kNow + milliseconds(201)) ==
+        std::vector<uint64_t>{2});
+  CHECK(queue.Waiting() == 0);
+  CHECK_FALSE(queue.Remove(2));
+}
+
+TEST_CASE("Run times follow the last runs") {
+  SlotQueue queue({.slots = 1, .first_run_time = milliseconds(50)});
+  for (int i = 0; i < 200; ++i) {
+    queue.Enter(Request(1, 1'000, 1'000), kNow);
+    queue.OnRunEnded(milliseconds(400));
+  }
+  CHECK(queue.RunTime().count() > 390);
+}
+
+// Load: arrivals at twice the capacity with one run time, ten slots, on a
+// virtual clock. Oracle: capacity. EDF among those that can be in time keeps
+// the slots busy with requests that end within their objective.
+TEST_CASE("At twice the capacity most slots serve requests in time") {
+  constexpr int kRunMs = 100;
+  constexpr int kObjectiveMs = 300;
+  SlotQueue queue({.slots = 10, .first_run_time = milliseconds(kRunMs)});
+  std::mt19937_64 rng(7);
+  std::poisson_distribution<int> arrivals(0.2);  // Each ms: 200/s for 100/s.
+  std::multimap<int, uint64_t> running;          // By end.
+  std::map<uint64_t, int> arrived;
+  uint64_t last_id = 0;
+  int in_time = 0;
+  int late = 0;
+  constexpr int kEndMs = 20'000;
+  for (int ms = 0; ms < kEndMs; ++ms) {
+    const TimePoint now = kNow + milliseconds(ms);
+    while (!running.empty() && running.begin()->first <= ms) {
+      const int took = ms - arrived[running.begin()->second];
+      ++(took <= kObjectiveMs ? in_time : late);
+      running.erase(running.begin());
+      queue.OnRunEnded(milliseconds(kRunMs));
+    }
+    for (int i = arrivals(rng); i > 0; --i) {
+      QueuedRequest request{.id = ++last_id, .priority = 1};
+      request.objective = now + milliseconds(kObjectiveMs);
+      request.deadline = now + milliseconds(4 * kObjectiveMs);
+      arrived[request.id] = ms;
+      const auto answer = queue.Enter(request, now);
+      if (answer.admission == QueueAdmission::kRunNow) {
+        running.emplace(ms + kRunMs, request.id);
+      }
+    }
+    queue.TakeHopeless(now);
+    while (auto id = queue.TakeNext(now)) running.emplace(ms + kRunMs, *id);
+  }
+  const int capacity = kEndMs / kRunMs * 10;
+  CHECK(in_time + late > 0.97 * capacity);
+  CHECK(in_time > 0.9 * capacity);
+}
+
+}  // namespace
+}  // namespace kumquatmoor
