--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -31,6 +31,7 @@
 
 #include "kumquatmoor/state/limits.h"
 #include "kumquatmoor/state/routes.h"
+#include "kumquatmoor/state/run_times.h"
 #include "kumquatmoor/state/slot_queue.h"
 
 namespace kumquatmoor {
@@ -57,6 +58,7 @@
   std::string service;
   std::string version;
   std::string request_id;
+  std::string route;
   bool idempotent = true;
   uint32_t priority = 0;
   TimePoint objective = TimePoint::max();
@@ -71,7 +73,7 @@
   bool waits = false;       // For a slot, under `ticket`.
   uint64_t ticket = 0;
   std::chrono::milliseconds wait{0};  // Estimated time until there is a slot.
-  std::chrono::milliseconds run_time{0};  // Mean of the last runs.
+  std::chrono::milliseconds run_time{0};  // Expected.
   std::string instance;     // Of the backend server.
   std::string address;      // Likewise.
   uint32_t in_flight = 0;   // This request among them.
@@ -105,8 +107,10 @@
   AdmissionAnswer Enter(const AdmissionRequest& request, TimePoint now);
   // Ends a request that was admitted. `handed_over` is false if it is proved
   // that the request did not run; its id may then come again.
-  // `run_time` is nothing if it says little of other requests.
+  // `expected` is the answer's run time; `run_time` is nothing if it says
+  // little of other requests.
   void Leave(const AdmissionRequest& request, bool handed_over,
+             std::chrono::milliseconds expected = {},
              std::optional<std::chrono::milliseconds> run_time = {});
   // Requests that stop waiting: they got a slot or cannot end in time.
   std::vector<WaitDecision> TakeDecisions(TimePoint now);
@@ -125,13 +129,15 @@
     bool recalled = false;
     bool closed = false;
     SlotQueue queue{{}};
+    RunTimes run_times;
     std::map<uint64_t, AdmissionRequest> waiting;  // By ticket.
     uint32_t max_concurrent = 0;  // This target's part of the row's limit.
     double max_rate = 0;          // Likewise, per second.
     TokenBucket rate{{}};
   };
 
-  AdmissionAnswer Describe(const Entry& entry, TimePoint now) const;
+  AdmissionAnswer Describe(const Entry& entry, const std::string& route,
+                           TimePoint now) const;
   bool HasRoom(const AdmissionRequest& request, const Entry& entry) const;
   std::string_view ReasonToRefuse(const AdmissionRequest& request, Entry* entry,
                                   TimePoint now);
--- a/include/kumquatmoor/protocol/headers.h
+++ b/include/kumquatmoor/protocol/headers.h
@@ -26,6 +26,8 @@
 inline constexpr char kLoad[] = "Kumquatmoor-Load";
 // Response: version that served the request.
 inline constexpr char kServedBy[] = "Kumquatmoor-Served-By";
+// Request between nodes: name of the route.
+inline constexpr char kRoute[] = "Kumquatmoor-Route";
 // Request between nodes: "1" if running the request twice does no harm.
 inline constexpr char kIdempotent[] = "Kumquatmoor-Idempotent";
 // Request between nodes: priority of the route, 0 is the most urgent.
--- a/include/kumquatmoor/state/slot_queue.h
+++ b/include/kumquatmoor/state/slot_queue.h
@@ -8,16 +8,17 @@
 //   if (answer.admission == QueueAdmission::kRefused)
 //     return Refuse(answer.wait);                  // Retry-After
 //   ...
-//   queue.OnRunEnded(run_time);                    // A slot is free.
+//   queue.OnRunEnded(request.run_time);            // A slot is free.
 //   while (auto id = queue.TakeNext(now)) Start(*id);
 //   for (uint64_t id : queue.TakeHopeless(now)) Refuse(id);
 //
 // Bounded queue with admission control by estimated wait, and earliest deadline
-// first (EDF) within a priority. A request that can still meet its latency
-// objective goes before one that cannot: under overload EDF alone would serve
-// each request just too late. Whoever cannot end before its deadline is refused
-// at once, with the time after which there should be room. Time is an argument.
-// Not thread-safe.
+// first (EDF) within a priority, by the latest start that meets the latency
+// objective. What can still meet its objective goes before what cannot: under
+// overload plain EDF would serve each request just too late. Late requests only
+// fill slots that would stay free, so no more than a slot's worth of them wait;
+// the others are refused at once, with the time after which there should be
+// room. Time is an argument. Not thread-safe.
 
 #include <chrono>
 #include <cstddef>
@@ -34,13 +35,14 @@
   // Requests that wait for each slot at most; bounds memory, the estimated wait
   // refuses long before it.
   size_t waiting_per_slot = 16;
-  // Run time that is assumed before the first request has ended.
-  std::chrono::milliseconds first_run_time{50};
+  // Late requests that wait for each slot at most.
+  size_t late_per_slot = 1;
 };
 
 struct QueuedRequest {
   uint64_t id = 0;        // Unique among those that wait.
   uint32_t priority = 0;  // 0 is the most urgent.
+  std::chrono::milliseconds run_time{50};  // Expected.
   TimePoint objective;    // End up to which the answer has its full use.
   TimePoint deadline;     // End after which nobody waits for it.
 };
@@ -58,12 +60,12 @@
 
   // Takes a slot for the request, lets it wait, or refuses it.
   QueueAnswer Enter(const QueuedRequest& request, TimePoint now);
-  // Gives a slot back. `run_time` is how long it was used; nothing if that says
-  // little of other requests, such as after a lost connection.
-  void OnRunEnded(std::optional<std::chrono::milliseconds> run_time);
+  // Gives back the slot of a request that was expected to run for `run_time`.
+  void OnRunEnded(std::chrono::milliseconds run_time);
   // The request that gets a free slot; nothing if none waits or is free.
   std::optional<uint64_t> TakeNext(TimePoint now);
-  // Removes those that can no longer end before their deadline.
+  // Removes those that can no longer end before their deadline, and late ones
+  // beyond what slots may become free for.
   std::vector<uint64_t> TakeHopeless(TimePoint now);
   // Removes a request whose caller went away. False if it does not wait.
   bool Remove(uint64_t id);
@@ -73,18 +75,17 @@
   uint32_t Slots() const { return m_options.slots; }
   uint32_t Running() const { return m_running; }
   size_t Waiting() const { return m_waiting.size(); }
-  // Mean of the last run times.
-  std::chrono::milliseconds RunTime() const;
+  // Time until a request that goes behind all others gets a slot.
+  std::chrono::milliseconds LongestWait() const;
 
  private:
-  // Time until a request that goes behind `ahead` others gets a slot.
-  std::chrono::milliseconds WaitBehind(size_t ahead) const;
-  bool GoesBefore(const QueuedRequest& a, const QueuedRequest& b,
-                  TimePoint now) const;
+  // Time until a request gets a slot behind others with this much work.
+  std::chrono::milliseconds WaitBehind(std::chrono::milliseconds work) const;
+  size_t CountLate(TimePoint now) const;
 
   SlotQueueOptions m_options;
   uint32_t m_running = 0;
-  double m_run_time_ms;
+  std::chrono::milliseconds m_running_work{0};  // Expected run times, summed.
   std::vector<QueuedRequest> m_waiting;
 };
 
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -90,14 +90,16 @@
   return entry.queue.Running() + reserved < slots;
 }
 
-AdmissionAnswer Admission::Describe(const Entry& entry, TimePoint now) const {
+AdmissionAnswer Admission::Describe(const Entry& entry,
+                                    const std::string& route,
+                                    TimePoint now) const {
   AdmissionAnswer answer;
   answer.slots = entry.backend.slots;
   answer.instance = entry.backend.instance;
   answer.address = entry.backend.address;
   answer.in_flight =
       entry.queue.Running() + static_cast<uint32_t>(entry.queue.Waiting());
-  answer.run_time = entry.queue.RunTime();
+  answer.run_time = entry.run_times.Expected(route);
   answer.warm = now - entry.backend.announced >= kColdStart;
   return answer;
 }
@@ -112,7 +114,7 @@
     return answer;
   }
   Entry& entry = found->second;
-  answer = Describe(entry, now);
+  answer = Describe(entry, request.route, now);
   answer.reason = ReasonToRefuse(request, &entry, now);
   if (!answer.reason.empty()) {
     answer.duplicate = answer.reason == kDuplicate;
@@ -128,6 +130,7 @@
   const QueueAnswer queued =
       entry.queue.Enter({.id = ticket,
                          .priority = request.priority,
+                         .run_time = answer.run_time,
                          .objective = request.objective,
                          .deadline = request.deadline},
                         now);
@@ -146,9 +149,13 @@
 }
 
 void Admission::Leave(const AdmissionRequest& request, bool handed_over,
+                      std::chrono::milliseconds expected,
                       std::optional<std::chrono::milliseconds> run_time) {
   auto found = m_entries.find({request.service, request.version});
-  if (found != m_entries.end()) found->second.queue.OnRunEnded(run_time);
+  if (found != m_entries.end()) {
+    found->second.queue.OnRunEnded(expected);
+    if (run_time) found->second.run_times.Add(request.route, *run_time);
+  }
   if (!handed_over && !request.idempotent) m_seen.erase(request.request_id);
 }
 
@@ -157,10 +164,12 @@
   const auto refuse = [&](Entry& entry, uint64_t ticket,
                           std::string_view reason) {
     auto waiting = entry.waiting.extract(ticket);
-    WaitDecision decision{.ticket = ticket, .answer = Describe(entry, now)};
+    const std::string& route = waiting.mapped().route;
+    WaitDecision decision{.ticket = ticket,
+                          .answer = Describe(entry, route, now)};
     decision.answer.reason = reason;
     decision.answer.leaving = reason != kTooLate;
-    decision.answer.wait = entry.queue.RunTime();
+    decision.answer.wait = entry.queue.LongestWait();
     if (!waiting.mapped().idempotent) {
       m_seen.erase(waiting.mapped().request_id);
     }
@@ -173,12 +182,15 @@
     const bool ended = !entry.announced || entry.recalled;
     while (auto ticket = entry.queue.TakeNext(now)) {
       if (ended) {
-        entry.queue.OnRunEnded({});
+        const std::string route = entry.waiting.at(*ticket).route;
+        entry.queue.OnRunEnded(entry.run_times.Expected(route));
         refuse(entry, *ticket, entry.recalled ? kRecalled : kNotHere);
         continue;
       }
-      entry.waiting.erase(*ticket);
-      WaitDecision decision{.ticket = *ticket, .answer = Describe(entry, now)};
+      const auto waiting = entry.waiting.extract(*ticket);
+      const std::string& route = waiting.mapped().route;
+      WaitDecision decision{.ticket = *ticket,
+                            .answer = Describe(entry, route, now)};
       decision.answer.admitted = true;
       decisions.push_back(std::move(decision));
     }
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -28,6 +28,7 @@
     return {.service = service,
             .version = version,
             .request_id = request_id,
+            .route = route,
             .idempotent = idempotent,
             .priority = priority,
             .objective = objective,
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -89,7 +89,7 @@
   RemoveHopHeaders(head);
   for (const char* name :
        {headers::kService, headers::kVersion, headers::kIdempotent,
-        headers::kPriority, headers::kObjectiveMs}) {
+        headers::kPriority, headers::kObjectiveMs, headers::kRoute}) {
     head->erase(name);
   }
   head->set(m_headers.request_id, call.request_id);
@@ -137,7 +137,8 @@
   std::optional<milliseconds> run_time;
   if (ran && whole) run_time = Since(run.started);
   m_admission.Leave(call.ForAdmission(),
-                    run.result.verdict != Verdict::kNotRun, run_time);
+                    run.result.verdict != Verdict::kNotRun,
+                    run.admission.run_time, run_time);
   if (!run.result.caller_gone) ReportOutcome(call, run, whole);
   WakeWaiting();
 }
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -426,6 +426,7 @@
   head.set(headers::kService, call.service);
   head.set(headers::kVersion, call.version);
   head.set(m_options.headers.request_id, call.request_id);
+  head.set(headers::kRoute, call.route);
   head.set(headers::kIdempotent, call.idempotent ? "1" : "0");
   head.set(headers::kPriority, std::to_string(call.priority));
   const auto now = Clock::now();
@@ -564,7 +565,7 @@
 asio::awaitable<bool> Proxy::ServeNode(Inbound& inbound) {
   Call call = ReadCall(inbound, m_options.headers);
   const RequestHead& head = inbound.Head();
-  call.route = RouteOf(Text(head.method_string()), Text(head.target()));
+  call.route = std::string(Text(head[headers::kRoute]));
   call.idempotent = head[headers::kIdempotent] == "1";
   call.priority = ParseCount(Text(head[headers::kPriority])).value_or(0);
   if (auto left = ParseCount(Text(head[headers::kObjectiveMs]))) {
--- a/src/state/slot_queue.cc
+++ b/src/state/slot_queue.cc
@@ -1,11 +1,11 @@
-// Slots become free at the rate slots / mean run time, so a request behind n
-// others waits about n + 1 of such intervals. The queue is short (its wait is
+// A request waits until the work ahead of it, shared among the slots, is done:
+// that of the waiting requests that go before it and half of that of the
+// running ones, which are half done on average. The queue is short (its wait is
 // bounded by deadlines), so the next request is found by a scan.
 
 #include "kumquatmoor/state/slot_queue.h"
 
 #include <algorithm>
-#include <iterator>
 #include <tuple>
 
 namespace kumquatmoor {
@@ -13,59 +13,70 @@
 
 using std::chrono::milliseconds;
 
-// Weight of the latest run time in the moving average: about the last 20 runs.
-constexpr double kRunTimeWeight = 0.05;
+TimePoint LatestStart(const QueuedRequest& request) {
+  return request.objective - request.run_time;
+}
+
+bool IsLate(const QueuedRequest& request, TimePoint now) {
+  return now > LatestStart(request);
+}
+
+bool GoesBefore(const QueuedRequest& a, const QueuedRequest& b, TimePoint now) {
+  const auto rank = [&](const QueuedRequest& request) {
+    return std::make_tuple(IsLate(request, now), request.priority,
+                           LatestStart(request), request.id);
+  };
+  return rank(a) < rank(b);
+}
 
 }  // namespace
 
-SlotQueue::SlotQueue(SlotQueueOptions options)
-    : m_options(options),
-      m_run_time_ms(static_cast<double>(options.first_run_time.count())) {}
+SlotQueue::SlotQueue(SlotQueueOptions options) : m_options(options) {}
 
-milliseconds SlotQueue::RunTime() const {
-  return milliseconds(static_cast<int64_t>(m_run_time_ms));
+milliseconds SlotQueue::WaitBehind(milliseconds work) const {
+  return (work + m_running_work / 2) / std::max(1U, m_options.slots);
 }
 
-milliseconds SlotQueue::WaitBehind(size_t ahead) const {
-  const double interval = m_run_time_ms / std::max(1U, m_options.slots);
-  return milliseconds(
-      static_cast<int64_t>(interval * static_cast<double>(ahead + 1)));
+milliseconds SlotQueue::LongestWait() const {
+  if (m_running < m_options.slots) return milliseconds(0);
+  milliseconds work{0};
+  for (const auto& request : m_waiting) work += request.run_time;
+  return WaitBehind(work);
 }
 
-bool SlotQueue::GoesBefore(const QueuedRequest& a, const QueuedRequest& b,
-                           TimePoint now) const {
-  const auto rank = [&](const QueuedRequest& request) {
-    const bool late = now + RunTime() > request.objective;
-    return std::make_tuple(late, request.priority, request.objective,
-                           request.id);
-  };
-  return rank(a) < rank(b);
+size_t SlotQueue::CountLate(TimePoint now) const {
+  return static_cast<size_t>(std::count_if(
+      m_waiting.begin(), m_waiting.end(),
+      [&](const QueuedRequest& request) { return IsLate(request, now); }));
 }
 
 QueueAnswer SlotQueue::Enter(const QueuedRequest& request, TimePoint now) {
   if (m_waiting.empty() && m_running < m_options.slots) {
     ++m_running;
+    m_running_work += request.run_time;
     return {.admission = QueueAdmission::kRunNow};
   }
-  const auto ahead = static_cast<size_t>(std::count_if(
-      m_waiting.begin(), m_waiting.end(), [&](const QueuedRequest& other) {
-        return GoesBefore(other, request, now);
-      }));
-  QueueAnswer answer{.wait = WaitBehind(ahead)};
-  const bool in_time = now + answer.wait + RunTime() <= request.deadline;
+  milliseconds work{0};
+  for (const auto& other : m_waiting) {
+    if (GoesBefore(other, request, now)) work += other.run_time;
+  }
+  QueueAnswer answer{.wait = WaitBehind(work)};
+  const TimePoint start = now + answer.wait;
+  const bool in_time = start + request.run_time <= request.deadline;
   const bool room =
       m_waiting.size() < m_options.waiting_per_slot * m_options.slots;
-  if (!in_time || !room) return answer;
+  const bool late = IsLate(request, start);
+  const bool late_room =
+      CountLate(now) < m_options.late_per_slot * m_options.slots;
+  if (!in_time || !room || (late && !late_room)) return answer;
   m_waiting.push_back(request);
   answer.admission = QueueAdmission::kWaits;
   return answer;
 }
 
-void SlotQueue::OnRunEnded(std::optional<milliseconds> run_time) {
+void SlotQueue::OnRunEnded(milliseconds run_time) {
   if (m_running > 0) --m_running;
-  if (!run_time) return;
-  m_run_time_ms +=
-      kRunTimeWeight * (static_cast<double>(run_time->count()) - m_run_time_ms);
+  m_running_work = std::max(milliseconds(0), m_running_work - run_time);
 }
 
 std::optional<uint64_t> SlotQueue::TakeNext(TimePoint now) {
@@ -76,6 +87,7 @@
         return GoesBefore(a, b, now);
       });
   const uint64_t id = next->id;
+  m_running_work += next->run_time;
   m_waiting.erase(next);
   ++m_running;
   return id;
@@ -85,10 +97,20 @@
   std::vector<uint64_t> hopeless;
   std::erase_if(m_waiting, [&](const QueuedRequest& request) {
     // Half a run time: the mean is no bound, and short requests may still fit.
-    if (now + RunTime() / 2 <= request.deadline) return false;
+    if (now + request.run_time / 2 <= request.deadline) return false;
     hopeless.push_back(request.id);
     return true;
   });
+  const size_t most_late = m_options.late_per_slot * m_options.slots;
+  for (size_t late = CountLate(now); late > most_late; --late) {
+    const auto last = std::max_element(
+        m_waiting.begin(), m_waiting.end(),
+        [&](const QueuedRequest& a, const QueuedRequest& b) {
+          return GoesBefore(a, b, now);
+        });
+    hopeless.push_back(last->id);
+    m_waiting.erase(last);
+  }
   return hopeless;
 }
 
