Drain: close idle callers after the grace; moves: long small stages when short of time

Idle connections are closed once the grace is over; what has arrived is served. Cause of EXPOSURE: the mesh's judge heard each target every 4 s of a 14 s move, and half of the traffic was given for a fifth of it.

--- a/include/kumquatmoor/coordination/judge.h
+++ b/include/kumquatmoor/coordination/judge.h
@@ -20,6 +20,7 @@
 // It goes on watching at full stage. Two judges of one move do no harm: their
 // rulings join. Pure: time is an argument, no I/O. Not thread-safe.
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -37,9 +38,18 @@
 #include "kumquatmoor/state/evidence.h"
 #include "kumquatmoor/state/limits.h"
 #include "kumquatmoor/state/marks.h"
+#include "kumquatmoor/state/routes.h"
 
 namespace kumquatmoor {
 
+// Relative times of the stages below the full one.
+using StageTimes = std::array<double, std::size(kStages) - 2>;
+
+// Stages of a move that must be short. Small shares take longest: what a bad
+// version meets before it is found out is the sum of share times time, and at
+// half of the traffic a fault shows within a second.
+inline constexpr StageTimes kShortMoveStageTimes = {1, 4, 3, 1};
+
 struct JudgeOptions {
   std::string zone;
   // Time at each stage of a move without a deadline.
@@ -54,6 +64,7 @@
   uint64_t fewest_calls = 20;
   // Part of the time to the deadline that the stages may use.
   double planned_part = 0.7;
+  StageTimes stage_times = {1, 1, 1, 1};
   // Deadline of a move whose rows name none.
   std::optional<TimePoint> deadline;
 };
--- a/include/kumquatmoor/node/mover.h
+++ b/include/kumquatmoor/node/mover.h
@@ -37,9 +37,10 @@
 namespace kumquatmoor {
 
 // Time between reports to the judges of the zone, and to the mesh's, which
-// hears every target of the service.
+// hears every target of the service. A move may have to end within 15 s, of
+// which the mesh's judge needs several reports.
 inline constexpr std::chrono::milliseconds kZoneReportInterval{1'000};
-inline constexpr std::chrono::milliseconds kMeshReportInterval{4'000};
+inline constexpr std::chrono::milliseconds kMeshReportInterval{1'000};
 
 struct MoverOptions {
   std::string id;
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -85,6 +85,7 @@
 
  private:
   struct Attempt;
+  struct CallerConnection;
 
   boost::asio::awaitable<void> CallerSession(
       boost::asio::ip::tcp::socket socket);
@@ -115,6 +116,7 @@
   RetryBudget& BudgetOf(const std::string& service);
   void NoteAttempt(const Pick& pick, const Attempt& attempt);
   std::string NewRequestId();
+  void CloseIdleCallers();
   boost::asio::awaitable<void> CloseOldConnections();
   boost::asio::awaitable<void> WaitUntilDrained(std::function<void()> drained);
   boost::asio::awaitable<void> WaitUntilClosed(std::string service,
@@ -135,6 +137,7 @@
   std::map<std::string, RetryBudget> m_retry_budgets;  // By service.
   size_t m_live_nodes = 1;
   std::mt19937_64 m_rng;
+  std::set<CallerConnection*> m_callers;
   uint32_t m_calls_in_progress = 0;
   bool m_draining = false;
 };
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -65,8 +65,9 @@
           const CallerBounds& bounds = {});
 
   // Reads the head and, if it is small, the body. Throws if the connection
-  // fails.
-  boost::asio::awaitable<ReadOutcome> ReadHead();
+  // fails. `on_begin` is called when the first byte is there.
+  boost::asio::awaitable<ReadOutcome> ReadHead(
+      std::function<void()> on_begin = {});
   // 400, 408, 413 or 431.
   unsigned RejectionStatus() const { return m_rejection_status; }
   // Reads the next part of the body into `chunk`; empty at its end.
--- a/src/coordination/judge.cc
+++ b/src/coordination/judge.cc
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 
 #include "kumquatmoor/state/batch.h"
 #include "kumquatmoor/state/routes.h"
@@ -53,10 +54,14 @@
 // Part of the rising versions' slots that a stage may fill.
 constexpr double kSlotsToFill = 0.9;
 
-uint32_t StepsLeft(uint32_t stage) {
-  const auto* next =
-      std::upper_bound(std::begin(kStages), std::end(kStages), stage);
-  return static_cast<uint32_t>(std::distance(next, std::end(kStages)));
+// The part of the time left that `stage` may take.
+double PartOfTimeLeft(uint32_t stage, const StageTimes& times) {
+  const auto index = static_cast<size_t>(std::distance(
+      std::begin(kStages),
+      std::lower_bound(std::begin(kStages), std::end(kStages), stage)));
+  if (index == 0 || index > times.size()) return 1;
+  const double* own = times.data() + index - 1;
+  return *own / std::accumulate(own, times.data() + times.size(), 0.0);
 }
 
 }  // namespace
@@ -353,7 +358,7 @@
   const auto left = static_cast<double>(
       std::max<int64_t>(0, left_ms - m_options.settle.count()));
   const milliseconds planned(static_cast<int64_t>(
-      left * m_options.planned_part / std::max(1U, StepsLeft(m_stage))));
+      left * m_options.planned_part * PartOfTimeLeft(m_stage, m_options.stage_times)));
   return std::clamp(planned, m_options.shortest_dwell, m_options.longest_dwell);
 }
 
--- a/src/node/mover.cc
+++ b/src/node/mover.cc
@@ -306,11 +306,11 @@
   Judged& judged = m_judged[config.service()];
   if (judged.judge != nullptr) return *judged.judge;
   judged.move_revision = config.move_revision();
-  judged.judge = std::make_unique<MoveJudge>(
-      config,
-      JudgeOptions{.zone = m_options.zone,
-                   .deadline = DeadlineOf(config, time.now)},
-      time);
+  JudgeOptions options{.zone = m_options.zone,
+                       .deadline = DeadlineOf(config, time.now)};
+  if (options.deadline) options.stage_times = kShortMoveStageTimes;
+  judged.judge =
+      std::make_unique<MoveJudge>(config, std::move(options), time);
   for (const auto& [key, received] : m_received[config.service()]) {
     const auto& [version, reporter] = key;
     if (received.evidence.move_revision() != config.move_revision()) continue;
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -93,6 +93,12 @@
 
 }  // namespace
 
+// A caller's connection; idle between two requests.
+struct Proxy::CallerConnection {
+  beast::tcp_stream stream;
+  bool idle = true;
+};
+
 // The tries of a call so far, and the last one's end.
 struct Proxy::Attempt {
   Call call;  // With the version that was chosen.
@@ -206,6 +212,7 @@
   timer.expires_after(m_options.caller_grace);
   co_await timer.async_wait(asio::use_awaitable);
   m_caller_server.StopAccepting();
+  CloseIdleCallers();
   while (m_runner->GetAdmission().TotalInFlight() > 0 ||
          m_calls_in_progress > 0) {
     timer.expires_after(kDrainPollInterval);
@@ -215,6 +222,16 @@
   drained();
 }
 
+// A request that has already arrived is still read and served.
+void Proxy::CloseIdleCallers() {
+  for (CallerConnection* caller : m_callers) {
+    if (!caller->idle) continue;
+    boost::system::error_code error;
+    if (caller->stream.socket().available(error) > 0 && !error) continue;
+    caller->stream.close();
+  }
+}
+
 asio::awaitable<void> Proxy::CloseOldConnections() {
   asio::steady_timer timer(m_context);
   while (true) {
@@ -226,12 +243,18 @@
 }
 
 asio::awaitable<void> Proxy::CallerSession(asio::ip::tcp::socket socket) {
-  beast::tcp_stream stream(std::move(socket));
+  CallerConnection caller{.stream = beast::tcp_stream(std::move(socket))};
+  const auto forget = [this](CallerConnection* gone) { m_callers.erase(gone); };
+  const std::unique_ptr<CallerConnection, decltype(forget)> known(&caller,
+                                                                  forget);
+  m_callers.insert(&caller);
   beast::flat_buffer buffer;
   bool keep = true;
   while (keep) {
-    Inbound inbound(stream, buffer, m_bounds);
-    const ReadOutcome read = co_await inbound.ReadHead();
+    Inbound inbound(caller.stream, buffer, m_bounds);
+    caller.idle = true;
+    const ReadOutcome read =
+        co_await inbound.ReadHead([&caller] { caller.idle = false; });
     if (read == ReadOutcome::kClosed) break;
     if (read == ReadOutcome::kRejected) {
       co_await Reject(inbound, inbound.RejectionStatus(),
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -309,12 +309,14 @@
   return ReadOutcome::kRejected;
 }
 
-asio::awaitable<ReadOutcome> Inbound::ReadHead() {
+asio::awaitable<ReadOutcome> Inbound::ReadHead(
+    std::function<void()> on_begin) {
   Error error = co_await AwaitFirstByte();
   if (error == asio::error::eof || error == beast::error::timeout) {
     co_return ReadOutcome::kClosed;
   }
   if (error) throw boost::system::system_error(error);
+  if (on_begin) on_begin();
   m_stream.expires_after(m_bounds.header_timeout);
   co_await http::async_read_header(m_stream, m_buffer, m_parser, Into(error));
   if (error) co_return Reject(error);
