Drain: answer whoever still waits before the process ends; end without waiting

Waiting requests at a leaving target are refused at once, calls taken during a drain have its end as deadline, and those left are answered. proxy_test covers both, and what becomes of flawed answers.

--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -139,6 +139,7 @@
   AdmissionAnswer Describe(const Entry& entry, const std::string& route,
                            TimePoint now) const;
   bool HasRoom(const AdmissionRequest& request, const Entry& entry) const;
+  std::string_view ReasonToEnd(const Entry& entry) const;
   std::string_view ReasonToRefuse(const AdmissionRequest& request, Entry* entry,
                                   TimePoint now);
   void Remember(const std::string& request_id);
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -57,6 +57,9 @@
   // Time for which callers are served after the start of a drain, until they
   // have moved to other nodes.
   std::chrono::milliseconds caller_grace{1'500};
+  // Time after the start of a drain at which whoever still waits is answered
+  // that the outcome is not known.
+  std::chrono::milliseconds drain_timeout{10'000};
   uint64_t seed = 1;
 };
 
@@ -78,7 +81,8 @@
   void CloseVersion(std::string service, std::string version,
                     std::function<void()> closed);
   // Refuses new work for the local backend servers; `drained` is called once
-  // none of their requests, and no request of a caller, is left.
+  // none of their requests, and no request of a caller, is left, or was cut
+  // off by the drain timeout.
   void StartDrain(std::function<void()> drained);
   // Calls `take` with the metrics as they are.
   void Snapshot(std::function<void(const CallMetrics&)> take);
@@ -137,9 +141,15 @@
   std::map<std::string, RetryBudget> m_retry_budgets;  // By service.
   size_t m_live_nodes = 1;
   std::mt19937_64 m_rng;
-  std::set<CallerConnection*> m_callers;
+  // Shared with the sessions, whose frames may outlive the proxy.
+  using CallerConnections = std::set<CallerConnection*>;
+  std::shared_ptr<CallerConnections> m_callers =
+      std::make_shared<CallerConnections>();
   uint32_t m_calls_in_progress = 0;
+  // To other nodes.
+  std::shared_ptr<ActiveStreams> m_active = std::make_shared<ActiveStreams>();
   bool m_draining = false;
+  TimePoint m_drain_end = TimePoint::max();
 };
 
 }  // namespace kumquatmoor
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -26,6 +26,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -116,6 +117,9 @@
   std::shared_ptr<State> m_state;
 };
 
+// Connections on which a request is on its way; closing one ends the request.
+using ActiveStreams = std::set<boost::beast::tcp_stream*>;
+
 struct ForwardOptions {
   std::string address;  // "IP:PORT" of the node or the backend server.
   std::string zone;     // Of the node, for injected faults.
@@ -126,6 +130,7 @@
   std::chrono::milliseconds max_idle_age{5'000};
   const FaultPlan* faults = nullptr;
   const CallHeaders* headers = nullptr;  // Those of the deployment.
+  std::shared_ptr<ActiveStreams> active;  // Lists the connection meanwhile.
   bool to_backend = false;  // Checks what only backend servers send.
 };
 
--- a/programs/kumquatmoord.cc
+++ b/programs/kumquatmoord.cc
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <variant>
@@ -124,5 +125,6 @@
   }
   node.WaitForSignal();
   spdlog::shutdown();
-  return 0;
+  // A thread may wait for the platform for seconds, and nothing is left to do.
+  std::_Exit(0);
 }
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -63,11 +63,19 @@
   }
 }
 
+// Why the backend server gets no new requests at all, waiting ones included.
+std::string_view Admission::ReasonToEnd(const Entry& entry) const {
+  if (m_draining || entry.backend.draining) return kDraining;
+  if (!entry.announced) return kNotHere;
+  if (entry.recalled) return kRecalled;
+  if (entry.closed) return kClosed;
+  return {};
+}
+
 std::string_view Admission::ReasonToRefuse(const AdmissionRequest& request,
                                            Entry* entry, TimePoint now) {
-  if (m_draining || entry->backend.draining) return kDraining;
-  if (entry->recalled) return kRecalled;
-  if (entry->closed) return kClosed;
+  const std::string_view ended = ReasonToEnd(*entry);
+  if (!ended.empty()) return ended;
   if (!request.idempotent && m_seen.count(request.request_id) > 0) {
     return kDuplicate;
   }
@@ -176,17 +184,16 @@
     decisions.push_back(std::move(decision));
   };
   for (auto& [key, entry] : m_entries) {
+    const std::string_view ended = ReasonToEnd(entry);
+    while (!ended.empty() && !entry.waiting.empty()) {
+      const uint64_t ticket = entry.waiting.begin()->first;
+      entry.queue.Remove(ticket);
+      refuse(entry, ticket, ended);
+    }
     for (uint64_t ticket : entry.queue.TakeHopeless(now)) {
       refuse(entry, ticket, kTooLate);
     }
-    const bool ended = !entry.announced || entry.recalled;
     while (auto ticket = entry.queue.TakeNext(now)) {
-      if (ended) {
-        const std::string route = entry.waiting.at(*ticket).route;
-        entry.queue.OnRunEnded(entry.run_times.Expected(route));
-        refuse(entry, *ticket, entry.recalled ? kRecalled : kNotHere);
-        continue;
-      }
       const auto waiting = entry.waiting.extract(*ticket);
       const std::string& route = waiting.mapped().route;
       WaitDecision decision{.ticket = *ticket,
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -51,6 +51,11 @@
   }
 }
 
+void LocalRunner::CutOff() {
+  for (auto& [ticket, waiter] : m_waiters) waiter->timer.cancel();
+  for (auto* stream : *m_active) stream->close();
+}
+
 asio::awaitable<void> LocalRunner::AwaitSlot(Inbound& inbound, const Call& call,
                                              LocalRun& run) {
   const uint64_t ticket = run.admission.ticket;
@@ -121,6 +126,7 @@
   options.max_idle_age = call.idempotent ? kAnyIdle : kFreshIdle;
   options.headers = &m_headers;
   options.to_backend = true;
+  options.active = m_active;
   run.result = co_await Forward(m_pool, inbound, options);
   if (!run.result.answered) co_return;
   run.result.head.set(headers::kVerdict, VerdictName(run.result.verdict));
--- a/src/node/local_runner.h
+++ b/src/node/local_runner.h
@@ -58,6 +58,9 @@
   // Starts waiting requests that got a slot, refuses those that are too late.
   void WakeWaiting();
 
+  // Gives up every request that waits or runs.
+  void CutOff();
+
   Admission& GetAdmission() { return m_admission; }
   UpstreamPool& Pool() { return m_pool; }
 
@@ -82,6 +85,7 @@
   BoundedRing<Outcome>* m_outcomes;
   CallMetrics* m_metrics;
   std::map<uint64_t, std::shared_ptr<Waiter>> m_waiters;  // By ticket.
+  std::shared_ptr<ActiveStreams> m_active = std::make_shared<ActiveStreams>();
 };
 
 }  // namespace kumquatmoor
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -23,6 +23,9 @@
 // Time in which the last datagrams of a leaving node go out.
 constexpr std::chrono::milliseconds kLeaveTime{100};
 
+// In which a drain that reached its timeout answers those it cuts off.
+constexpr std::chrono::milliseconds kCutOffTime{200};
+
 int64_t UnixMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -49,6 +52,7 @@
           .retry_budget = {.ratio = settings.retry_ratio,
                            .reserve = settings.retry_reserve},
           .caller_grace = settings.caller_grace,
+          .drain_timeout = settings.drain_timeout,
           .seed = RandomSeed()};
 }
 
@@ -146,9 +150,8 @@
   signals.async_wait(
       [&](boost::system::error_code, int) { reload.cancel(); });
   context.run();
-  spdlog::info("node: draining");
+  spdlog::info("node: event=draining");
   Drain();
-  Stop();
 }
 
 // First the mesh hears that the local targets are leaving, then requests in
@@ -158,13 +161,14 @@
   auto drained = std::make_shared<std::promise<void>>();
   auto done = drained->get_future();
   m_proxy.StartDrain([drained] { drained->set_value(); });
-  if (done.wait_for(m_settings.drain_timeout) != std::future_status::ready) {
+  if (done.wait_for(m_settings.drain_timeout + kCutOffTime) !=
+      std::future_status::ready) {
     spdlog::warn("node: requests are still in flight after {} ms",
                  m_settings.drain_timeout.count());
   }
   m_loop.Post([](ControlLoop& loop) { loop.Leave(); });
   std::this_thread::sleep_for(kLeaveTime);
-  spdlog::info("node: drained");
+  spdlog::info("node: event=drained");
 }
 
 void Node::Stop() {
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -36,6 +36,8 @@
 constexpr milliseconds kFreshIdle{500};
 constexpr milliseconds kAnyIdle{5'000};
 constexpr milliseconds kDrainPollInterval{20};
+// For the answers to those that a drain cuts off.
+constexpr milliseconds kCutOffAnswerTime{50};
 constexpr std::chrono::seconds kCloseOldInterval{2};
 // Nodes that refuse a call before it is given up: each refusal costs a round
 // trip, and the load reports of three nodes tell what others would say.
@@ -197,7 +199,9 @@
 void Proxy::StartDrain(std::function<void()> drained) {
   asio::post(m_context, [this, drained = std::move(drained)]() mutable {
     m_draining = true;
+    m_drain_end = Clock::now() + m_options.drain_timeout;
     m_runner->GetAdmission().StartDrain();
+    m_runner->WakeWaiting();
     asio::co_spawn(m_context, WaitUntilDrained(std::move(drained)),
                    asio::detached);
   });
@@ -213,18 +217,30 @@
   co_await timer.async_wait(asio::use_awaitable);
   m_caller_server.StopAccepting();
   CloseIdleCallers();
-  while (m_runner->GetAdmission().TotalInFlight() > 0 ||
-         m_calls_in_progress > 0) {
+  const auto busy = [this] {
+    return m_runner->GetAdmission().TotalInFlight() > 0 ||
+           m_calls_in_progress > 0;
+  };
+  while (busy() && Clock::now() < m_drain_end) {
     timer.expires_after(kDrainPollInterval);
     co_await timer.async_wait(asio::use_awaitable);
   }
+  if (busy()) {
+    spdlog::warn("node: event=cut_off callers={} local_requests={}",
+                 m_calls_in_progress,
+                 m_runner->GetAdmission().TotalInFlight());
+    m_runner->CutOff();
+    for (auto* stream : *m_active) stream->close();
+    timer.expires_after(kCutOffAnswerTime);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
   m_data_server.StopAccepting();
   drained();
 }
 
 // A request that has already arrived is still read and served.
 void Proxy::CloseIdleCallers() {
-  for (CallerConnection* caller : m_callers) {
+  for (CallerConnection* caller : *m_callers) {
     if (!caller->idle) continue;
     boost::system::error_code error;
     if (caller->stream.socket().available(error) > 0 && !error) continue;
@@ -244,10 +260,12 @@
 
 asio::awaitable<void> Proxy::CallerSession(asio::ip::tcp::socket socket) {
   CallerConnection caller{.stream = beast::tcp_stream(std::move(socket))};
-  const auto forget = [this](CallerConnection* gone) { m_callers.erase(gone); };
+  const auto forget = [callers = m_callers](CallerConnection* gone) {
+    callers->erase(gone);
+  };
   const std::unique_ptr<CallerConnection, decltype(forget)> known(&caller,
                                                                   forget);
-  m_callers.insert(&caller);
+  m_callers->insert(&caller);
   beast::flat_buffer buffer;
   bool keep = true;
   while (keep) {
@@ -386,7 +404,9 @@
 
 asio::awaitable<bool> Proxy::ServeCaller(Inbound& inbound) {
   Call call;
-  if (auto rejection = ReadCallerCall(inbound, &call)) {
+  auto rejection = ReadCallerCall(inbound, &call);
+  call.deadline = std::min(call.deadline, m_drain_end);
+  if (rejection) {
     co_await Reject(inbound, rejection->status, std::move(rejection->reason));
     co_return inbound.KeepAlive() && inbound.IsWhole() && !m_draining;
   }
@@ -493,6 +513,7 @@
   options.max_idle_age = call.idempotent ? kAnyIdle : kFreshIdle;
   options.faults = m_faults;
   options.headers = &m_options.headers;
+  options.active = m_active;
   attempt.result = co_await Forward(m_pool, inbound, options);
   if (attempt.result.verdict == Verdict::kNotRun) ++attempt.refusals;
   if (!attempt.result.answered) co_return;
--- /dev/null
+++ b/src/node/proxy_test.cc
@@ -0,0 +1,319 @@
+// A proxy between a caller and a scripted backend server, over loopback.
+
+#include "kumquatmoor/node/proxy.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+#include <optional>
+#include <thread>
+
+#include "node/local_runner.h"
+
+namespace kumquatmoor {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr char kCaller[] = "127.0.0.1:17210";
+constexpr char kData[] = "127.0.0.1:17211";
+constexpr char kBackend[] = "127.0.0.1:17212";
+
+CallHeaders TestHeaders() {
+  return {.request_id = "Id",
+          .deadline_ms = "Left",
+          .expected_instance = "Expect",
+          .caller_service = "From",
+          .not_run = "Not-Run",
+          .signature = "Signed"};
+}
+
+struct Reply {
+  std::string bytes;
+  milliseconds delay{0};
+};
+
+std::string Bytes(const std::string& status, const std::string& headers,
+                  const std::string& body) {
+  return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string Signed(const std::string& id, const std::string& body) {
+  return Bytes("200 OK", "Id: " + id + "\r\nSigned: yes\r\n", body);
+}
+
+class ProxyFixture {
+ public:
+  // What the backend server does with a request, on the proxy's thread.
+  std::function<Reply(const RequestHead&)> script = [](const RequestHead& head) {
+    return Reply{.bytes = Signed(std::string(head["Id"]), "ok")};
+  };
+  std::vector<RequestHead> seen;  // Read only while no request is under way.
+
+  ~ProxyFixture() {
+    m_context.stop();
+    if (m_thread.joinable()) m_thread.join();
+  }
+
+  void Start(ProxyOptions options = {}, bool configured = true) {
+    options.id = "n1";
+    options.zone = "z";
+    options.caller_address = kCaller;
+    options.data_address = kData;
+    options.service = "own";
+    options.headers = TestHeaders();
+    options.admission.waiting_per_slot = 4;
+    m_proxy.emplace(m_context, options, nullptr, &m_outcomes);
+    REQUIRE_FALSE(m_proxy->Start());
+    m_server.emplace(
+        m_context, HttpServerOptions{.address = kBackend},
+        [this](tcp::socket socket) { return Serve(std::move(socket)); });
+    REQUIRE_FALSE(m_server->Start());
+    m_thread = std::thread([this] {
+      const auto work = asio::make_work_guard(m_context);
+      m_context.run();
+    });
+    m_proxy->SetBackends({{.service = "s",
+                           .version = "v1",
+                           .instance = "i-1",
+                           .address = kBackend,
+                           .slots = 1}});
+    if (configured) m_proxy->SetRoutes(Routes());
+  }
+
+  static std::shared_ptr<const RouteTable> Routes() {
+    Batch batch;
+    batch.set_revision(1);
+    ServiceConfig* service = batch.add_services();
+    service->set_service("s");
+    Row* row = service->add_rows();
+    row->set_version("*");
+    row->set_weight(100);
+    row->set_from_weight(100);
+    for (const bool idempotent : {true, false}) {
+      HttpRoute* route = batch.add_routes();
+      route->set_name(idempotent ? "read" : "write");
+      route->set_host("h");
+      route->set_prefix(idempotent ? "/read/" : "/write/");
+      route->set_kind(idempotent ? IDEMPOTENT : NON_IDEMPOTENT);
+      route->set_max_attempts(2);
+      WeightedService* part = route->add_parts();
+      part->set_service("s");
+      part->set_weight(1);
+    }
+    MemberRecord member;
+    member.set_id("n1");
+    member.set_zone("z");
+    member.set_data_address(kData);
+    Endpoint* endpoint = member.add_endpoints();
+    endpoint->set_service("s");
+    endpoint->set_version("v1");
+    endpoint->set_slots(1);
+    return BuildRoutes(batch, {}, std::vector<MemberRecord>{member}, "z");
+  }
+
+  Proxy& GetProxy() { return *m_proxy; }
+
+ private:
+  asio::awaitable<void> Serve(tcp::socket socket) {
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    while (true) {
+      http::request<http::string_body> request;
+      co_await http::async_read(stream, buffer, request, asio::use_awaitable);
+      seen.push_back(request.base());
+      const Reply reply = script(request.base());
+      asio::steady_timer timer(m_context);
+      timer.expires_after(reply.delay);
+      co_await timer.async_wait(asio::use_awaitable);
+      co_await asio::async_write(stream, asio::buffer(reply.bytes),
+                                 asio::use_awaitable);
+    }
+  }
+
+  asio::io_context m_context{1};
+  BoundedRing<Outcome> m_outcomes{1'024};
+  std::optional<Proxy> m_proxy;
+  std::optional<HttpServer> m_server;
+  std::thread m_thread;
+};
+
+using Response = http::response<http::string_body>;
+
+// A caller's connection that stays open.
+class CallerClient {
+ public:
+  CallerClient() : m_stream(m_context) {
+    m_stream.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 17210));
+  }
+
+  // The answer, or nothing if the connection ended before any byte of it.
+  std::optional<Response> Call(const std::string& target,
+                               const std::string& id = "r1",
+                               const std::string& host = "h") {
+    http::request<http::string_body> request(http::verb::get, target, 11);
+    request.set(http::field::host, host);
+    request.set("From", "forged");
+    request.set("Left", "1000");
+    if (!id.empty()) request.set("Id", id);
+    beast::error_code error;
+    http::write(m_stream, request, error);
+    if (error) return std::nullopt;
+    Response response;
+    http::read(m_stream, m_buffer, response, error);
+    if (error == http::error::end_of_stream ||
+        error == asio::error::connection_reset) {
+      return std::nullopt;
+    }
+    REQUIRE_FALSE(error);
+    return response;
+  }
+
+ private:
+  asio::io_context m_context;
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+};
+
+TEST_CASE_METHOD(ProxyFixture, "A request reaches the backend server as it is") {
+  Start();
+  const auto response = CallerClient().Call("/read/7?x=1");
+  REQUIRE(response);
+  CHECK(response->result_int() == 200);
+  CHECK((*response)["Signed"] == "yes");
+  CHECK(response->body() == "ok");
+  REQUIRE(seen.size() == 1);
+  CHECK(seen[0].target() == "/read/7?x=1");
+  CHECK(seen[0]["Host"] == "h");
+  CHECK(seen[0]["Id"] == "r1");
+  CHECK(seen[0]["Expect"] == "i-1");
+  CHECK(seen[0]["From"] == "own");
+  CHECK(seen[0].count("From") == 1);
+  CHECK(std::stoi(std::string(seen[0]["Left"])) <= 1'000);
+}
+
+TEST_CASE_METHOD(ProxyFixture, "Requests that no route or no id allow") {
+  Start();
+  CallerClient caller;
+  CHECK(caller.Call("/other/")->result_int() == 404);
+  CHECK(caller.Call("/read/", "r1", "elsewhere")->result_int() == 404);
+  CHECK(caller.Call("/read/", "")->result_int() == 400);
+  CHECK(seen.empty());
+}
+
+TEST_CASE_METHOD(ProxyFixture, "A node without a configuration refuses") {
+  Start({}, false);
+  const auto response = CallerClient().Call("/read/");
+  CHECK(response->result_int() == 503);
+  CHECK(response->count("Retry-After") == 1);
+}
+
+TEST_CASE_METHOD(ProxyFixture, "Answers are passed on, replaced or retried") {
+  struct Case {
+    const char* name;
+    const char* target;
+    std::string first;  // The backend server's answer to the first request.
+    unsigned status;
+    size_t runs;
+  };
+  const std::string id = "Id: r1\r\n";
+  const std::string full = Bytes("503 Full", id + "Not-Run: 1\r\n", "");
+  const std::string late_extra =
+      Signed("r0", "other") + Signed("r1", "ok");
+  const Case cases[] = {
+      {"an error of a read when no other target is left", "/read/",
+       Bytes("500 No", id + "Signed: yes\r\n", ""), 500, 1},
+      {"an error of a write is passed on", "/write/",
+       Bytes("500 No", id + "Signed: yes\r\n", ""), 500, 1},
+      {"a success without a signature", "/write/", Bytes("200 OK", id, "x"),
+       502, 1},
+      {"an answer to another request", "/write/", Signed("r9", "x"), 504, 1},
+      {"an answer to an earlier request comes first", "/write/", late_extra,
+       200, 1},
+      {"a truncated answer", "/write/",
+       "HTTP/1.1 200 OK\r\nSigned: y\r\nContent-Length: 9\r\n\r\nx", 504, 1},
+      {"a refusal promises that nothing ran", "/write/", full, 503, 1},
+      {"a refusal without the promise may have run", "/write/",
+       Bytes("503 Broken", id + "Signed: yes\r\n", ""), 502, 1},
+      {"another instance has the address", "/write/",
+       Bytes("421 Other", id, ""), 503, 1},
+      {"bytes that are no answer", "/write/", "nonsense\r\n\r\n", 502, 1},
+  };
+  Start();
+  int next_id = 100;
+  for (const auto& c : cases) {
+    INFO(c.name);
+    seen.clear();
+    // Each case has an id of its own, as a write's id is refused twice.
+    const std::string own_id = "r" + std::to_string(next_id++);
+    std::string bytes = c.first;
+    const size_t at = bytes.find("r1");
+    if (at != std::string::npos) bytes.replace(at, 2, own_id);
+    script = [bytes](const RequestHead&) { return Reply{.bytes = bytes}; };
+    const auto response = CallerClient().Call(c.target, own_id);
+    REQUIRE(response);
+    CHECK(response->result_int() == c.status);
+    CHECK(seen.size() == c.runs);
+    if (c.status == 503) CHECK(response->count("Retry-After") == 1);
+    if (c.status == 502 || c.status == 504) {
+      CHECK(response->count("Signed") == 0);
+    }
+  }
+}
+
+TEST_CASE_METHOD(ProxyFixture, "No caller is cut off by a drain") {
+  Start({.caller_grace = milliseconds(200),
+         .drain_timeout = milliseconds(1'000)});
+  CallerClient caller;
+  REQUIRE(caller.Call("/read/"));
+  std::promise<void> drained;
+  GetProxy().StartDrain([&] { drained.set_value(); });
+  // Connections are kept until the proxy closes them.
+  const auto draining = caller.Call("/read/");
+  REQUIRE(draining);
+  CHECK_FALSE(draining->keep_alive());
+  // An idle one is closed in time, and nobody waits for the timeout.
+  CallerClient idle;
+  const auto done = drained.get_future();
+  CHECK(done.wait_for(milliseconds(600)) == std::future_status::ready);
+  CHECK_FALSE(idle.Call("/read/"));
+}
+
+TEST_CASE_METHOD(ProxyFixture, "A drain that takes too long answers everyone") {
+  script = [](const RequestHead&) {
+    return Reply{.bytes = Signed("r1", "ok"), .delay = milliseconds(900)};
+  };
+  Start({.caller_grace = milliseconds(50),
+         .drain_timeout = milliseconds(300)});
+  auto running = std::async(std::launch::async, [] {
+    return CallerClient().Call("/write/", "r1");
+  });
+  std::this_thread::sleep_for(milliseconds(50));
+  auto waiting = std::async(std::launch::async, [] {
+    return CallerClient().Call("/write/", "r2");
+  });
+  std::this_thread::sleep_for(milliseconds(50));
+  std::promise<void> drained;
+  GetProxy().StartDrain([&] { drained.set_value(); });
+  REQUIRE(drained.get_future().wait_for(milliseconds(600)) ==
+          std::future_status::ready);
+  const auto first = running.get();
+  REQUIRE(first);
+  CHECK(first->result_int() == 502);
+  const auto second = waiting.get();
+  REQUIRE(second);
+  CHECK(second->result_int() == 503);
+}
+
+}  // namespace
+}  // namespace kumquatmoor
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -363,6 +363,24 @@
 
 namespace {
 
+// Lists a connection for as long as it lives.
+class ActiveStream {
+ public:
+  ActiveStream(beast::tcp_stream* stream, std::shared_ptr<ActiveStreams> list)
+      : m_stream(stream), m_list(std::move(list)) {
+    if (m_list != nullptr) m_list->insert(m_stream);
+  }
+  ActiveStream(const ActiveStream&) = delete;
+  ActiveStream& operator=(const ActiveStream&) = delete;
+  ~ActiveStream() {
+    if (m_list != nullptr) m_list->erase(m_stream);
+  }
+
+ private:
+  beast::tcp_stream* m_stream;
+  std::shared_ptr<ActiveStreams> m_list;
+};
+
 // Reads answers until one belongs to the request. A late answer to an earlier
 // request may come first on a connection that was used before.
 asio::awaitable<Error> ReadOwnAnswer(ForwardResult& result,
@@ -404,6 +422,7 @@
     }
   }
   auto& stream = result.connection->stream;
+  const ActiveStream active(&stream, options.active);
   const auto close_upstream = [&stream] { stream.close(); };
   std::unique_ptr<CallerWatch> watch;
   if (inbound.IsWhole()) {
