--- a/include/kumquatmoor/state/picker.h
+++ b/include/kumquatmoor/state/picker.h
@@ -16,6 +16,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -37,6 +38,20 @@
   // A target that refused since it was full or at a limit gets no requests for
   // so long, as long as others are left. Its own reports may lag or lie.
   std::chrono::milliseconds full_rest{20};
+  // First and longest time for which a target that could not be reached is
+  // left out; the time doubles with each failure in a row.
+  std::chrono::milliseconds first_unreachable{500};
+  std::chrono::milliseconds longest_unreachable{4'000};
+  // Weight of the latest request in the moving averages of failures and
+  // latency: about the last ten requests.
+  double average_weight = 0.1;
+  // Without requests the failure rate is halved in this time, so that a target
+  // that was avoided is tried again.
+  std::chrono::milliseconds failure_half_life{2'000};
+  // A target is sick if its failure rate is above the first limit and this many
+  // times that of the others, so that a fault of all is nobody's.
+  double sick_rate = 0.25;
+  double sick_ratio = 2.5;
   // A load report older than this is not used.
   std::chrono::milliseconds report_lifetime{1'000};
 };
@@ -47,8 +62,12 @@
   explicit TargetLoads(TargetLoadOptions options = {}) : m_options(options) {}
 
   void OnSent(const std::string& member_id, TimePoint now);
-  // `failed`: the target did not do its work, for whatever reason.
-  void OnDone(const std::string& member_id, bool failed, TimePoint now);
+  // `failed`: the target did not do its work, for whatever reason. `latency`
+  // only for requests that ran.
+  void OnDone(const std::string& member_id, bool failed, TimePoint now,
+              std::optional<std::chrono::milliseconds> latency = {});
+  // No connection to the target's node came about.
+  void OnUnreachable(const std::string& member_id, TimePoint now);
   // The target refuses requests for now, such as while it drains.
   void OnRefused(const std::string& member_id, TimePoint now);
   // The target refused a request since its slots or a limit were taken up.
@@ -58,6 +77,14 @@
                 TimePoint now);
 
   bool IsEjected(const std::string& member_id, TimePoint now) const;
+  bool IsUnreachable(const std::string& member_id, TimePoint now) const;
+  // Moving average of failures, 0 to 1.
+  double FailureRate(const std::string& member_id, TimePoint now) const;
+  // True if requests fail far more often than those of the others do.
+  bool IsSick(const std::string& member_id, double rate_of_others,
+              TimePoint now) const;
+  // Moving average of latency, 0 if it is not known.
+  double LatencyMs(const std::string& member_id) const;
   // True for a moment after OnFull.
   bool IsFull(const std::string& member_id, TimePoint now) const;
   // Requests in flight per slot; above 1 the target is full.
@@ -73,6 +100,11 @@
     uint32_t ejections_in_a_row = 0;
     TimePoint ejected_until;
     TimePoint full_until;
+    uint32_t unreachable_in_a_row = 0;
+    TimePoint unreachable_until;
+    double failure_rate = 0;
+    TimePoint rated_at;
+    double latency_ms = 0;
   };
 
   TargetLoadOptions m_options;
@@ -91,8 +123,8 @@
   std::string_view reason;  // Why this target, or why none.
 };
 
-// The target for a request. At most half of a version's targets are passed
-// over because they are ejected.
+// The target for a request. Those that cannot be reached are passed over; of
+// the others at most half, because they are ejected or sick.
 Pick PickTarget(const ServiceRoutes& service, const PickOptions& options,
                 const TargetLoads& loads, TimePoint now, std::mt19937_64& rng);
 
--- a/include/kumquatmoor/state/slot_queue.h
+++ b/include/kumquatmoor/state/slot_queue.h
@@ -12,9 +12,11 @@
 //   while (auto id = queue.TakeNext(now)) Start(*id);
 //   for (uint64_t id : queue.TakeHopeless(now)) Refuse(id);
 //
-// Bounded queue with admission control by estimated wait, and earliest deadline
-// first (EDF) within a priority, by the latest start that meets the latency
-// objective. What can still meet its objective goes before what cannot: under
+// Bounded queue with admission control by estimated wait. Within a priority the
+// shortest job goes first (SJF, by powers of 2 of the expected run time): calls
+// that running backend servers make of each other are short and hold slots
+// elsewhere meanwhile. Equally long ones go earliest deadline first (EDF), by
+// the latest start that meets the latency objective. What can still meet its objective goes before what cannot: under
 // overload plain EDF would serve each request just too late. Late requests only
 // fill slots that would stay free, so no more than a slot's worth of them wait;
 // the others are refused at once, with the time after which there should be
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -106,6 +106,7 @@
   Call call;  // With the version that was chosen.
   ForwardResult result;
   std::optional<LocalRun> local;
+  TimePoint started;     // Of this try.
   bool leaving = false;  // The target refuses for longer than a moment.
   int64_t offers = 0;    // Backend servers that were handed the call.
   int refusals = 0;
@@ -489,7 +490,8 @@
 asio::awaitable<void> Proxy::TryTarget(Inbound& inbound, const Pick& pick,
                                        Attempt& attempt) {
   const Call& call = attempt.call;
-  m_loads.OnSent(pick.target->member_id, Clock::now());
+  attempt.started = Clock::now();
+  m_loads.OnSent(pick.target->member_id, attempt.started);
   if (pick.target->member_id == m_options.id) {
     attempt.local.emplace();
     LocalRun& run = *attempt.local;
@@ -537,10 +539,17 @@
   const unsigned status = result.answered ? result.head.result_int() : 0;
   const bool refused = result.answered && result.verdict == Verdict::kNotRun;
   const bool failed = !result.answered || (status >= 500 && !refused);
-  m_loads.OnDone(target, failed && !result.caller_gone, now);
+  const bool ran = result.answered && result.verdict == Verdict::kRan;
+  std::optional<milliseconds> latency;
+  if (ran) {
+    latency = std::chrono::duration_cast<milliseconds>(now - attempt.started);
+  }
+  m_loads.OnDone(target, failed && !result.caller_gone, now, latency);
   const bool unreachable =
-      !result.answered && result.verdict == Verdict::kNotRun;
-  if (attempt.leaving || (unreachable && !attempt.local)) {
+      !result.answered && result.verdict == Verdict::kNotRun && !attempt.local;
+  if (unreachable && !result.caller_gone) {
+    m_loads.OnUnreachable(target, now);
+  } else if (attempt.leaving) {
     m_loads.OnRefused(target, now);
   } else if (result.verdict == Verdict::kNotRun) {
     m_loads.OnFull(target, now);
--- a/src/state/picker.cc
+++ b/src/state/picker.cc
@@ -7,6 +7,7 @@
 #include "kumquatmoor/state/picker.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace kumquatmoor {
@@ -29,13 +30,38 @@
   return untried;
 }
 
-// Leaves out ejected targets unless that would leave out more than half.
+// Leaves out targets that cannot be reached, unless that leaves none.
+Candidates ReachableTargets(const Candidates& targets, const TargetLoads& loads,
+                            TimePoint now) {
+  Candidates reachable;
+  std::copy_if(targets.begin(), targets.end(), std::back_inserter(reachable),
+               [&](const Target* target) {
+                 return !loads.IsUnreachable(target->member_id, now);
+               });
+  return reachable.empty() ? targets : reachable;
+}
+
+// Mean failure rate of all targets but one.
+double RateOfOthers(const Candidates& targets, const Target* excluded,
+                    const TargetLoads& loads, TimePoint now) {
+  if (targets.size() < 2) return 1;
+  double sum = 0;
+  for (const auto* target : targets) {
+    if (target != excluded) sum += loads.FailureRate(target->member_id, now);
+  }
+  return sum / static_cast<double>(targets.size() - 1);
+}
+
+// Leaves out ejected and sick targets unless that would leave out more than half.
 Candidates HealthyTargets(const Candidates& targets, const TargetLoads& loads,
                           TimePoint now) {
   Candidates healthy;
   std::copy_if(targets.begin(), targets.end(), std::back_inserter(healthy),
                [&](const Target* target) {
-                 return !loads.IsEjected(target->member_id, now);
+                 if (loads.IsEjected(target->member_id, now)) return false;
+                 return !loads.IsSick(
+                     target->member_id,
+                     RateOfOthers(targets, target, loads, now), now);
                });
   return healthy.size() * 2 >= targets.size() ? healthy : targets;
 }
@@ -51,6 +77,14 @@
   return room.empty() ? targets : room;
 }
 
+// What one more request costs: the load that it finds, times the latency of the
+// target's requests, since targets of one service differ in speed (peak EWMA).
+// Without a latency the target counts as fast, so that it gets one.
+double CostOf(const Target& target, const TargetLoads& loads, TimePoint now) {
+  const double load = loads.LoadOf(target, now) + 1.0 / target.slots;
+  return load * std::max(1.0, loads.LatencyMs(target.member_id));
+}
+
 const Target* LessLoadedOfTwo(const Candidates& targets,
                               const TargetLoads& loads, TimePoint now,
                               std::mt19937_64& rng) {
@@ -58,8 +92,8 @@
   std::uniform_int_distribution<size_t> draw(0, targets.size() - 1);
   const Target* first = targets[draw(rng)];
   const Target* second = targets[draw(rng)];
-  return loads.LoadOf(*second, now) < loads.LoadOf(*first, now) ? second
-                                                                : first;
+  return CostOf(*second, loads, now) < CostOf(*first, loads, now) ? second
+                                                                  : first;
 }
 
 const VersionRoutes* DrawVersion(
@@ -81,7 +115,9 @@
                    const TargetLoads& loads, TimePoint now,
                    std::mt19937_64& rng) {
   const Candidates healthy =
-      HealthyTargets(UntriedTargets(version, options), loads, now);
+      HealthyTargets(ReachableTargets(UntriedTargets(version, options), loads,
+                                      now),
+                     loads, now);
   const Candidates all = TargetsWithRoom(healthy, loads, now);
   Candidates own_zone;
   std::copy_if(
@@ -106,10 +142,57 @@
   ++entry.in_flight;
 }
 
+void TargetLoads::OnUnreachable(const std::string& member_id, TimePoint now) {
+  Entry& entry = m_entries[member_id];
+  const uint32_t doublings = std::min(entry.unreachable_in_a_row, 10U);
+  entry.unreachable_until =
+      now + std::min(m_options.first_unreachable * (1U << doublings),
+                     m_options.longest_unreachable);
+  ++entry.unreachable_in_a_row;
+}
+
+bool TargetLoads::IsUnreachable(const std::string& member_id,
+                                TimePoint now) const {
+  auto found = m_entries.find(member_id);
+  return found != m_entries.end() && now < found->second.unreachable_until;
+}
+
+double TargetLoads::FailureRate(const std::string& member_id,
+                                TimePoint now) const {
+  auto found = m_entries.find(member_id);
+  if (found == m_entries.end()) return 0;
+  const std::chrono::duration<double> age = now - found->second.rated_at;
+  const std::chrono::duration<double> half_life = m_options.failure_half_life;
+  return found->second.failure_rate * std::exp2(-age / half_life);
+}
+
+bool TargetLoads::IsSick(const std::string& member_id, double rate_of_others,
+                         TimePoint now) const {
+  const double rate = FailureRate(member_id, now);
+  return rate > m_options.sick_rate &&
+         rate > m_options.sick_ratio * rate_of_others;
+}
+
+double TargetLoads::LatencyMs(const std::string& member_id) const {
+  auto found = m_entries.find(member_id);
+  return found == m_entries.end() ? 0 : found->second.latency_ms;
+}
+
 void TargetLoads::OnDone(const std::string& member_id, bool failed,
-                         TimePoint now) {
+                         TimePoint now,
+                         std::optional<std::chrono::milliseconds> latency) {
+  const double rate = FailureRate(member_id, now);
   Entry& entry = m_entries[member_id];
   if (entry.in_flight > 0) --entry.in_flight;
+  entry.failure_rate = rate + m_options.average_weight * (failed - rate);
+  entry.rated_at = now;
+  if (latency) {
+    const auto ms = static_cast<double>(latency->count());
+    const double weight =
+        entry.latency_ms == 0 ? 1 : m_options.average_weight;
+    entry.latency_ms += weight * (ms - entry.latency_ms);
+  }
+  if (!failed) entry.unreachable_in_a_row = 0;
   if (!failed) {
     entry.failures_in_a_row = 0;
     entry.ejections_in_a_row = 0;
--- a/src/state/picker_test.cc
+++ b/src/state/picker_test.cc
@@ -170,5 +170,77 @@
   CHECK(picks_of("old0", now) + picks_of("old1", now) > 0);
 }
 
+// Picks of old-version targets out of 1,000 writes of a caller in zone b.
+std::map<std::string, int> CountPicks(const TargetLoads& loads, TimePoint now) {
+  const ServiceRoutes service = MakeService();
+  std::mt19937_64 rng(11);
+  std::map<std::string, int> picks;
+  for (int i = 0; i < 1'000; ++i) {
+    const PickOptions options{.zone = "b", .idempotent = false};
+    ++picks[PickTarget(service, options, loads, now, rng).target->member_id];
+  }
+  return picks;
+}
+
+TEST_CASE("Unreachable targets are passed over however many they are") {
+  TargetLoads loads;
+  const TimePoint now = TimePoint() + seconds(100);
+  for (const char* id : {"old0", "old2", "old3"}) loads.OnUnreachable(id, now);
+  CHECK(CountPicks(loads, now)["old1"] == 1'000);
+  // The time doubles, and ends.
+  loads.OnUnreachable("old2", now);
+  const TimePoint later = now + milliseconds(600);
+  CHECK(CountPicks(loads, later)["old2"] == 0);
+  CHECK(CountPicks(loads, later)["old3"] == 1'000);
+  CHECK(CountPicks(loads, now + milliseconds(1'001))["old2"] > 300);
+  // If none is left, all are tried.
+  for (const char* id : {"old0", "old1", "old2", "old3"}) {
+    loads.OnUnreachable(id, now);
+  }
+  CHECK(CountPicks(loads, now).size() == 2);
+}
+
+// Load: a grey target that fails half of its requests and answers health
+// questions. Passive outlier detection against the mean of the others.
+TEST_CASE("A target that fails far more often than the others is sick") {
+  TargetLoads loads;
+  const TimePoint now = TimePoint() + seconds(100);
+  for (int i = 0; i < 60; ++i) {
+    for (const char* id : {"old0", "old1", "old2", "old3"}) {
+      loads.OnSent(id, now);
+      loads.OnDone(id, std::string(id) == "old2" && i % 2 == 0, now);
+    }
+  }
+  CHECK(CountPicks(loads, now)["old2"] == 0);
+  // It is tried again after some half-lives.
+  CHECK(CountPicks(loads, now + seconds(4))["old2"] > 300);
+  // A fault of all is nobody's.
+  TargetLoads all;
+  for (int i = 0; i < 60; ++i) {
+    for (const char* id : {"old0", "old1", "old2", "old3"}) {
+      all.OnSent(id, now);
+      all.OnDone(id, i % 2 == 0, now);
+    }
+  }
+  CHECK(CountPicks(all, now)["old2"] > 300);
+}
+
+// Load: targets of one service that differ in speed by a factor of 4.
+TEST_CASE("Slower targets get fewer requests") {
+  TargetLoads loads;
+  const TimePoint now = TimePoint() + seconds(100);
+  for (int i = 0; i < 30; ++i) {
+    loads.OnSent("old2", now);
+    loads.OnDone("old2", false, now, milliseconds(400));
+    loads.OnSent("old3", now);
+    loads.OnDone("old3", false, now, milliseconds(100));
+  }
+  const auto picks = CountPicks(loads, now);
+  // The slow one is taken only when both draws are of it.
+  CHECK(picks.at("old2") < 320);
+  loads.OnReport("old3", 9, now);
+  CHECK(CountPicks(loads, now)["old2"] > 600);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/state/slot_queue.cc
+++ b/src/state/slot_queue.cc
@@ -6,6 +6,7 @@
 #include "kumquatmoor/state/slot_queue.h"
 
 #include <algorithm>
+#include <bit>
 #include <tuple>
 
 namespace kumquatmoor {
@@ -21,10 +22,16 @@
   return now > LatestStart(request);
 }
 
+// Run times within a factor of 2 count as equal.
+int SizeClass(const QueuedRequest& request) {
+  return std::bit_width(static_cast<uint64_t>(request.run_time.count()));
+}
+
 bool GoesBefore(const QueuedRequest& a, const QueuedRequest& b, TimePoint now) {
   const auto rank = [&](const QueuedRequest& request) {
     return std::make_tuple(IsLate(request, now), request.priority,
-                           LatestStart(request), request.id);
+                           SizeClass(request), LatestStart(request),
+                           request.id);
   };
   return rank(a) < rank(b);
 }
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -44,8 +44,14 @@
 // Answers to earlier requests that are passed over on one connection.
 constexpr int kMaxCrossedAnswers = 3;
 // Time without an acknowledgement of sent bytes after which the other end
-// counts as lost; a host without power sends no reset.
-constexpr int kUnackedTimeoutMs = 3'000;
+// counts as lost; a host without power sends no reset. Two losses of a packet
+// in a row take 600 ms.
+constexpr int kUnackedTimeoutMs = 900;
+// Seconds of silence, and between the probes that follow, until a connection on
+// which an answer is due counts as lost.
+constexpr int kKeepAliveIdleS = 1;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveProbes = 2;
 constexpr unsigned kSuccessClass = 2;
 
 auto Into(Error& error) {
@@ -71,6 +77,20 @@
   co_return true;
 }
 
+void SetLossDetection(asio::ip::tcp::socket& socket) {
+  using asio::detail::socket_option::integer;
+  Error ignored;
+  socket.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(kUnackedTimeoutMs),
+                    ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(kKeepAliveIdleS),
+                    ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(kKeepAliveIntervalS),
+                    ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(kKeepAliveProbes),
+                    ignored);
+}
+
 asio::awaitable<Error> Connect(UpstreamConnection& connection,
                                const ForwardOptions& options) {
   const auto endpoint = TcpEndpoint(options.address);
@@ -85,9 +105,7 @@
   if (error) co_return error;
   auto& socket = connection.stream.socket();
   socket.set_option(asio::ip::tcp::no_delay(true), error);
-  using UnackedTimeout =
-      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-  socket.set_option(UnackedTimeout(kUnackedTimeoutMs), error);
+  SetLossDetection(socket);
   co_return Error();
 }
 
