A node that lags behind reads the platform; short moves hold while requests fail

Synchronisations wait 0.6 s, never ask members that are gone, and a node that knows of a newer batch for 0.6 s reads the platform. Ruled out: gossip (the deltas arrived, without their base).

Likely cause, not proved: every version failed in the burst, which excuses the new one, and the share went on rising. It stays now while more than 15% fail.

--- a/include/kumquatmoor/coordination/judge.h
+++ b/include/kumquatmoor/coordination/judge.h
@@ -49,6 +49,7 @@
 // version meets before it is found out is the sum of share times time, and at
 // half of the traffic a fault shows within a second.
 inline constexpr StageTimes kShortMoveStageTimes = {1, 4, 3, 1};
+inline constexpr double kShortMoveErrorRate = 0.15;
 
 struct JudgeOptions {
   std::string zone;
@@ -64,6 +65,10 @@
   uint64_t fewest_calls = 20;
   // Part of the time to the deadline that the stages may use.
   double planned_part = 0.7;
+  // Part of a rising version's requests at a stage that may fail, for whatever
+  // reason, before the stage stays. A failure that strikes every version alike
+  // recalls none, but is no time to raise a share either.
+  double highest_error_rate = 1;
   StageTimes stage_times = {1, 1, 1, 1};
   // Deadline of a move whose rows name none.
   std::optional<TimePoint> deadline;
@@ -176,6 +181,7 @@
   static uint32_t MostBlamed(MeshTargets targets);
   void RuleOnStage(JudgeTime time, const MoveProgress& progress,
                    MeshTargets targets, std::vector<Ruling>* rulings);
+  bool FailsTooOften() const;
   std::chrono::milliseconds Dwell(JudgeTime time) const;
   bool FitsSlots(uint32_t stage, MeshTargets targets) const;
 
@@ -192,6 +198,7 @@
   TimePoint m_stage_since;
   uint32_t m_stage = 0;
   uint64_t m_calls_at_stage = 0;
+  uint64_t m_errors_at_stage = 0;
   std::string m_held_because;
   bool m_settled = false;
 };
--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -117,6 +117,8 @@
   std::set<std::string> UnreachableZones(TimePoint now) const;
   // Rises with each change that routes depend on.
   uint64_t ChangeCount() const { return m_change_count; }
+  // True if others have told of a newer batch for this long.
+  bool IsBehindFor(std::chrono::milliseconds time, TimePoint now) const;
   Digest MakeDigest() const;
   const std::vector<std::string>& Warnings() const { return m_warnings; }
 
@@ -144,7 +146,7 @@
   void OnPing(const Datagram& datagram, std::vector<Outgoing>* out);
   void OnPingRequest(const Datagram& datagram, std::vector<Outgoing>* out);
   void OnAck(const Datagram& datagram, std::vector<Outgoing>* out);
-  void CompareDigest(const Datagram& datagram);
+  void CompareDigest(const Datagram& datagram, TimePoint now);
   void AddRecentNews(Datagram* datagram) const;
 
   void TakeRumour(const Rumour& rumour, const Datagram& from, TimePoint now);
@@ -174,6 +176,8 @@
   TimePoint m_next_probe;
   TimePoint m_last_tick;
   uint32_t m_mismatches = 0;
+  // Since when others hold a newer batch, if they do.
+  std::optional<TimePoint> m_behind_since;
   std::optional<std::string> m_sync_peer;
   uint64_t m_change_count = 0;
   std::set<std::string> m_changed_services;
--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -74,9 +74,9 @@
   uint64_t ticket = 0;
   std::chrono::milliseconds wait{0};  // Estimated time until there is a slot.
   std::chrono::milliseconds run_time{0};  // Expected.
-  std::string instance;     // Of the backend server.
-  std::string address;      // Likewise.
-  uint32_t in_flight = 0;   // This request among them.
+  std::string instance;                   // Of the backend server.
+  std::string address;                    // Likewise.
+  uint32_t in_flight = 0;                 // This request among them.
   uint32_t slots = 0;
   bool warm = true;  // The backend server's cold start is over.
 };
--- a/include/kumquatmoor/node/backend_registry.h
+++ b/include/kumquatmoor/node/backend_registry.h
@@ -11,7 +11,8 @@
 //
 // A backend server announces itself again before its time to live ends, or is
 // taken out. There is one at an address. Announcements are ordered by the start
-// of the process and then by their sequence; a late one changes nothing. Not thread-safe; owned by the control thread.
+// of the process and then by their sequence; a late one changes nothing. Not
+// thread-safe; owned by the control thread.
 
 #include <chrono>
 #include <map>
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -12,9 +12,9 @@
 // Other threads reach it through Post and Run, which go through a bounded
 // ring; a full ring refuses.
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
@@ -43,6 +43,8 @@
   // Time without a datagram from any member after which a node reads the
   // platform itself. Probes bring an answer each second.
   std::chrono::milliseconds isolation{1'500};
+  // Time for which others hold a newer batch after which it does so as well.
+  std::chrono::milliseconds longest_behind{600};
 };
 
 class ControlLoop {
@@ -95,7 +97,7 @@
   // For each zone, the live member that knows its acknowledgements.
   std::vector<MemberRecord> ZoneRoots() const;
   // True if this node speaks with the platform: it is one of its zone's
-  // gateways, or hears from no other node.
+  // gateways, hears from no other node, or gets no newer batch from them.
   bool IsGateway() const;
   // Control traffic, in the Prometheus text format.
   std::string ControlMetrics() const;
--- a/include/kumquatmoor/node/sync_worker.h
+++ b/include/kumquatmoor/node/sync_worker.h
@@ -9,8 +9,9 @@
 //
 // A node that starts holds nothing. It asks several members, of other zones
 // where it can; the gateway thread reads the platform, which also names members
-// to ask. It serves once it has heard of either. While nobody answers it tries again with full jitter, so
-// that a herd that restarts does not come back in step.
+// to ask. It serves once it has heard of either. While nobody answers it tries
+// again with full jitter, so that a herd that restarts does not come back in
+// step.
 
 #include <atomic>
 #include <chrono>
--- a/include/kumquatmoor/state/routes.h
+++ b/include/kumquatmoor/state/routes.h
@@ -60,7 +60,7 @@
   uint64_t revision = 0;  // Of the batch.
   // Routes by host and path; empty if the batch has none.
   std::shared_ptr<const HttpRouteIndex> http_routes;
-  std::string zone;       // Of the node that routes.
+  std::string zone;  // Of the node that routes.
   // Unchanged services are shared with the snapshot before.
   std::map<std::string, std::shared_ptr<const ServiceRoutes>, std::less<>>
       services;
--- a/include/kumquatmoor/state/slot_queue.h
+++ b/include/kumquatmoor/state/slot_queue.h
@@ -16,11 +16,12 @@
 // shortest job goes first (SJF, by powers of 2 of the expected run time): calls
 // that running backend servers make of each other are short and hold slots
 // elsewhere meanwhile. Equally long ones go earliest deadline first (EDF), by
-// the latest start that meets the latency objective. What can still meet its objective goes before what cannot: under
-// overload plain EDF would serve each request just too late. Late requests only
-// fill slots that would stay free, so no more than a slot's worth of them wait;
-// the others are refused at once, with the time after which there should be
-// room. Time is an argument. Not thread-safe.
+// the latest start that meets the latency objective. What can still meet its
+// objective goes before what cannot: under overload plain EDF would serve each
+// request just too late. Late requests only fill slots that would stay free, so
+// no more than a slot's worth of them wait; the others are refused at once,
+// with the time after which there should be room. Time is an argument. Not
+// thread-safe.
 
 #include <chrono>
 #include <cstddef>
@@ -42,11 +43,11 @@
 };
 
 struct QueuedRequest {
-  uint64_t id = 0;        // Unique among those that wait.
-  uint32_t priority = 0;  // 0 is the most urgent.
+  uint64_t id = 0;                         // Unique among those that wait.
+  uint32_t priority = 0;                   // 0 is the most urgent.
   std::chrono::milliseconds run_time{50};  // Expected.
-  TimePoint objective;    // End up to which the answer has its full use.
-  TimePoint deadline;     // End after which nobody waits for it.
+  TimePoint objective;  // End up to which the answer has its full use.
+  TimePoint deadline;   // End after which nobody waits for it.
 };
 
 enum class QueueAdmission { kRunNow, kWaits, kRefused };
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -129,7 +129,7 @@
   // An idle connection older than this is not used for this request.
   std::chrono::milliseconds max_idle_age{5'000};
   const FaultPlan* faults = nullptr;
-  const CallHeaders* headers = nullptr;  // Those of the deployment.
+  const CallHeaders* headers = nullptr;   // Those of the deployment.
   std::shared_ptr<ActiveStreams> active;  // Lists the connection meanwhile.
   bool to_backend = false;  // Checks what only backend servers send.
 };
--- a/src/coordination/control_client.cc
+++ b/src/coordination/control_client.cc
@@ -13,7 +13,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kSyncTimeout{3'000};
+// A member that is gone must not hold up the next one: a configuration has to
+// be in force everywhere within 2 s.
+constexpr milliseconds kSyncTimeout{600};
 constexpr milliseconds kCallTimeout{2'000};
 constexpr milliseconds kZoneTimeout{1'000};
 // The whole member list of the largest mesh is a few megabytes.
--- a/src/coordination/judge.cc
+++ b/src/coordination/judge.cc
@@ -49,6 +49,8 @@
 // One in this many targets may be at fault, and at least one, before their
 // version is.
 constexpr uint32_t kTargetsPerBlame = 4;
+// Requests from which on their error rate may hold a stage.
+constexpr uint64_t kFewestForRate = 8;
 // The route of the tests that take every request of a version.
 constexpr char kAllRoutes[] = "all routes";
 // Part of the rising versions' slots that a stage may fill.
@@ -169,6 +171,7 @@
 
 void MoveJudge::TestIncrement(const Increment& increment, TimePoint now) {
   m_calls_at_stage += increment.tally.total;
+  m_errors_at_stage += increment.tally.errors;
   if (m_blamed.count(increment.reporter) > 0) return;
   RouteBaseline& baseline = m_baselines[increment.route.second];
   baseline.NoteOthers(increment.tally);
@@ -315,6 +318,7 @@
     m_stage = stage;
     m_stage_since = time.now;
     m_calls_at_stage = 0;
+    m_errors_at_stage = 0;
   }
   const auto at_stage = time.now - m_stage_since;
   m_held_because.clear();
@@ -325,6 +329,13 @@
       m_settled = true;
       rulings->emplace_back(SettleZone{});
     }
+  } else if (FailsTooOften()) {
+    m_held_because = "too many requests fail to raise the share";
+    if (at_stage >= Dwell(time)) {
+      m_stage_since = time.now;
+      m_calls_at_stage = 0;
+      m_errors_at_stage = 0;
+    }
   } else if (targets.rising_slots == 0) {
     m_held_because = "no live target of the new version";
   } else if (!FitsSlots(NextStage(stage), targets)) {
@@ -344,6 +355,13 @@
   }
 }
 
+bool MoveJudge::FailsTooOften() const {
+  return m_calls_at_stage >= kFewestForRate &&
+         static_cast<double>(m_errors_at_stage) >
+             m_options.highest_error_rate *
+                 static_cast<double>(m_calls_at_stage);
+}
+
 milliseconds MoveJudge::Dwell(JudgeTime time) const {
   const int64_t deadline = MoveDeadline(m_config);
   int64_t left_ms = deadline - time.unix_ms;
@@ -357,8 +375,9 @@
   // The move should also be settled by its deadline.
   const auto left = static_cast<double>(
       std::max<int64_t>(0, left_ms - m_options.settle.count()));
-  const milliseconds planned(static_cast<int64_t>(
-      left * m_options.planned_part * PartOfTimeLeft(m_stage, m_options.stage_times)));
+  const milliseconds planned(
+      static_cast<int64_t>(left * m_options.planned_part *
+                           PartOfTimeLeft(m_stage, m_options.stage_times)));
   return std::clamp(planned, m_options.shortest_dwell, m_options.longest_dwell);
 }
 
--- a/src/coordination/judge_test.cc
+++ b/src/coordination/judge_test.cc
@@ -33,7 +33,17 @@
 class Bench {
  public:
   Bench(int64_t move_by_ms, uint64_t seed)
-      : m_rng(seed), m_judge(MakeConfig(move_by_ms), {.zone = "z"}, Time()) {}
+      : Bench(move_by_ms, seed, {.zone = "z"}) {}
+  Bench(int64_t move_by_ms, uint64_t seed, JudgeOptions options)
+      : m_rng(seed), m_judge(MakeConfig(move_by_ms), options, Time()) {}
+  // A move that has to end within so many seconds, as Mover sets it up.
+  static Bench ShortMove(int seconds_left, uint64_t seed) {
+    return Bench(0, seed,
+                 {.zone = "z",
+                  .highest_error_rate = kShortMoveErrorRate,
+                  .stage_times = kShortMoveStageTimes,
+                  .deadline = TimePoint() + seconds(1'000 + seconds_left)});
+  }
 
   std::map<std::string, Behaviour> old_nodes = {{"o1", {}}, {"o2", {}}};
   std::map<std::string, Behaviour> new_nodes = {{"n1", {}}, {"n2", {}}};
@@ -378,5 +388,38 @@
   }
 }
 
+TEST_CASE("A short move gives small shares most of its time") {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    Bench bench = Bench::ShortMove(14, seed);
+    double exposed = 0;
+    double full_at = 0;
+    while (bench.seconds_passed < 14) {
+      bench.Run(0.25);
+      const double share = bench.progress.StageOf("z") / 1000.0;
+      if (share < 1) exposed += 0.25 * share;
+      if (share >= 1 && full_at == 0) full_at = bench.seconds_passed;
+    }
+    // A tenth of the requests of the 14 s, and time to settle afterwards.
+    CHECK(exposed <= 1.4);
+    CHECK(full_at > 0);
+    CHECK(full_at <= 11);
+  }
+}
+
+TEST_CASE("The share of a short move does not rise while requests fail") {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    Bench bench = Bench::ShortMove(14, seed);
+    bench.Run(3);
+    const uint32_t stage = bench.progress.StageOf("z");
+    // Every version fails alike, so that nothing speaks against the new one.
+    for (auto& [id, node] : bench.old_nodes) node.error_rate = 0.6;
+    for (auto& [id, node] : bench.new_nodes) node.error_rate = 0.6;
+    bench.Run(9);
+    CHECK(bench.progress.StageOf("z") <= NextStage(stage));
+  }
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/coordination/member_directory.cc
+++ b/src/coordination/member_directory.cc
@@ -64,8 +64,8 @@
     const bool known = member != nullptr;
     if (entry.member.zone() != self.zone()) continue;
     if (!known || member->status() == ALIVE) ++alive;
-    const bool gone = known && (member->status() == DEAD ||
-                                member->status() == LEFT);
+    const bool gone =
+        known && (member->status() == DEAD || member->status() == LEFT);
     if (gone && removes) plan.remove.push_back(entry);
   }
   plan.write_self = !listed && alive < kDirectoryPerZone;
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -144,7 +144,7 @@
   for (const auto& rumour : datagram.rumours()) {
     TakeRumour(rumour, datagram, now);
   }
-  if (datagram.has_digest()) CompareDigest(datagram);
+  if (datagram.has_digest()) CompareDigest(datagram, now);
   switch (datagram.kind()) {
     case Datagram::PING:
       OnPing(datagram, &out);
@@ -171,10 +171,15 @@
   }
 }
 
-void Replica::CompareDigest(const Datagram& datagram) {
+bool Replica::IsBehindFor(std::chrono::milliseconds time, TimePoint now) const {
+  return m_behind_since && now - *m_behind_since >= time;
+}
+
+void Replica::CompareDigest(const Datagram& datagram, TimePoint now) {
   const Digest& theirs = datagram.digest();
   const Digest mine = MakeDigest();
   if (theirs.revision() > mine.revision()) {
+    if (!m_behind_since) m_behind_since = now;
     RequestSync(datagram.from());
     return;
   }
@@ -268,6 +273,7 @@
   m_changed_services.insert(rumour.delta().removed().begin(),
                             rumour.delta().removed().end());
   m_batch = std::make_shared<const Batch>(std::move(batch));
+  m_behind_since.reset();
   m_batch_digest = BatchDigest(*m_batch);
   m_marks.Prune(*m_batch);
   ++m_change_count;
--- a/src/coordination/replica_sync.cc
+++ b/src/coordination/replica_sync.cc
@@ -26,7 +26,7 @@
   if (!m_sync_peer) return std::nullopt;
   const MemberRecord* member = m_members.Find(*m_sync_peer);
   m_sync_peer.reset();
-  if (member == nullptr) return std::nullopt;
+  if (member == nullptr || member->status() != ALIVE) return std::nullopt;
   return SyncPeer{.id = member->id(),
                   .zone = member->zone(),
                   .address = member->control_address()};
--- a/src/coordination/replica_test.cc
+++ b/src/coordination/replica_test.cc
@@ -454,5 +454,28 @@
   CHECK(replica.Warnings().size() == 2);
 }
 
+TEST_CASE("A replica knows for how long others have held a newer batch") {
+  Replica replica({.id = "n", .control_address = "n"}, {});
+  const TimePoint start = TimePoint() + std::chrono::hours(1);
+  Datagram ping;
+  ping.set_kind(Datagram::PING);
+  ping.set_from("ahead");
+  Rumour* rumour = ping.add_rumours();
+  rumour->mutable_member()->set_id("ahead");
+  ping.mutable_digest()->set_revision(1);
+  replica.OnDatagram(ping, start);
+  CHECK_FALSE(replica.IsBehindFor(milliseconds(1), start));
+  replica.OnDatagram(ping, start + milliseconds(400));
+  CHECK(replica.IsBehindFor(milliseconds(600), start + milliseconds(600)));
+  // A member that is gone is not asked for what it holds.
+  rumour->mutable_member()->set_status(LEFT);
+  rumour->mutable_member()->set_version(1);
+  replica.OnDatagram(ping, start + milliseconds(500));
+  CHECK_FALSE(replica.TakeSyncPeer());
+  replica.Offer(
+      BuildBatch({}, std::vector<TableRow>{{"a", "v1", 100}}, {}, {}));
+  CHECK_FALSE(replica.IsBehindFor(milliseconds(0), start + milliseconds(600)));
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/coordination/table_source.cc
+++ b/src/coordination/table_source.cc
@@ -44,8 +44,7 @@
 
 Result<bool> TableSource::Report(const MeshProgress& progress) {
   if (progress.marks.Hash() == m_reported_marks) return false;
-  BOOST_LEAF_AUTO(written,
-                  m_store.MergeMarks(progress.marks, *progress.batch));
+  BOOST_LEAF_AUTO(written, m_store.MergeMarks(progress.marks, *progress.batch));
   m_reported_marks = progress.marks.Hash();
   return written;
 }
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -126,8 +126,8 @@
   answer.reason = ReasonToRefuse(request, &entry, now);
   if (!answer.reason.empty()) {
     answer.duplicate = answer.reason == kDuplicate;
-    answer.leaving = answer.reason == kDraining ||
-                     answer.reason == kRecalled || answer.reason == kClosed;
+    answer.leaving = answer.reason == kDraining || answer.reason == kRecalled ||
+                     answer.reason == kClosed;
     return answer;
   }
   if (m_options.waiting_per_slot == 0 && !HasRoom(request, entry)) {
@@ -135,13 +135,12 @@
     return answer;
   }
   const uint64_t ticket = ++m_last_ticket;
-  const QueueAnswer queued =
-      entry.queue.Enter({.id = ticket,
-                         .priority = request.priority,
-                         .run_time = answer.run_time,
-                         .objective = request.objective,
-                         .deadline = request.deadline},
-                        now);
+  const QueueAnswer queued = entry.queue.Enter({.id = ticket,
+                                                .priority = request.priority,
+                                                .run_time = answer.run_time,
+                                                .objective = request.objective,
+                                                .deadline = request.deadline},
+                                               now);
   answer.wait = queued.wait;
   if (queued.admission == QueueAdmission::kRefused) {
     answer.reason = kTooLate;
--- a/src/node/backend_registry.cc
+++ b/src/node/backend_registry.cc
@@ -75,8 +75,8 @@
   for (auto& [address, entry] : m_entries) {
     const Announcement& held = entry.announcement;
     if (held.instance != withdrawal.instance || entry.withdrawn) continue;
-    const bool earlier_process = withdrawal.started_ms != 0 &&
-                                 withdrawal.started_ms < held.started_ms;
+    const bool earlier_process =
+        withdrawal.started_ms != 0 && withdrawal.started_ms < held.started_ms;
     if (earlier_process) continue;
     entry.withdrawn = true;
     return true;
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -168,8 +168,8 @@
     if (config == nullptr || !HasMove(*config)) continue;
     const Row* row = RowOf(*config, backend.version);
     if (row == nullptr || !IsFalling(*row)) continue;
-    const auto& progress = m_replica.Marks().Progress(config->service(),
-                                                      config->move_revision());
+    const auto& progress =
+        m_replica.Marks().Progress(config->service(), config->move_revision());
     if (progress.IsRecalled() ||
         !IsSettledEverywhere(progress, m_replica.Members())) {
       continue;
@@ -238,6 +238,9 @@
 
 bool ControlLoop::IsGateway() const {
   if (!m_ready || IsIsolated()) return true;
+  if (m_replica.IsBehindFor(m_options.longest_behind, Clock::now())) {
+    return true;
+  }
   const auto gateways =
       RendezvousTop(OwnZoneIds(), "gateway", m_options.gateways_per_zone);
   return std::find(gateways.begin(), gateways.end(), m_options.replica.id) !=
--- a/src/node/gateway.cc
+++ b/src/node/gateway.cc
@@ -56,8 +56,7 @@
 }
 
 bool Gateway::IsNeeded() {
-  return m_loop
-      ->Run<bool>([](ControlLoop& loop) { return loop.IsGateway(); })
+  return m_loop->Run<bool>([](ControlLoop& loop) { return loop.IsGateway(); })
       .value_or(false);
 }
 
@@ -73,8 +72,7 @@
 
 void Gateway::NoteFailure(const Failure& failure) {
   if (m_reachable) {
-    spdlog::warn("gateway: event=platform_lost reason=\"{}\"",
-                 failure.message);
+    spdlog::warn("gateway: event=platform_lost reason=\"{}\"", failure.message);
   }
   m_reachable = false;
 }
--- a/src/node/mover.cc
+++ b/src/node/mover.cc
@@ -145,13 +145,13 @@
 
 bool HasFallingTarget(const ServiceConfig& config, const MemberRecord& member) {
   if (member.status() != ALIVE && member.status() != SUSPECT) return false;
-  return std::any_of(
-      member.endpoints().begin(), member.endpoints().end(),
-      [&](const Endpoint& endpoint) {
-        if (endpoint.service() != config.service()) return false;
-        const Row* row = RowOf(config, endpoint.version());
-        return row != nullptr && IsFalling(*row) && !endpoint.retired();
-      });
+  return std::any_of(member.endpoints().begin(), member.endpoints().end(),
+                     [&](const Endpoint& endpoint) {
+                       if (endpoint.service() != config.service()) return false;
+                       const Row* row = RowOf(config, endpoint.version());
+                       return row != nullptr && IsFalling(*row) &&
+                              !endpoint.retired();
+                     });
 }
 
 }  // namespace
@@ -170,10 +170,10 @@
     }
     if (!IsSettledEverywhere(progress, replica.Members())) continue;
     const auto members = replica.Members().MembersOf(config.service());
-    const bool falling = std::any_of(
-        members.begin(), members.end(), [&](const MemberRecord* member) {
-          return HasFallingTarget(config, *member);
-        });
+    const bool falling = std::any_of(members.begin(), members.end(),
+                                     [&](const MemberRecord* member) {
+                                       return HasFallingTarget(config, *member);
+                                     });
     if (!falling) outcome = MoveOutcome::kDone;
   }
   return outcomes;
@@ -308,9 +308,11 @@
   judged.move_revision = config.move_revision();
   JudgeOptions options{.zone = m_options.zone,
                        .deadline = DeadlineOf(config, time.now)};
-  if (options.deadline) options.stage_times = kShortMoveStageTimes;
-  judged.judge =
-      std::make_unique<MoveJudge>(config, std::move(options), time);
+  if (options.deadline) {
+    options.stage_times = kShortMoveStageTimes;
+    options.highest_error_rate = kShortMoveErrorRate;
+  }
+  judged.judge = std::make_unique<MoveJudge>(config, std::move(options), time);
   for (const auto& [key, received] : m_received[config.service()]) {
     const auto& [version, reporter] = key;
     if (received.evidence.move_revision() != config.move_revision()) continue;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -47,8 +47,8 @@
           .headers = std::move(headers),
           .default_deadline = settings.default_deadline,
           .max_attempts = settings.max_attempts,
-          .admission = {.waiting_per_slot = static_cast<size_t>(
-                            settings.waiting_per_slot)},
+          .admission = {.waiting_per_slot =
+                            static_cast<size_t>(settings.waiting_per_slot)},
           .retry_budget = {.ratio = settings.retry_ratio,
                            .reserve = settings.retry_reserve},
           .caller_grace = settings.caller_grace,
@@ -147,8 +147,7 @@
     });
   };
   await_reload();
-  signals.async_wait(
-      [&](boost::system::error_code, int) { reload.cancel(); });
+  signals.async_wait([&](boost::system::error_code, int) { reload.cancel(); });
   context.run();
   spdlog::info("node: event=draining");
   Drain();
@@ -199,8 +198,7 @@
       asio::redirect_error(asio::use_awaitable, cancelled));
   std::string more;
   if (m_options.more_metrics) more = m_options.more_metrics();
-  co_return MakeResponse(200, *text + m_loop.ControlMetrics() + more,
-                         kText);
+  co_return MakeResponse(200, *text + m_loop.ControlMetrics() + more, kText);
 }
 
 HttpResponse Node::HandleAnnounce(const HttpRequest& request) {
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -228,8 +228,7 @@
   }
   if (busy()) {
     spdlog::warn("node: event=cut_off callers={} local_requests={}",
-                 m_calls_in_progress,
-                 m_runner->GetAdmission().TotalInFlight());
+                 m_calls_in_progress, m_runner->GetAdmission().TotalInFlight());
     m_runner->CutOff();
     for (auto* stream : *m_active) stream->close();
     timer.expires_after(kCutOffAnswerTime);
@@ -380,8 +379,8 @@
   if (found == m_retry_budgets.end()) {
     const RetryBudgetOptions options{
         .ratio = m_options.retry_budget.ratio,
-        .reserve = m_options.retry_budget.reserve /
-                   static_cast<double>(m_live_nodes)};
+        .reserve =
+            m_options.retry_budget.reserve / static_cast<double>(m_live_nodes)};
     found = m_retry_budgets.emplace(service, RetryBudget(options)).first;
   }
   return found->second;
@@ -392,8 +391,8 @@
   OwnAnswer answer;
   answer.status = status;
   answer.verdict = Verdict::kNotRun;
-  answer.request_id = std::string(
-      Text(inbound.Head()[m_options.headers.request_id]));
+  answer.request_id =
+      std::string(Text(inbound.Head()[m_options.headers.request_id]));
   answer.request_id_header = m_options.headers.request_id;
   answer.reason = std::move(reason);
   if (status == 503) answer.retry_after = kNotReadyRetryAfter;
@@ -477,8 +476,7 @@
   if (call.objective != TimePoint::max()) {
     const auto left =
         std::chrono::duration_cast<milliseconds>(call.objective - now).count();
-    head.set(headers::kObjectiveMs,
-             std::to_string(std::max<int64_t>(0, left)));
+    head.set(headers::kObjectiveMs, std::to_string(std::max<int64_t>(0, left)));
   }
   head.set(m_options.headers.deadline_ms, std::to_string(call.LeftMs(now)));
   if (!m_options.headers.caller_service.empty()) {
@@ -526,8 +524,7 @@
   if (attempt.result.verdict == Verdict::kNotRun) {
     attempt.result.reason = std::string(Text(head[headers::kReason]));
     attempt.leaving = head.count(http::field::retry_after) == 0;
-    attempt.retry_after =
-        ParseRetryAfter(Text(head[http::field::retry_after]));
+    attempt.retry_after = ParseRetryAfter(Text(head[http::field::retry_after]));
   }
 }
 
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -44,8 +44,8 @@
 
 std::string Bytes(const std::string& status, const std::string& headers,
                   const std::string& body) {
-  return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 " + status + "\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 std::string Signed(const std::string& id, const std::string& body) {
@@ -55,9 +55,10 @@
 class ProxyFixture {
  public:
   // What the backend server does with a request, on the proxy's thread.
-  std::function<Reply(const RequestHead&)> script = [](const RequestHead& head) {
-    return Reply{.bytes = Signed(std::string(head["Id"]), "ok")};
-  };
+  std::function<Reply(const RequestHead&)> script =
+      [](const RequestHead& head) {
+        return Reply{.bytes = Signed(std::string(head["Id"]), "ok")};
+      };
   std::vector<RequestHead> seen;  // Read only while no request is under way.
 
   ~ProxyFixture() {
@@ -185,7 +186,8 @@
   beast::flat_buffer m_buffer;
 };
 
-TEST_CASE_METHOD(ProxyFixture, "A request reaches the backend server as it is") {
+TEST_CASE_METHOD(ProxyFixture,
+                 "A request reaches the backend server as it is") {
   Start();
   const auto response = CallerClient().Call("/read/7?x=1");
   REQUIRE(response);
@@ -228,8 +230,7 @@
   };
   const std::string id = "Id: r1\r\n";
   const std::string full = Bytes("503 Full", id + "Not-Run: 1\r\n", "");
-  const std::string late_extra =
-      Signed("r0", "other") + Signed("r1", "ok");
+  const std::string late_extra = Signed("r0", "other") + Signed("r1", "ok");
   const Case cases[] = {
       {"an error of a read when no other target is left", "/read/",
        Bytes("500 No", id + "Signed: yes\r\n", ""), 500, 1},
@@ -293,15 +294,12 @@
   script = [](const RequestHead&) {
     return Reply{.bytes = Signed("r1", "ok"), .delay = milliseconds(900)};
   };
-  Start({.caller_grace = milliseconds(50),
-         .drain_timeout = milliseconds(300)});
-  auto running = std::async(std::launch::async, [] {
-    return CallerClient().Call("/write/", "r1");
-  });
+  Start({.caller_grace = milliseconds(50), .drain_timeout = milliseconds(300)});
+  auto running = std::async(
+      std::launch::async, [] { return CallerClient().Call("/write/", "r1"); });
   std::this_thread::sleep_for(milliseconds(50));
-  auto waiting = std::async(std::launch::async, [] {
-    return CallerClient().Call("/write/", "r2");
-  });
+  auto waiting = std::async(
+      std::launch::async, [] { return CallerClient().Call("/write/", "r2"); });
   std::this_thread::sleep_for(milliseconds(50));
   std::promise<void> drained;
   GetProxy().StartDrain([&] { drained.set_value(); });
--- a/src/state/http_routes.cc
+++ b/src/state/http_routes.cc
@@ -45,8 +45,8 @@
 const std::string& DrawService(const HttpRoute& route, std::mt19937_64& rng) {
   uint64_t sum = 0;
   for (const auto& part : route.parts()) sum += part.weight();
-  std::uniform_int_distribution<uint64_t> draw(0, std::max<uint64_t>(sum, 1) -
-                                                      1);
+  std::uniform_int_distribution<uint64_t> draw(0,
+                                               std::max<uint64_t>(sum, 1) - 1);
   uint64_t left = draw(rng);
   for (const auto& part : route.parts()) {
     if (left < part.weight()) return part.service();
--- a/src/state/picker.cc
+++ b/src/state/picker.cc
@@ -52,16 +52,17 @@
   return sum / static_cast<double>(targets.size() - 1);
 }
 
-// Leaves out ejected and sick targets unless that would leave out more than half.
+// Leaves out ejected and sick targets unless that would leave out more than
+// half.
 Candidates HealthyTargets(const Candidates& targets, const TargetLoads& loads,
                           TimePoint now) {
   Candidates healthy;
   std::copy_if(targets.begin(), targets.end(), std::back_inserter(healthy),
                [&](const Target* target) {
                  if (loads.IsEjected(target->member_id, now)) return false;
-                 return !loads.IsSick(
-                     target->member_id,
-                     RateOfOthers(targets, target, loads, now), now);
+                 return !loads.IsSick(target->member_id,
+                                      RateOfOthers(targets, target, loads, now),
+                                      now);
                });
   return healthy.size() * 2 >= targets.size() ? healthy : targets;
 }
@@ -114,10 +115,9 @@
 Pick PickInVersion(const VersionRoutes& version, const PickOptions& options,
                    const TargetLoads& loads, TimePoint now,
                    std::mt19937_64& rng) {
-  const Candidates healthy =
-      HealthyTargets(ReachableTargets(UntriedTargets(version, options), loads,
-                                      now),
-                     loads, now);
+  const Candidates healthy = HealthyTargets(
+      ReachableTargets(UntriedTargets(version, options), loads, now), loads,
+      now);
   const Candidates all = TargetsWithRoom(healthy, loads, now);
   Candidates own_zone;
   std::copy_if(
@@ -188,8 +188,7 @@
   entry.rated_at = now;
   if (latency) {
     const auto ms = static_cast<double>(latency->count());
-    const double weight =
-        entry.latency_ms == 0 ? 1 : m_options.average_weight;
+    const double weight = entry.latency_ms == 0 ? 1 : m_options.average_weight;
     entry.latency_ms += weight * (ms - entry.latency_ms);
   }
   if (!failed) entry.unreachable_in_a_row = 0;
--- a/src/state/routes.cc
+++ b/src/state/routes.cc
@@ -78,14 +78,14 @@
     const double write_share = ShareAt(row, PreviousStage(stage), recalled);
     if (read_share <= 0 && write_share <= 0) continue;
     const bool under_test = IsRising(row) && !settled;
-    routes.versions.push_back(
-        {.version = row.version(),
-         .read_share = read_share,
-         .write_share = write_share,
-         .max_concurrent = row.max_concurrent(),
-         .max_rate = row.max_rate(),
-         .targets =
-             under_test ? WithoutBlamed(found, progress) : std::move(found)});
+    routes.versions.push_back({.version = row.version(),
+                               .read_share = read_share,
+                               .write_share = write_share,
+                               .max_concurrent = row.max_concurrent(),
+                               .max_rate = row.max_rate(),
+                               .targets = under_test
+                                              ? WithoutBlamed(found, progress)
+                                              : std::move(found)});
   }
   return routes;
 }
--- a/src/state/slot_queue.cc
+++ b/src/state/slot_queue.cc
@@ -88,11 +88,11 @@
 
 std::optional<uint64_t> SlotQueue::TakeNext(TimePoint now) {
   if (m_waiting.empty() || m_running >= m_options.slots) return std::nullopt;
-  const auto next = std::min_element(
-      m_waiting.begin(), m_waiting.end(),
-      [&](const QueuedRequest& a, const QueuedRequest& b) {
-        return GoesBefore(a, b, now);
-      });
+  const auto next =
+      std::min_element(m_waiting.begin(), m_waiting.end(),
+                       [&](const QueuedRequest& a, const QueuedRequest& b) {
+                         return GoesBefore(a, b, now);
+                       });
   const uint64_t id = next->id;
   m_running_work += next->run_time;
   m_waiting.erase(next);
@@ -110,11 +110,11 @@
   });
   const size_t most_late = m_options.late_per_slot * m_options.slots;
   for (size_t late = CountLate(now); late > most_late; --late) {
-    const auto last = std::max_element(
-        m_waiting.begin(), m_waiting.end(),
-        [&](const QueuedRequest& a, const QueuedRequest& b) {
-          return GoesBefore(a, b, now);
-        });
+    const auto last =
+        std::max_element(m_waiting.begin(), m_waiting.end(),
+                         [&](const QueuedRequest& a, const QueuedRequest& b) {
+                           return GoesBefore(a, b, now);
+                         });
     hopeless.push_back(last->id);
     m_waiting.erase(last);
   }
--- a/src/state/slot_queue_test.cc
+++ b/src/state/slot_queue_test.cc
@@ -159,9 +159,8 @@
       queue.OnRunEnded(milliseconds(kRunMs));
     }
     for (int i = arrivals(rng); i > 0; --i) {
-      QueuedRequest request{.id = ++last_id,
-                            .priority = 1,
-                            .run_time = milliseconds(kRunMs)};
+      QueuedRequest request{
+          .id = ++last_id, .priority = 1, .run_time = milliseconds(kRunMs)};
       request.objective = now + milliseconds(kObjectiveMs);
       request.deadline = now + milliseconds(4 * kObjectiveMs);
       arrived[request.id] = ms;
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -7,6 +7,7 @@
 #include "kumquatmoor/transport/exchange.h"
 
 #include <netinet/tcp.h>
+#include <spdlog/fmt/fmt.h>
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -23,8 +24,6 @@
 #include <charconv>
 #include <utility>
 
-#include <spdlog/fmt/fmt.h>
-
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/transport/endpoint_address.h"
 
@@ -231,8 +230,7 @@
 // The verdict that a backend server's own answer states.
 Verdict BackendVerdict(const http::response_header<>& answer,
                        const CallHeaders& names) {
-  const bool misdirected =
-      answer.result() == http::status::misdirected_request;
+  const bool misdirected = answer.result() == http::status::misdirected_request;
   const bool not_run =
       !names.not_run.empty() && answer.count(names.not_run) > 0;
   return misdirected || not_run ? Verdict::kNotRun : Verdict::kRan;
@@ -248,7 +246,8 @@
   if (at == std::string_view::npos) return std::nullopt;
   const char* begin = text.data() + at + kTimeout.size();
   int seconds = 0;
-  const auto parsed = std::from_chars(begin, text.data() + text.size(), seconds);
+  const auto parsed =
+      std::from_chars(begin, text.data() + text.size(), seconds);
   if (parsed.ec != std::errc()) return std::nullopt;
   return std::chrono::seconds(seconds);
 }
@@ -327,8 +326,7 @@
   return ReadOutcome::kRejected;
 }
 
-asio::awaitable<ReadOutcome> Inbound::ReadHead(
-    std::function<void()> on_begin) {
+asio::awaitable<ReadOutcome> Inbound::ReadHead(std::function<void()> on_begin) {
   Error error = co_await AwaitFirstByte();
   if (error == asio::error::eof || error == beast::error::timeout) {
     co_return ReadOutcome::kClosed;
--- a/src/transport/exchange_test.cc
+++ b/src/transport/exchange_test.cc
@@ -161,12 +161,17 @@
   const std::string size = std::to_string(body.size());
   for (const bool chunked : {false, true}) {
     INFO(chunked);
-    const std::string bytes =
-        chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                  "200000\r\n" +
-                      body + "\r\n0\r\n\r\n"
-                : "HTTP/1.1 200 OK\r\nContent-Length: " + size +
-                      "\r\n\r\n" + body;
+    std::string bytes = "HTTP/1.1 200 OK\r\n";
+    if (chunked) {
+      bytes += "Transfer-Encoding: chunked\r\n\r\n200000\r\n";
+      bytes += body;
+      bytes += "\r\n0\r\n\r\n";
+    } else {
+      bytes += "Content-Length: ";
+      bytes += size;
+      bytes += "\r\n\r\n";
+      bytes += body;
+    }
     const Outcome outcome = RunOnce(Script{.bytes = bytes});
     CHECK(outcome.answered);
     CHECK_THAT(outcome.received,
--- a/src/transport/upstream_pool.cc
+++ b/src/transport/upstream_pool.cc
@@ -34,10 +34,10 @@
   while (!idle.empty()) {
     auto connection = std::move(idle.back());
     idle.pop_back();
-    const bool young = now - connection->idle_since <= max_age &&
-                       now - connection->idle_since <= kMaxIdleAge &&
-                       now - connection->idle_since <=
-                           connection->idle_limit - kIdleMargin;
+    const bool young =
+        now - connection->idle_since <= max_age &&
+        now - connection->idle_since <= kMaxIdleAge &&
+        now - connection->idle_since <= connection->idle_limit - kIdleMargin;
     if (young && IsQuiet(connection->stream)) {
       connection->reused = true;
       return connection;
--- a/standins/fake_platform.cc
+++ b/standins/fake_platform.cc
@@ -18,19 +18,17 @@
   kumquatmoor::platform::FakeStore store;
   kumquatmoor::HttpServer server(
       context, {.address = FLAGS_address},
-      kumquatmoor::ServeMessages(
-          {.max_body_bytes = 4U << 20U},
-          [&](kumquatmoor::HttpRequest& request,
-              boost::asio::ip::tcp::socket& socket) {
-            return store.Handle(request, socket);
-          }));
+      kumquatmoor::ServeMessages({.max_body_bytes = 4U << 20U},
+                                 [&](kumquatmoor::HttpRequest& request,
+                                     boost::asio::ip::tcp::socket& socket) {
+                                   return store.Handle(request, socket);
+                                 }));
   if (auto error = server.Start()) {
     std::cerr << FLAGS_address << ": " << error.message() << "\n";
     return 1;
   }
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait(
-      [&](boost::system::error_code, int) { context.stop(); });
+  signals.async_wait([&](boost::system::error_code, int) { context.stop(); });
   context.run();
   return 0;
 }
