--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -29,6 +29,7 @@
 
 #include "kumquatmoor/node/admission.h"
 #include "kumquatmoor/node/call_metrics.h"
+#include "kumquatmoor/node/log_budget.h"
 #include "kumquatmoor/protocol/verdict.h"
 #include "kumquatmoor/state/evidence.h"
 #include "kumquatmoor/state/picker.h"
@@ -121,6 +122,7 @@
   void NoteAttempt(const Pick& pick, const Attempt& attempt);
   std::string NewRequestId();
   void CloseIdleCallers();
+  void LogLeftOut();
   boost::asio::awaitable<void> CloseOldConnections();
   boost::asio::awaitable<void> WaitUntilDrained(std::function<void()> drained);
   boost::asio::awaitable<void> WaitUntilClosed(std::string service,
@@ -137,6 +139,7 @@
   CallerBounds m_bounds;
   CallMetrics m_metrics;
   std::unique_ptr<LocalRunner> m_runner;
+  LogBudget m_log_budget;
   TargetLoads m_loads;
   std::map<std::string, RetryBudget> m_retry_budgets;  // By service.
   size_t m_live_nodes = 1;
--- a/src/node/log_sink.cc
+++ b/src/node/log_sink.cc
@@ -1,10 +1,19 @@
 #include "kumquatmoor/node/log_sink.h"
 
+#include <limits.h>
+#include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace kumquatmoor {
+namespace {
+
+// Bounds the time for which the end of the process waits for a reader.
+constexpr int kPollTimeoutMs = 100;
+
+}  // namespace
 
 BufferedSink::BufferedSink(int descriptor)
     : m_descriptor(descriptor), m_thread([this] { WriteLoop(); }) {}
@@ -41,11 +50,18 @@
   }
 }
 
+// A pipe that nobody reads takes no more than it has room for: the rest is
+// kept until it is read, or given up when the process ends.
 void BufferedSink::WriteOut(const std::string& text) const {
   size_t written = 0;
   while (written < text.size()) {
-    const ssize_t size =
-        write(m_descriptor, text.data() + written, text.size() - written);
+    pollfd ready{.fd = m_descriptor, .events = POLLOUT, .revents = 0};
+    const int events = poll(&ready, 1, kPollTimeoutMs);
+    if (events == 0 && m_stopping) return;
+    if (events == 0) continue;
+    // A write of this size does not block once the pipe has room.
+    const size_t part = std::min<size_t>(text.size() - written, PIPE_BUF);
+    const ssize_t size = write(m_descriptor, text.data() + written, part);
     if (size <= 0) return;  // Nobody reads the log any more.
     written += static_cast<size_t>(size);
   }
--- a/src/node/log_sink_test.cc
+++ b/src/node/log_sink_test.cc
@@ -9,6 +9,8 @@
 #include <memory>
 #include <string>
 
+#include "kumquatmoor/node/log_budget.h"
+
 namespace kumquatmoor {
 namespace {
 
@@ -40,5 +42,33 @@
   CHECK(std::count(received.begin(), received.end(), '\n') == 1'000);
 }
 
+TEST_CASE("A pipe that nobody reads holds up nobody") {
+  int ends[2];
+  REQUIRE(pipe(ends) == 0);
+  const auto start = std::chrono::steady_clock::now();
+  {
+    spdlog::logger logger("test", std::make_shared<BufferedSink>(ends[1]));
+    const std::string text(1'000, 'x');
+    for (int i = 0; i < 1'000; ++i) logger.info(text);
+  }
+  CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(2));
+  close(ends[0]);
+  close(ends[1]);
+}
+
+TEST_CASE("A flood of one kind of line leaves room for the others") {
+  LogBudget budget;
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  size_t served = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    if (budget.Allow(LogKind::kServed, now)) ++served;
+  }
+  CHECK(served == LogBudget::kLines.burst);
+  CHECK(budget.Allow(LogKind::kFailed, now));
+  CHECK(budget.TakeLeftOut().at(LogKind::kServed) == 10'000 - served);
+  CHECK(budget.TakeLeftOut().empty());
+  CHECK(budget.Allow(LogKind::kServed, now + std::chrono::seconds(1)));
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -38,7 +38,8 @@
 constexpr milliseconds kDrainPollInterval{20};
 // For the answers to those that a drain cuts off.
 constexpr milliseconds kCutOffAnswerTime{50};
-constexpr std::chrono::seconds kCloseOldInterval{2};
+// Also between two reports of log lines that were left out.
+constexpr std::chrono::seconds kCloseOldInterval{1};
 // Nodes that refuse a call before it is given up: each refusal costs a round
 // trip, and the load reports of three nodes tell what others would say.
 constexpr int kMaxRefusals = 3;
@@ -248,6 +249,13 @@
   }
 }
 
+void Proxy::LogLeftOut() {
+  for (const auto& [kind, lines] : m_log_budget.TakeLeftOut()) {
+    spdlog::warn("log: event=left_out kind={} lines={}", LogKindName(kind),
+                 lines);
+  }
+}
+
 asio::awaitable<void> Proxy::CloseOldConnections() {
   asio::steady_timer timer(m_context);
   while (true) {
@@ -255,6 +263,7 @@
     co_await timer.async_wait(asio::use_awaitable);
     m_pool.CloseOld();
     m_runner->Pool().CloseOld();
+    LogLeftOut();
   }
 }
 
@@ -397,8 +406,10 @@
   answer.reason = std::move(reason);
   if (status == 503) answer.retry_after = kNotReadyRetryAfter;
   answer.close = m_draining;
-  spdlog::info("route: event=rejected request={} status={} reason=\"{}\"",
-               answer.request_id, status, answer.reason);
+  if (m_log_budget.Allow(LogKind::kRefused, Clock::now())) {
+    spdlog::info("route: event=rejected request={} status={} reason=\"{}\"",
+                 answer.request_id, status, answer.reason);
+  }
   co_await WriteOwnAnswer(inbound, answer);
 }
 
@@ -555,6 +566,10 @@
   if (attempt.local) {
     m_loads.OnReport(m_options.id, attempt.local->admission.in_flight, now);
   }
+  const LogKind kind = refused || unreachable ? LogKind::kRefused
+                       : failed               ? LogKind::kFailed
+                                              : LogKind::kServed;
+  if (!m_log_budget.Allow(kind, now)) return;
   spdlog::info(
       "route: event=attempt request={} route={} service={} version={} "
       "target={} zone={} because=\"{}\" revision={} verdict={} status={} "
@@ -601,12 +616,16 @@
     answer.verdict = Verdict::kMayHaveRun;
     answer.status = result.timed_out ? 504 : 502;
   }
-  spdlog::info(
-      "route: event=given_up request={} route={} service={} verdict={} "
-      "status={} offers={} refusals={} elapsed_ms={:.1f} reason=\"{}\"",
-      call.request_id, call.route, call.service, VerdictName(answer.verdict),
-      answer.status, attempt.offers, attempt.refusals, Elapsed(call.started),
-      answer.reason);
+  const LogKind kind =
+      answer.verdict == Verdict::kNotRun ? LogKind::kRefused : LogKind::kFailed;
+  if (m_log_budget.Allow(kind, Clock::now())) {
+    spdlog::info(
+        "route: event=given_up request={} route={} service={} verdict={} "
+        "status={} offers={} refusals={} elapsed_ms={:.1f} reason=\"{}\"",
+        call.request_id, call.route, call.service, VerdictName(answer.verdict),
+        answer.status, attempt.offers, attempt.refusals, Elapsed(call.started),
+        answer.reason);
+  }
   m_metrics.OnCall(answer.verdict, Elapsed(call.started));
   co_await WriteOwnAnswer(inbound, answer);
   co_return inbound.KeepAlive() && inbound.IsWhole() && !m_draining;
@@ -648,11 +667,14 @@
   if (answer.verdict != Verdict::kNotRun) {
     answer.status = run.result.timed_out ? 504 : 502;
   }
-  spdlog::info(
-      "admit: event=not_served request={} service={} version={} verdict={} "
-      "load={} elapsed_ms={:.1f} reason=\"{}\"",
-      call.request_id, call.service, call.version, VerdictName(answer.verdict),
-      answer.load, Elapsed(call.started), answer.reason);
+  if (m_log_budget.Allow(LogKind::kAdmission, Clock::now())) {
+    spdlog::info(
+        "admit: event=not_served request={} service={} version={} verdict={} "
+        "load={} elapsed_ms={:.1f} reason=\"{}\"",
+        call.request_id, call.service, call.version,
+        VerdictName(answer.verdict), answer.load, Elapsed(call.started),
+        answer.reason);
+  }
   co_await WriteOwnAnswer(inbound, answer);
   co_return inbound.KeepAlive() && inbound.IsWhole();
 }
