--- a/include/kumquatmoor/node/node_settings.h
+++ b/include/kumquatmoor/node/node_settings.h
@@ -5,7 +5,7 @@
 //
 //   auto settings = Attempt([&] { return ReadNodeSettings(path); });
 //
-// docs/OPERATING.md lists every key.
+// docs/OPERATIONS.md lists every key.
 
 #include <chrono>
 #include <string>
