--- a/include/kumquatmoor/state/picker.h
+++ b/include/kumquatmoor/state/picker.h
@@ -39,7 +39,8 @@
   // so long, as long as others are left. Its own reports may lag or lie.
   std::chrono::milliseconds full_rest{20};
   // First and longest time for which a target that could not be reached is
-  // left out; the time doubles with each failure in a row.
+  // left out; the time doubles with each failure in a row. Then one request
+  // tries it, as a half-open circuit breaker does.
   std::chrono::milliseconds first_unreachable{500};
   std::chrono::milliseconds longest_unreachable{4'000};
   // Weight of the latest request in the moving averages of failures and
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -43,6 +43,9 @@
 // Nodes that refuse a call before it is given up: each refusal costs a round
 // trip, and the load reports of three nodes tell what others would say.
 constexpr int kMaxRefusals = 3;
+// Nodes that cannot be reached before a call is given up. More than half of
+// them may be lost at the same moment, with a zone or in a herd.
+constexpr int kMaxUnreachable = 6;
 // Bounds of the wait that a refused caller is told. The lower one covers the
 // age of load reports, the upper one a restart.
 constexpr milliseconds kShortestRetryAfter{50};
@@ -111,6 +114,7 @@
   bool leaving = false;  // The target refuses for longer than a moment.
   int64_t offers = 0;    // Backend servers that were handed the call.
   int refusals = 0;
+  int unreachable = 0;  // Nodes to which no connection came about.
   milliseconds retry_after{0};
 };
 
@@ -469,7 +473,10 @@
   if (!failed || inbound.streamed) return false;
   if (Clock::now() >= call.deadline) return false;
   if (!refused && !call.idempotent) return false;
-  if (refused && !result.offered) return attempt.refusals < kMaxRefusals;
+  if (refused && !result.offered) {
+    return attempt.refusals < kMaxRefusals &&
+           attempt.unreachable < kMaxUnreachable;
+  }
   if (attempt.offers >= call.max_attempts) return false;
   return BudgetOf(call.service).TakeRetry();
 }
@@ -526,7 +533,9 @@
   options.headers = &m_options.headers;
   options.active = m_active;
   attempt.result = co_await Forward(m_pool, inbound, options);
-  if (attempt.result.verdict == Verdict::kNotRun) ++attempt.refusals;
+  if (attempt.result.verdict == Verdict::kNotRun) {
+    ++(attempt.result.answered ? attempt.refusals : attempt.unreachable);
+  }
   if (!attempt.result.answered) co_return;
   const auto& head = attempt.result.head;
   if (auto in_flight = ParseCount(Text(head[headers::kLoad]))) {
--- a/src/state/picker.cc
+++ b/src/state/picker.cc
@@ -139,6 +139,11 @@
 void TargetLoads::OnSent(const std::string& member_id, TimePoint now) {
   Entry& entry = m_entries[member_id];
   if (entry.first_sent == TimePoint()) entry.first_sent = now;
+  // Half-open: one request tries a target that could not be reached; the
+  // others wait for what becomes of it.
+  if (entry.unreachable_in_a_row > 0) {
+    entry.unreachable_until = now + m_options.first_unreachable;
+  }
   ++entry.in_flight;
 }
 
--- a/src/state/picker_test.cc
+++ b/src/state/picker_test.cc
@@ -193,6 +193,11 @@
   CHECK(CountPicks(loads, later)["old2"] == 0);
   CHECK(CountPicks(loads, later)["old3"] == 1'000);
   CHECK(CountPicks(loads, now + milliseconds(1'001))["old2"] > 300);
+  // One request at a time tries it.
+  loads.OnSent("old2", now + milliseconds(1'001));
+  CHECK(CountPicks(loads, now + milliseconds(1'100))["old2"] == 0);
+  loads.OnDone("old2", false, now + milliseconds(1'200));
+  CHECK(CountPicks(loads, now + milliseconds(1'600))["old2"] > 300);
   // If none is left, all are tried.
   for (const char* id : {"old0", "old1", "old2", "old3"}) {
     loads.OnUnreachable(id, now);
