Leaving backend servers are remembered beyond a restart of their node

The record of a member names the latest processes that leave, and joins them across incarnations, so that a node hears of them with its first synchronisation. Ruled out: requests that waited (they are refused when the ack is given), a second backend server at the host. Tests: the join, a restarted node, late announcements, order by start and sequence.

--- a/include/kumquatmoor/coordination/member_list.h
+++ b/include/kumquatmoor/coordination/member_list.h
@@ -105,7 +105,16 @@
   uint64_t m_alive_version = 0;
 };
 
-// The join of two records of one member.
+// Leaving instances that a record names at most: one backend server leaves at
+// a time, and late announcements come within seconds.
+inline constexpr int kMaxLeaving = 4;
+
+// Adds the leaving instances of `from` to those of `to`. True if that changed
+// something.
+bool JoinLeaving(const MemberRecord& from, MemberRecord* to);
+
+// The join of two records of one member. Leaving instances are joined across
+// incarnations.
 MemberRecord JoinRecords(const MemberRecord& a, const MemberRecord& b);
 
 }  // namespace kumquatmoor
--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -85,6 +85,8 @@
   // Joins a mark and spreads it. True if it said something new.
   bool JoinMark(const MoveMark& mark);
   void SetEndpoints(std::span<const Endpoint> endpoints, TimePoint now);
+  // A backend server of this node has said that it leaves.
+  void NoteLeaving(const LeavingInstance& leaving, TimePoint now);
   // Announces that this node is leaving for good.
   std::vector<Outgoing> Leave(TimePoint now);
 
--- a/include/kumquatmoor/node/backend_registry.h
+++ b/include/kumquatmoor/node/backend_registry.h
@@ -57,11 +57,16 @@
   AnnounceOutcome Announce(const Announcement& announcement, TimePoint now);
   // It counts as draining from now on. False if nothing changed.
   bool Withdraw(const Withdrawal& withdrawal);
+  // The process has said that it leaves, maybe to an earlier incarnation of
+  // this node: a late announcement of it does not count. True if that is news.
+  bool NoteLeaving(const std::string& instance, int64_t started_ms);
   // The version has lost its share in a move and runs no more requests.
   void Retire(const std::string& service, const std::string& version);
   // Takes out those whose time is over. True if there was one.
   bool Expire(TimePoint now);
 
+  // Unix time of its start, 0 if it is not known.
+  int64_t StartOf(const std::string& instance) const;
   std::vector<LocalBackend> Backends() const;
   std::vector<Endpoint> Endpoints() const;
 
@@ -73,7 +78,10 @@
     bool withdrawn = false;
     bool retired = false;
   };
-  std::map<std::string, Entry> m_entries;  // By address.
+  bool IsLeaving(const Announcement& announcement) const;
+
+  std::map<std::string, Entry> m_entries;    // By address.
+  std::map<std::string, int64_t> m_leaving;  // Start by instance, 0: not known.
 };
 
 }  // namespace kumquatmoor
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -114,6 +114,8 @@
   std::vector<std::string> OwnZoneIds() const;
   void UpdateAckTree(TimePoint now);
   void UpdateMoves(TimePoint now);
+  void NoteLeaving(const std::string& instance, int64_t started_ms);
+  void TakeLeaving();
   void CloseFallingVersions();
   void OnVersionClosed(const std::string& service, const std::string& version);
   bool IsIsolated() const;
--- a/src/coordination/member_list.cc
+++ b/src/coordination/member_list.cc
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace kumquatmoor {
 namespace {
@@ -35,13 +37,35 @@
          MemberStatus_IsValid(record.status());
 }
 
+bool JoinLeaving(const MemberRecord& from, MemberRecord* to) {
+  std::set<std::pair<int64_t, std::string>> joined;
+  for (const auto* record : {&from, static_cast<const MemberRecord*>(to)}) {
+    for (const auto& leaving : record->leaving()) {
+      joined.emplace(leaving.started_ms(), leaving.instance());
+    }
+  }
+  while (joined.size() > kMaxLeaving) joined.erase(joined.begin());
+  MemberRecord kept;
+  for (const auto& [started_ms, instance] : joined) {
+    LeavingInstance* leaving = kept.add_leaving();
+    leaving->set_started_ms(started_ms);
+    leaving->set_instance(instance);
+  }
+  MemberRecord before;
+  *before.mutable_leaving() = to->leaving();
+  *to->mutable_leaving() = kept.leaving();
+  return before.SerializeAsString() != kept.SerializeAsString();
+}
+
 MemberRecord JoinRecords(const MemberRecord& a, const MemberRecord& b) {
+  MemberRecord left = a;
+  MemberRecord right = b;
+  JoinLeaving(b, &left);
+  JoinLeaving(a, &right);
   if (a.incarnation() != b.incarnation()) {
-    return a.incarnation() > b.incarnation() ? a : b;
+    return a.incarnation() > b.incarnation() ? left : right;
   }
   const MemberStatus status = std::max(a.status(), b.status());
-  MemberRecord left = a;
-  MemberRecord right = b;
   left.set_status(status);
   right.set_status(status);
   return HasNewerEndpoints(left, right) ? left : right;
--- a/src/coordination/member_list_test.cc
+++ b/src/coordination/member_list_test.cc
@@ -62,5 +62,30 @@
   CHECK_FALSE(members.Join(record, now));
 }
 
+TEST_CASE("Leaving instances outlive the incarnation, the latest few") {
+  MemberRecord old;
+  old.set_id("n");
+  old.set_incarnation(5);
+  const auto add = [&](const std::string& instance, int64_t started_ms) {
+    LeavingInstance* leaving = old.add_leaving();
+    leaving->set_instance(instance);
+    leaving->set_started_ms(started_ms);
+  };
+  add("i1", 10);
+  MemberRecord restarted;
+  restarted.set_id("n");
+  restarted.set_incarnation(6);
+  for (const auto& joined :
+       {JoinRecords(old, restarted), JoinRecords(restarted, old)}) {
+    CHECK(joined.incarnation() == 6);
+    REQUIRE(joined.leaving_size() == 1);
+    CHECK(joined.leaving(0).instance() == "i1");
+  }
+  for (int i = 2; i < 9; ++i) add("i" + std::to_string(i), 10 * i);
+  const MemberRecord joined = JoinRecords(restarted, old);
+  REQUIRE(joined.leaving_size() == kMaxLeaving);
+  CHECK(joined.leaving(kMaxLeaving - 1).instance() == "i8");
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -308,6 +308,16 @@
   SpreadMember(m_options.id);
 }
 
+void Replica::NoteLeaving(const LeavingInstance& leaving, TimePoint now) {
+  MemberRecord told;
+  *told.add_leaving() = leaving;
+  MemberRecord self = Self();
+  if (!JoinLeaving(told, &self)) return;
+  self.set_version(self.version() + 1);
+  m_members.Join(self, now);
+  SpreadMember(m_options.id);
+}
+
 std::vector<Outgoing> Replica::Leave(TimePoint now) {
   MemberRecord self = Self();
   self.set_status(LEFT);
--- a/src/coordination/replica_probe.cc
+++ b/src/coordination/replica_probe.cc
@@ -195,6 +195,9 @@
 void Replica::Refute(const MemberRecord& claim, TimePoint now) {
   MemberRecord self = Self();
   if (self.status() != ALIVE) return;
+  // What an earlier incarnation of this node had acknowledged.
+  for (const auto& leaving : claim.leaving()) NoteLeaving(leaving, now);
+  self = Self();
   const bool newer = claim.incarnation() > self.incarnation();
   const bool against =
       claim.incarnation() == self.incarnation() &&
--- a/src/coordination/replica_test.cc
+++ b/src/coordination/replica_test.cc
@@ -477,5 +477,20 @@
   CHECK_FALSE(replica.IsBehindFor(milliseconds(0), start + milliseconds(600)));
 }
 
+TEST_CASE("A node that restarts hears which backend servers were leaving") {
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  Replica peer({.id = "peer", .control_address = "peer"}, now);
+  Replica before({.id = "n", .control_address = "n", .started_ms = 5}, now);
+  LeavingInstance leaving;
+  leaving.set_instance("i1");
+  leaving.set_started_ms(7);
+  before.NoteLeaving(leaving, now);
+  peer.AnswerSync(before.MakeSyncRequest(false), now);
+  Replica after({.id = "n", .control_address = "n", .started_ms = 6}, now);
+  after.TakeSync(peer.AnswerSync(after.MakeSyncRequest(true), now), now);
+  REQUIRE(after.Self().leaving_size() == 1);
+  CHECK(after.Self().leaving(0).instance() == "i1");
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/node/backend_registry.cc
+++ b/src/node/backend_registry.cc
@@ -1,5 +1,6 @@
 #include "kumquatmoor/node/backend_registry.h"
 
+#include <algorithm>
 #include <tuple>
 
 #include "kumquatmoor/protocol/json_reader.h"
@@ -64,7 +65,8 @@
   const bool changed =
       restarted || Parts(entry.announcement) != Parts(announcement);
   if (restarted) {
-    entry = Entry{.first = now + announcement.cold_left};
+    entry = Entry{.first = now + announcement.cold_left,
+                  .withdrawn = IsLeaving(announcement)};
   }
   entry.announcement = announcement;
   entry.expires = now + announcement.ttl;
@@ -84,6 +86,33 @@
   return false;
 }
 
+bool BackendRegistry::IsLeaving(const Announcement& announcement) const {
+  const auto found = m_leaving.find(announcement.instance);
+  if (announcement.instance.empty() || found == m_leaving.end()) return false;
+  return found->second == 0 || announcement.started_ms <= found->second;
+}
+
+bool BackendRegistry::NoteLeaving(const std::string& instance,
+                                  int64_t started_ms) {
+  int64_t& held = m_leaving[instance];
+  held = std::max(held, started_ms);
+  bool news = false;
+  for (auto& [address, entry] : m_entries) {
+    if (entry.withdrawn || !IsLeaving(entry.announcement)) continue;
+    entry.withdrawn = true;
+    news = true;
+  }
+  return news;
+}
+
+int64_t BackendRegistry::StartOf(const std::string& instance) const {
+  for (const auto& [address, entry] : m_entries) {
+    const Announcement& held = entry.announcement;
+    if (held.instance == instance) return held.started_ms;
+  }
+  return 0;
+}
+
 void BackendRegistry::Retire(const std::string& service,
                              const std::string& version) {
   for (auto& [address, entry] : m_entries) {
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -79,6 +79,7 @@
     m_next_ack_update = now + kAckInterval;
     UpdateAckTree(now);
   }
+  TakeLeaving();
   const size_t live = m_replica.Members().Alive().size();
   if (live != m_published_live) {
     m_published_live = live;
@@ -289,18 +290,44 @@
       announcement.sequence);
   m_mover.SetLoad(announcement.service, announcement.version,
                   announcement.slots);
+  if (announcement.draining && !announcement.instance.empty()) {
+    NoteLeaving(announcement.instance, announcement.started_ms);
+  }
   PublishBackends();
   // News of a backend server does not wait for the next tick.
   if (m_ready) Send(m_replica.Tick(Clock::now()));
   return true;
 }
 
+// So that it is known here even after a restart of this node.
+void ControlLoop::NoteLeaving(const std::string& instance, int64_t started_ms) {
+  LeavingInstance leaving;
+  leaving.set_instance(instance);
+  leaving.set_started_ms(started_ms);
+  m_registry.NoteLeaving(instance, started_ms);
+  m_replica.NoteLeaving(leaving, Clock::now());
+}
+
+// What an earlier incarnation of this node had acknowledged.
+void ControlLoop::TakeLeaving() {
+  const MemberRecord self = m_replica.Self();
+  bool news = false;
+  for (const auto& leaving : self.leaving()) {
+    news = m_registry.NoteLeaving(leaving.instance(), leaving.started_ms()) ||
+           news;
+  }
+  if (!news) return;
+  spdlog::info("announce: event=leaving_before_restart");
+  PublishBackends();
+}
+
 bool ControlLoop::Withdraw(const Withdrawal& withdrawal) {
   const bool changed = m_registry.Withdraw(withdrawal);
   spdlog::info("announce: event={} instance={} sequence={}",
                changed ? "withdrawn" : "withdrawal_ignored",
                withdrawal.instance, withdrawal.sequence);
   if (!changed) return false;
+  NoteLeaving(withdrawal.instance, m_registry.StartOf(withdrawal.instance));
   PublishBackends();
   if (m_ready) Send(m_replica.Tick(Clock::now()));
   return true;
--- a/src/node/mover_test.cc
+++ b/src/node/mover_test.cc
@@ -161,5 +161,55 @@
   }
 }
 
+TEST_CASE("Announcements are ordered by start and sequence") {
+  const auto make = [](const char* instance, int64_t started_ms,
+                       uint64_t sequence, bool draining = false) {
+    return Announcement{.instance = instance,
+                        .started_ms = started_ms,
+                        .sequence = sequence,
+                        .service = "s",
+                        .version = "v",
+                        .address = "127.0.0.1:1",
+                        .draining = draining,
+                        .ttl = seconds(6)};
+  };
+  BackendRegistry registry;
+  registry.Announce(make("i1", 10, 4, true), kNow);
+  CHECK(registry.Announce(make("i1", 10, 3), kNow) == AnnounceOutcome::kStale);
+  CHECK(registry.Backends()[0].draining);
+  // A later process at the address; then a late word of the earlier one.
+  registry.Announce(make("i2", 20, 1), kNow);
+  CHECK(registry.Announce(make("i1", 10, 9), kNow) == AnnounceOutcome::kStale);
+  CHECK_FALSE(registry.Withdraw({.instance = "i1"}));
+  CHECK_FALSE(registry.Withdraw({.instance = "i2", .started_ms = 5}));
+  CHECK_FALSE(registry.Backends()[0].draining);
+  CHECK(registry.Withdraw({.instance = "i2"}));
+  CHECK(registry.Backends()[0].draining);
+  registry.Announce(make("i2", 20, 2), kNow);
+  CHECK(registry.Backends()[0].draining);
+  // The same id in a new process.
+  registry.Announce(make("i2", 30, 1), kNow);
+  CHECK_FALSE(registry.Backends()[0].draining);
+}
+
+TEST_CASE("A late announcement of a leaving process does not count") {
+  BackendRegistry registry;  // Of a node that has just restarted.
+  const Announcement late{.instance = "i1",
+                          .started_ms = 10,
+                          .sequence = 3,
+                          .service = "s",
+                          .version = "v",
+                          .address = "127.0.0.1:1",
+                          .ttl = seconds(6)};
+  CHECK_FALSE(registry.NoteLeaving("i1", 10));
+  registry.Announce(late, kNow);
+  CHECK(registry.Backends()[0].draining);
+  BackendRegistry heard_later;
+  heard_later.Announce(late, kNow);
+  CHECK_FALSE(heard_later.Backends()[0].draining);
+  CHECK(heard_later.NoteLeaving("i1", 10));
+  CHECK(heard_later.Backends()[0].draining);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
