--- a/src/coordination/judge_test.cc
+++ b/src/coordination/judge_test.cc
@@ -37,7 +37,8 @@
   Bench(int64_t move_by_ms, uint64_t seed)
       : Bench(move_by_ms, seed, {.zone = "z"}) {}
   Bench(int64_t move_by_ms, uint64_t seed, JudgeOptions options)
-      : m_rng(seed), m_judge(MakeConfig(move_by_ms), options, Time()) {}
+      : m_rng(seed),
+        m_judge(MakeConfig(move_by_ms), std::move(options), Time()) {}
   // A move that has to end within so many seconds, as Mover sets it up.
   static Bench ShortMove(int seconds_left, uint64_t seed) {
     return Bench(0, seed,
@@ -107,9 +108,8 @@
       // Draws nothing where no request is slow: the seeds of the other tests
       // keep their traffic.
       std::bernoulli_distribution slow(behaviour.slow_part);
-      const auto is_slow = [&] {
-        return behaviour.slow_part > 0 && slow(m_rng);
-      };
+      const double slow_part = behaviour.slow_part;
+      const auto is_slow = [&] { return slow_part > 0 && slow(m_rng); };
       for (int i = 0; i < count; ++i) {
         const bool failed = error(m_rng);
         ledger.Add({.service = "s",
--- a/src/coordination/member_list_test.cc
+++ b/src/coordination/member_list_test.cc
@@ -81,7 +81,7 @@
     REQUIRE(joined.leaving_size() == 1);
     CHECK(joined.leaving(0).instance() == "i1");
   }
-  for (int i = 2; i < 9; ++i) add("i" + std::to_string(i), 10 * i);
+  for (int64_t i = 2; i < 9; ++i) add("i" + std::to_string(i), 10 * i);
   const MemberRecord joined = JoinRecords(restarted, old);
   REQUIRE(joined.leaving_size() == kMaxLeaving);
   CHECK(joined.leaving(kMaxLeaving - 1).instance() == "i8");
