--- a/src/node/call.h
+++ b/src/node/call.h
@@ -34,6 +34,13 @@
             .objective = objective,
             .deadline = deadline};
   }
+  // A request with side effects uses only connections that just worked, since
+  // it cannot be repeated when one has gone silent.
+  std::chrono::milliseconds MaxIdleAge() const {
+    constexpr std::chrono::milliseconds kFreshIdle{500};
+    constexpr std::chrono::milliseconds kAnyIdle{5'000};
+    return idempotent ? kAnyIdle : kFreshIdle;
+  }
   // Milliseconds left, at least 1.
   int64_t LeftMs(TimePoint now) const {
     return std::max<int64_t>(
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -16,10 +16,6 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-// A request with side effects uses only connections that just worked, since
-// it cannot be repeated when one has gone silent.
-constexpr milliseconds kFreshIdle{500};
-constexpr milliseconds kAnyIdle{5'000};
 constexpr unsigned kErrorStatus = 400;
 
 milliseconds Since(TimePoint start) {
@@ -125,7 +121,7 @@
   options.head = std::move(head);
   SetRequestHeaders(call, run.admission, &options.head);
   options.deadline = call.deadline;
-  options.max_idle_age = call.idempotent ? kAnyIdle : kFreshIdle;
+  options.max_idle_age = call.MaxIdleAge();
   options.headers = &m_headers;
   options.to_backend = true;
   options.active = m_active;
--- /dev/null
+++ b/src/node/proxy_calls.cc
@@ -0,0 +1,460 @@
+// A call is tried at one target after another until one answers, the attempts
+// or the retry budget are used up, the deadline passes, or the verdict forbids
+// another try. Whatever ends it, the caller is answered at once.
+//
+// A target of this very node is run without another hop; for every other one
+// the request goes to the data address of the node beside it. A refusal there
+// is not an arrival at a backend server, so it costs no retry.
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "kumquatmoor/node/proxy.h"
+#include "kumquatmoor/protocol/headers.h"
+#include "node/call.h"
+#include "node/local_runner.h"
+
+namespace kumquatmoor {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kMaxDeadline{600'000};
+// Nodes that refuse a call before it is given up: each refusal costs a round
+// trip, and the load reports of three nodes tell what others would say.
+constexpr int kMaxRefusals = 3;
+// Nodes that cannot be reached before a call is given up. More than half of
+// them may be lost at the same moment, with a zone or in a herd.
+constexpr int kMaxUnreachable = 6;
+// Bounds of the wait that a refused caller is told. The lower one covers the
+// age of load reports, the upper one a restart.
+constexpr milliseconds kShortestRetryAfter{50};
+constexpr milliseconds kLongestRetryAfter{1'000};
+constexpr milliseconds kNotReadyRetryAfter{300};
+
+double Elapsed(TimePoint since) {
+  return std::chrono::duration<double, std::milli>(Clock::now() - since)
+      .count();
+}
+
+std::string_view Text(beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::optional<uint32_t> ParseCount(std::string_view text) {
+  uint32_t count = 0;
+  auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), count);
+  if (error != std::errc() || end == text.data()) return std::nullopt;
+  return count;
+}
+
+milliseconds ParseRetryAfter(std::string_view text) {
+  double seconds = 0;
+  std::from_chars(text.data(), text.data() + text.size(), seconds);
+  return milliseconds(static_cast<int64_t>(seconds * 1'000));
+}
+
+// Statuses that promise that a request has not run.
+bool PromisesNotRun(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
+
+// The tries of a call so far, and the last one's end.
+struct Proxy::Attempt {
+  Call call;  // With the version that was chosen.
+  ForwardResult result;
+  std::optional<LocalRun> local;
+  TimePoint started;     // Of this try.
+  bool leaving = false;  // The target refuses for longer than a moment.
+  int64_t offers = 0;    // Backend servers that were handed the call.
+  int refusals = 0;
+  int unreachable = 0;  // Nodes to which no connection came about.
+  milliseconds retry_after{0};
+};
+
+std::string Proxy::NewRequestId() {
+  return fmt::format("{:016x}{:016x}", m_rng(), m_rng());
+}
+
+// Reads what a caller's request and one from another node have in common.
+Call Proxy::ReadCall(const Inbound& inbound, const CallHeaders& names) {
+  const RequestHead& head = inbound.Head();
+  Call call;
+  call.service = std::string(Text(head[headers::kService]));
+  call.version = std::string(Text(head[headers::kVersion]));
+  call.request_id = std::string(Text(head[names.request_id]));
+  call.max_attempts = m_options.max_attempts;
+  call.started = Clock::now();
+  const auto asked = ParseCount(Text(head[names.deadline_ms]));
+  const milliseconds allowed =
+      asked ? milliseconds(*asked) : m_options.default_deadline;
+  call.deadline = call.started + std::min(allowed, kMaxDeadline);
+  return call;
+}
+
+void Proxy::ApplyRoute(const HttpRoute& route, Call* call) {
+  call->service = DrawService(route, m_rng);
+  call->route = route.name();
+  call->idempotent = route.kind() != NON_IDEMPOTENT;
+  call->priority = route.priority();
+  call->max_attempts = std::max(1U, route.max_attempts());
+  if (route.timeout_ms() > 0) {
+    call->deadline = std::min(call->deadline,
+                              call->started + milliseconds(route.timeout_ms()));
+  }
+  if (route.objective_ms() > 0) {
+    call->objective = call->started + milliseconds(route.objective_ms());
+  }
+}
+
+std::optional<Proxy::Rejection> Proxy::ReadCallerCall(const Inbound& inbound,
+                                                      Call* call) {
+  *call = ReadCall(inbound, m_options.headers);
+  const RequestHead& head = inbound.Head();
+  const std::string_view method = Text(head.method_string());
+  if (m_routes == nullptr) {
+    return Rejection{503, "this node holds no configuration yet"};
+  }
+  const HttpRouteIndex* index = m_routes->http_routes.get();
+  if (index != nullptr && !index->IsEmpty()) {
+    if (call->request_id.empty()) return Rejection{400, "no request id"};
+    const HttpRoute* route =
+        index->Find(Text(head[http::field::host]), Text(head.target()));
+    if (route == nullptr) return Rejection{404, "no route"};
+    ApplyRoute(*route, call);
+    return std::nullopt;
+  }
+  std::string_view path = Text(head.target());
+  if (call->service.empty() && path.size() > 1) {
+    const std::string_view rest = path.substr(1);
+    const size_t end = std::min(rest.find_first_of("/?"), rest.size());
+    call->service = std::string(rest.substr(0, end));
+    path = path.substr(1 + end);
+  }
+  if (call->request_id.empty()) call->request_id = NewRequestId();
+  call->route = RouteOf(method, path);
+  call->idempotent = IsIdempotent(method);
+  return std::nullopt;
+}
+
+Pick Proxy::PickFor(const Call& call, const std::set<std::string>& tried) {
+  const ServiceRoutes* service = m_routes->Find(call.service);
+  if (service == nullptr) return {.reason = "no live target"};
+  const PickOptions options{
+      .zone = m_options.zone, .idempotent = call.idempotent, .tried = &tried};
+  return PickTarget(*service, options, m_loads, Clock::now(), m_rng);
+}
+
+RetryBudget& Proxy::BudgetOf(const std::string& service) {
+  auto found = m_retry_budgets.find(service);
+  if (found == m_retry_budgets.end()) {
+    const RetryBudgetOptions options{
+        .ratio = m_options.retry_budget.ratio,
+        .reserve =
+            m_options.retry_budget.reserve / static_cast<double>(m_live_nodes)};
+    found = m_retry_budgets.emplace(service, RetryBudget(options)).first;
+  }
+  return found->second;
+}
+
+asio::awaitable<void> Proxy::Reject(Inbound& inbound, unsigned status,
+                                    std::string reason) {
+  OwnAnswer answer;
+  answer.status = status;
+  answer.verdict = Verdict::kNotRun;
+  answer.request_id =
+      std::string(Text(inbound.Head()[m_options.headers.request_id]));
+  answer.request_id_header = m_options.headers.request_id;
+  answer.reason = std::move(reason);
+  if (status == 503) answer.retry_after = kNotReadyRetryAfter;
+  answer.close = m_draining;
+  if (m_log_budget.Allow(LogKind::kRefused, Clock::now())) {
+    spdlog::info("route: event=rejected request={} status={} reason=\"{}\"",
+                 answer.request_id, status, answer.reason);
+  }
+  co_await WriteOwnAnswer(inbound, answer);
+}
+
+asio::awaitable<bool> Proxy::ServeCaller(Inbound& inbound) {
+  Call call;
+  auto rejection = ReadCallerCall(inbound, &call);
+  call.deadline = std::min(call.deadline, m_drain_end);
+  if (rejection) {
+    co_await Reject(inbound, rejection->status, std::move(rejection->reason));
+    co_return inbound.KeepAlive() && inbound.IsWhole() && !m_draining;
+  }
+  BudgetOf(call.service).OnFirstTry();
+  Attempt attempt;
+  attempt.call = call;
+  co_await TryTargets(inbound, call, attempt);
+  if (attempt.result.caller_gone) co_return false;
+  const ForwardResult& result = attempt.result;
+  if (result.answered && result.verdict != Verdict::kNotRun &&
+      !PromisesNotRun(result.head.result_int())) {
+    co_return co_await Answer(inbound, attempt);
+  }
+  co_return co_await GiveUp(inbound, call, attempt);
+}
+
+// Ends with the last attempt in `attempt`.
+asio::awaitable<void> Proxy::TryTargets(Inbound& inbound, const Call& call,
+                                        Attempt& attempt) {
+  std::set<std::string> tried;
+  while (true) {
+    // The snapshot that the pick points into stays alive during the attempt.
+    const std::shared_ptr<const RouteTable> routes = m_routes;
+    const Pick pick = PickFor(call, tried);
+    if (pick.target == nullptr) {
+      if (tried.empty()) attempt.result.reason = std::string(pick.reason);
+      co_return;
+    }
+    tried.insert(pick.target->member_id);
+    attempt.call.version = pick.target->version;
+    attempt.result = ForwardResult();
+    attempt.local.reset();
+    attempt.leaving = false;
+    co_await TryTarget(inbound, pick, attempt);
+    NoteAttempt(pick, attempt);
+    if (attempt.result.offered) ++attempt.offers;
+    if (attempt.result.caller_gone) co_return;
+    if (!ShouldRetry(inbound, attempt)) co_return;
+    m_metrics.OnRetry();
+  }
+}
+
+bool Proxy::ShouldRetry(const Inbound& inbound, const Attempt& attempt) {
+  const ForwardResult& result = attempt.result;
+  const Call& call = attempt.call;
+  const bool refused = result.verdict == Verdict::kNotRun;
+  const bool failed =
+      !result.answered || result.head.result_int() >= 500 || refused;
+  if (!failed || inbound.streamed) return false;
+  if (Clock::now() >= call.deadline) return false;
+  if (!refused && !call.idempotent) return false;
+  if (refused && !result.offered) {
+    return attempt.refusals < kMaxRefusals &&
+           attempt.unreachable < kMaxUnreachable;
+  }
+  if (attempt.offers >= call.max_attempts) return false;
+  return BudgetOf(call.service).TakeRetry();
+}
+
+RequestHead Proxy::HeadForNode(const Inbound& inbound, const Call& call) const {
+  RequestHead head = inbound.Head();
+  RemoveHopHeaders(&head);
+  head.set(headers::kService, call.service);
+  head.set(headers::kVersion, call.version);
+  head.set(m_options.headers.request_id, call.request_id);
+  head.set(headers::kRoute, call.route);
+  head.set(headers::kIdempotent, call.idempotent ? "1" : "0");
+  head.set(headers::kPriority, std::to_string(call.priority));
+  const auto now = Clock::now();
+  if (call.objective != TimePoint::max()) {
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(call.objective - now).count();
+    head.set(headers::kObjectiveMs, std::to_string(std::max<int64_t>(0, left)));
+  }
+  head.set(m_options.headers.deadline_ms, std::to_string(call.LeftMs(now)));
+  if (!m_options.headers.caller_service.empty()) {
+    head.set(m_options.headers.caller_service, m_options.service);
+  }
+  return head;
+}
+
+asio::awaitable<void> Proxy::TryTarget(Inbound& inbound, const Pick& pick,
+                                       Attempt& attempt) {
+  const Call& call = attempt.call;
+  attempt.started = Clock::now();
+  m_loads.OnSent(pick.target->member_id, attempt.started);
+  if (pick.target->member_id == m_options.id) {
+    attempt.local.emplace();
+    LocalRun& run = *attempt.local;
+    co_await m_runner->Run(inbound, HeadForNode(inbound, call), call, run);
+    const bool relays = run.result.answered &&
+                        run.result.verdict != Verdict::kNotRun &&
+                        !run.result.whole;
+    // A whole answer needs the slot no longer; a streamed one does.
+    if (!relays) m_runner->Finish(call, run, run.result.whole);
+    attempt.leaving = run.admission.leaving;
+    attempt.retry_after = run.admission.wait;
+    std::swap(attempt.result, run.result);
+    if (attempt.result.verdict == Verdict::kNotRun) ++attempt.refusals;
+    co_return;
+  }
+  ForwardOptions options;
+  options.address = pick.target->data_address;
+  options.zone = pick.target->zone;
+  options.head = HeadForNode(inbound, call);
+  options.deadline = call.deadline;
+  options.max_idle_age = call.MaxIdleAge();
+  options.faults = m_faults;
+  options.headers = &m_options.headers;
+  options.active = m_active;
+  attempt.result = co_await Forward(m_pool, inbound, options);
+  if (attempt.result.verdict == Verdict::kNotRun) {
+    ++(attempt.result.answered ? attempt.refusals : attempt.unreachable);
+  }
+  if (!attempt.result.answered) co_return;
+  const auto& head = attempt.result.head;
+  if (auto in_flight = ParseCount(Text(head[headers::kLoad]))) {
+    m_loads.OnReport(pick.target->member_id, *in_flight, Clock::now());
+  }
+  if (attempt.result.verdict == Verdict::kNotRun) {
+    attempt.result.reason = std::string(Text(head[headers::kReason]));
+    attempt.leaving = head.count(http::field::retry_after) == 0;
+    attempt.retry_after = ParseRetryAfter(Text(head[http::field::retry_after]));
+  }
+}
+
+void Proxy::NoteAttempt(const Pick& pick, const Attempt& attempt) {
+  const auto now = Clock::now();
+  const Call& call = attempt.call;
+  const ForwardResult& result = attempt.result;
+  const std::string& target = pick.target->member_id;
+  const unsigned status = result.answered ? result.head.result_int() : 0;
+  const bool refused = result.answered && result.verdict == Verdict::kNotRun;
+  const bool failed = !result.answered || (status >= 500 && !refused);
+  const bool ran = result.answered && result.verdict == Verdict::kRan;
+  std::optional<milliseconds> latency;
+  if (ran) {
+    latency = std::chrono::duration_cast<milliseconds>(now - attempt.started);
+  }
+  m_loads.OnDone(target, failed && !result.caller_gone, now, latency);
+  const bool unreachable =
+      !result.answered && result.verdict == Verdict::kNotRun && !attempt.local;
+  if (unreachable && !result.caller_gone) {
+    m_loads.OnUnreachable(target, now);
+  } else if (attempt.leaving) {
+    m_loads.OnRefused(target, now);
+  } else if (result.verdict == Verdict::kNotRun) {
+    m_loads.OnFull(target, now);
+  }
+  // Another node's answer has said its load in a header.
+  if (attempt.local) {
+    m_loads.OnReport(m_options.id, attempt.local->admission.in_flight, now);
+  }
+  const LogKind kind = refused || unreachable ? LogKind::kRefused
+                       : failed               ? LogKind::kFailed
+                                              : LogKind::kServed;
+  if (!m_log_budget.Allow(kind, now)) return;
+  spdlog::info(
+      "route: event=attempt request={} route={} service={} version={} "
+      "target={} zone={} because=\"{}\" revision={} verdict={} status={} "
+      "elapsed_ms={:.1f} reason=\"{}\"",
+      call.request_id, call.route, call.service, call.version, target,
+      pick.target->zone, pick.reason, m_routes->revision,
+      VerdictName(result.verdict), status, Elapsed(call.started),
+      result.reason);
+}
+
+asio::awaitable<bool> Proxy::Answer(Inbound& inbound, Attempt& attempt) {
+  const Verdict verdict = attempt.result.verdict;
+  const unsigned status = attempt.result.head.result_int();
+  attempt.result.head.set(m_options.headers.request_id,
+                          attempt.call.request_id);
+  attempt.result.head.erase(headers::kLoad);
+  attempt.result.head.erase(headers::kOffered);
+  UpstreamPool& pool = attempt.local ? m_runner->Pool() : m_pool;
+  const bool whole =
+      co_await RelayResponse(inbound, attempt.result, pool, m_draining);
+  if (attempt.local && !attempt.local->finished) {
+    attempt.local->result.answered = true;
+    attempt.local->result.verdict = verdict;
+    attempt.local->result.head.result(status);
+    m_runner->Finish(attempt.call, *attempt.local, whole);
+  }
+  m_metrics.OnCall(verdict, Elapsed(attempt.call.started));
+  co_return whole&& inbound.KeepAlive() && !m_draining;
+}
+
+asio::awaitable<bool> Proxy::GiveUp(Inbound& inbound, const Call& call,
+                                    const Attempt& attempt) {
+  const ForwardResult& result = attempt.result;
+  OwnAnswer answer;
+  answer.verdict = result.verdict;
+  answer.reason = result.reason.empty() ? "refused" : result.reason;
+  answer.request_id = call.request_id;
+  answer.request_id_header = m_options.headers.request_id;
+  answer.close = m_draining;
+  if (result.verdict == Verdict::kNotRun) {
+    answer.retry_after = std::clamp(attempt.retry_after, kShortestRetryAfter,
+                                    kLongestRetryAfter);
+  } else {
+    answer.verdict = Verdict::kMayHaveRun;
+    answer.status = result.timed_out ? 504 : 502;
+  }
+  const LogKind kind =
+      answer.verdict == Verdict::kNotRun ? LogKind::kRefused : LogKind::kFailed;
+  if (m_log_budget.Allow(kind, Clock::now())) {
+    spdlog::info(
+        "route: event=given_up request={} route={} service={} verdict={} "
+        "status={} offers={} refusals={} elapsed_ms={:.1f} reason=\"{}\"",
+        call.request_id, call.route, call.service, VerdictName(answer.verdict),
+        answer.status, attempt.offers, attempt.refusals, Elapsed(call.started),
+        answer.reason);
+  }
+  m_metrics.OnCall(answer.verdict, Elapsed(call.started));
+  co_await WriteOwnAnswer(inbound, answer);
+  co_return inbound.KeepAlive() && inbound.IsWhole() && !m_draining;
+}
+
+asio::awaitable<bool> Proxy::ServeNode(Inbound& inbound) {
+  Call call = ReadCall(inbound, m_options.headers);
+  const RequestHead& head = inbound.Head();
+  call.route = std::string(Text(head[headers::kRoute]));
+  call.idempotent = head[headers::kIdempotent] == "1";
+  call.priority = ParseCount(Text(head[headers::kPriority])).value_or(0);
+  if (auto left = ParseCount(Text(head[headers::kObjectiveMs]))) {
+    call.objective = call.started + milliseconds(*left);
+  }
+  LocalRun run;
+  co_await m_runner->Run(inbound, head, call, run);
+  if (run.result.answered) {
+    if (run.result.whole) m_runner->Finish(call, run, true);
+    const unsigned status = run.result.head.result_int();
+    const bool whole =
+        co_await RelayResponse(inbound, run.result, m_runner->Pool());
+    run.result.head.result(status);
+    m_runner->Finish(call, run, whole);
+    co_return whole&& inbound.KeepAlive();
+  }
+  m_runner->Finish(call, run, false);
+  if (run.result.caller_gone) co_return false;
+  OwnAnswer answer;
+  answer.verdict = run.result.verdict;
+  answer.reason = run.result.reason;
+  answer.request_id = call.request_id;
+  answer.request_id_header = m_options.headers.request_id;
+  answer.offered = run.result.offered;
+  // Without this header the other node looks elsewhere for a while.
+  if (!run.admission.leaving) {
+    answer.retry_after = std::max(run.admission.wait, kShortestRetryAfter);
+  }
+  if (run.admission.slots > 0) answer.load = LoadText(run.admission);
+  if (answer.verdict != Verdict::kNotRun) {
+    answer.status = run.result.timed_out ? 504 : 502;
+  }
+  if (m_log_budget.Allow(LogKind::kAdmission, Clock::now())) {
+    spdlog::info(
+        "admit: event=not_served request={} service={} version={} verdict={} "
+        "load={} elapsed_ms={:.1f} reason=\"{}\"",
+        call.request_id, call.service, call.version,
+        VerdictName(answer.verdict), answer.load, Elapsed(call.started),
+        answer.reason);
+  }
+  co_await WriteOwnAnswer(inbound, answer);
+  co_return inbound.KeepAlive() && inbound.IsWhole();
+}
+
+}  // namespace kumquatmoor
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -7,7 +7,6 @@
 #include "kumquatmoor/transport/exchange.h"
 
 #include <netinet/tcp.h>
-#include <spdlog/fmt/fmt.h>
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -36,7 +35,6 @@
 using Error = boost::system::error_code;
 using std::chrono::milliseconds;
 
-constexpr std::chrono::seconds kCallerBodyTimeout{30};
 constexpr milliseconds kCutPollInterval{20};
 constexpr uint32_t kMaxAnswerHeaderBytes = 65'536;
 constexpr uint64_t kMaxAnswerBytes = 1ULL << 30U;
@@ -269,104 +267,6 @@
 
 }  // namespace
 
-CallerWatch::CallerWatch(beast::tcp_stream& caller,
-                         std::function<void()> on_gone)
-    : m_caller(caller), m_state(std::make_shared<State>()) {
-  m_state->on_gone = std::move(on_gone);
-  auto& socket = caller.socket();
-  socket.async_wait(asio::ip::tcp::socket::wait_read,
-                    [state = m_state, &socket](Error error) {
-                      if (error || state->on_gone == nullptr) return;
-                      Error failed;
-                      if (socket.available(failed) > 0 && !failed) return;
-                      state->gone = true;
-                      state->on_gone();
-                    });
-}
-
-CallerWatch::~CallerWatch() {
-  m_state->on_gone = nullptr;
-  Error ignored;
-  m_caller.socket().cancel(ignored);
-}
-
-Inbound::Inbound(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                 const CallerBounds& bounds)
-    : m_stream(stream), m_buffer(buffer), m_bounds(bounds) {
-  m_parser.header_limit(bounds.max_header_bytes);
-  m_parser.body_limit(bounds.max_body_bytes);
-}
-
-// The time to the first byte is idle time; the header's begins after it.
-asio::awaitable<Error> Inbound::AwaitFirstByte() {
-  constexpr size_t kFirstRead = 4'096;
-  Error error;
-  if (m_buffer.size() > 0) co_return error;
-  m_stream.expires_after(m_bounds.idle_timeout);
-  const size_t size = co_await m_stream.async_read_some(
-      m_buffer.prepare(kFirstRead), Into(error));
-  m_buffer.commit(size);
-  co_return error;
-}
-
-ReadOutcome Inbound::Reject(const Error& error) {
-  if (error == http::error::end_of_stream) return ReadOutcome::kClosed;
-  if (error == beast::error::timeout) {
-    m_rejection_status = 408;
-  } else if (error == http::error::header_limit) {
-    m_rejection_status = 431;
-  } else if (error == http::error::body_limit) {
-    m_rejection_status = 413;
-  } else if (error.category() ==
-             make_error_code(http::error::bad_method).category()) {
-    m_rejection_status = 400;
-  } else {
-    throw boost::system::system_error(error);
-  }
-  return ReadOutcome::kRejected;
-}
-
-asio::awaitable<ReadOutcome> Inbound::ReadHead(std::function<void()> on_begin) {
-  Error error = co_await AwaitFirstByte();
-  if (error == asio::error::eof || error == beast::error::timeout) {
-    co_return ReadOutcome::kClosed;
-  }
-  if (error) throw boost::system::system_error(error);
-  if (on_begin) on_begin();
-  m_stream.expires_after(m_bounds.header_timeout);
-  co_await http::async_read_header(m_stream, m_buffer, m_parser, Into(error));
-  if (error) co_return Reject(error);
-  if (Head()[http::field::expect] == "100-continue") {
-    http::response<http::string_body> go_on(http::status::continue_, 11);
-    co_await http::async_write(m_stream, go_on, asio::use_awaitable);
-  }
-  std::string chunk;
-  while (!m_parser.is_done() && m_held.size() < kHeldBytes) {
-    try {
-      co_await ReadChunk(&chunk);
-    } catch (const boost::system::system_error& failed) {
-      co_return Reject(failed.code());
-    }
-    m_held += chunk;
-  }
-  m_whole = m_parser.is_done();
-  co_return ReadOutcome::kRequest;
-}
-
-asio::awaitable<void> Inbound::ReadChunk(std::string* chunk) {
-  chunk->clear();
-  if (m_parser.is_done()) co_return;
-  chunk->resize(kHeldBytes);
-  m_parser.get().body().data = chunk->data();
-  m_parser.get().body().size = chunk->size();
-  m_stream.expires_after(kCallerBodyTimeout);
-  Error error;
-  co_await http::async_read(m_stream, m_buffer, m_parser, Into(error));
-  if (error == http::error::need_buffer) error = {};
-  if (error) throw boost::system::system_error(error);
-  chunk->resize(chunk->size() - m_parser.get().body().size);
-}
-
 void RemoveHopHeaders(http::fields* fields) {
   for (auto field :
        {http::field::connection, http::field::keep_alive,
@@ -486,108 +386,4 @@
   co_return result;
 }
 
-namespace {
-
-asio::awaitable<bool> RelayWhole(Inbound& inbound, ForwardResult& result,
-                                 bool head_request) {
-  http::response<http::string_body> response(std::move(result.head));
-  response.body() = std::move(result.held);
-  if (!head_request) {
-    response.erase(http::field::transfer_encoding);
-    response.prepare_payload();
-  }
-  Error error;
-  co_await http::async_write(inbound.Stream(), response, Into(error));
-  co_return !error;
-}
-
-asio::awaitable<bool> RelayStreamed(Inbound& inbound, ForwardResult& result) {
-  const bool chunked = result.head.count(http::field::content_length) == 0;
-  http::response<http::buffer_body> response(std::move(result.head));
-  if (chunked) response.chunked(true);
-  http::response_serializer<http::buffer_body> serializer(response);
-  auto& parser = *result.parser;
-  std::string chunk = std::move(result.held);
-  Error error;
-  while (true) {
-    const bool more = !chunk.empty();
-    response.body().data = more ? chunk.data() : nullptr;
-    response.body().size = chunk.size();
-    response.body().more = more;
-    inbound.Stream().expires_after(kCallerBodyTimeout);
-    co_await http::async_write(inbound.Stream(), serializer, Into(error));
-    if (error == http::error::need_buffer) error = {};
-    if (error) co_return false;
-    if (!more) co_return true;
-    if (parser.is_done()) {
-      chunk.clear();
-      continue;
-    }
-    chunk.resize(kHeldBytes);
-    parser.get().body().data = chunk.data();
-    parser.get().body().size = chunk.size();
-    co_await http::async_read(result.connection->stream,
-                              result.connection->buffer, parser, Into(error));
-    if (error == http::error::need_buffer) error = {};
-    if (error) co_return false;
-    chunk.resize(chunk.size() - parser.get().body().size);
-  }
-}
-
-}  // namespace
-
-void ReleaseConnection(ForwardResult& result, UpstreamPool& pool) {
-  if (result.connection == nullptr) return;
-  const bool quiet = result.connection->buffer.size() == 0;
-  if (result.parser->is_done() && result.keep_alive && quiet) {
-    pool.GiveBack(std::move(result.connection));
-  }
-  result.connection.reset();
-}
-
-asio::awaitable<bool> RelayResponse(Inbound& inbound, ForwardResult& result,
-                                    UpstreamPool& pool, bool close) {
-  RemoveHopHeaders(&result.head);
-  result.head.version(11);
-  if (close || !inbound.KeepAlive()) {
-    result.head.set(http::field::connection, "close");
-  }
-  inbound.Stream().expires_after(kCallerBodyTimeout);
-  if (result.whole) {
-    ReleaseConnection(result, pool);
-    const bool head_request = inbound.Head().method() == http::verb::head;
-    co_return co_await RelayWhole(inbound, result, head_request);
-  }
-  const bool whole = co_await RelayStreamed(inbound, result);
-  ReleaseConnection(result, pool);
-  co_return whole;
-}
-
-asio::awaitable<void> WriteOwnAnswer(Inbound& inbound,
-                                     const OwnAnswer& answer) {
-  http::response<http::string_body> response;
-  response.version(11);
-  response.result(answer.status);
-  response.set(headers::kVerdict, VerdictName(answer.verdict));
-  response.set(headers::kReason, answer.reason);
-  if (!answer.request_id.empty()) {
-    response.set(answer.request_id_header, answer.request_id);
-  }
-  if (!answer.load.empty()) response.set(headers::kLoad, answer.load);
-  if (answer.offered) response.set(headers::kOffered, "1");
-  if (answer.retry_after.count() > 0) {
-    const double seconds =
-        std::chrono::duration<double>(answer.retry_after).count();
-    response.set(http::field::retry_after, fmt::format("{:.2f}", seconds));
-  }
-  response.set(http::field::content_type, "text/plain");
-  response.body() = answer.reason + "\n";
-  response.prepare_payload();
-  response.keep_alive(!answer.close && inbound.KeepAlive() &&
-                      inbound.IsWhole());
-  inbound.Stream().expires_after(kCallerBodyTimeout);
-  Error error;
-  co_await http::async_write(inbound.Stream(), response, Into(error));
-}
-
 }  // namespace kumquatmoor
--- /dev/null
+++ b/src/transport/inbound.cc
@@ -0,0 +1,129 @@
+// Reading a request: idle time ends with its first byte, the header's time
+// begins there, and whatever is out of bounds gets a status of its own.
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+#include "kumquatmoor/transport/exchange.h"
+
+namespace kumquatmoor {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Error = boost::system::error_code;
+
+constexpr std::chrono::seconds kCallerBodyTimeout{30};
+
+auto Into(Error& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+}  // namespace
+
+CallerWatch::CallerWatch(beast::tcp_stream& caller,
+                         std::function<void()> on_gone)
+    : m_caller(caller), m_state(std::make_shared<State>()) {
+  m_state->on_gone = std::move(on_gone);
+  auto& socket = caller.socket();
+  socket.async_wait(asio::ip::tcp::socket::wait_read,
+                    [state = m_state, &socket](Error error) {
+                      if (error || state->on_gone == nullptr) return;
+                      Error failed;
+                      if (socket.available(failed) > 0 && !failed) return;
+                      state->gone = true;
+                      state->on_gone();
+                    });
+}
+
+CallerWatch::~CallerWatch() {
+  m_state->on_gone = nullptr;
+  Error ignored;
+  m_caller.socket().cancel(ignored);
+}
+
+Inbound::Inbound(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                 const CallerBounds& bounds)
+    : m_stream(stream), m_buffer(buffer), m_bounds(bounds) {
+  m_parser.header_limit(bounds.max_header_bytes);
+  m_parser.body_limit(bounds.max_body_bytes);
+}
+
+// The time to the first byte is idle time; the header's begins after it.
+asio::awaitable<Error> Inbound::AwaitFirstByte() {
+  constexpr size_t kFirstRead = 4'096;
+  Error error;
+  if (m_buffer.size() > 0) co_return error;
+  m_stream.expires_after(m_bounds.idle_timeout);
+  const size_t size = co_await m_stream.async_read_some(
+      m_buffer.prepare(kFirstRead), Into(error));
+  m_buffer.commit(size);
+  co_return error;
+}
+
+ReadOutcome Inbound::Reject(const Error& error) {
+  if (error == http::error::end_of_stream) return ReadOutcome::kClosed;
+  if (error == beast::error::timeout) {
+    m_rejection_status = 408;
+  } else if (error == http::error::header_limit) {
+    m_rejection_status = 431;
+  } else if (error == http::error::body_limit) {
+    m_rejection_status = 413;
+  } else if (error.category() ==
+             make_error_code(http::error::bad_method).category()) {
+    m_rejection_status = 400;
+  } else {
+    throw boost::system::system_error(error);
+  }
+  return ReadOutcome::kRejected;
+}
+
+asio::awaitable<ReadOutcome> Inbound::ReadHead(std::function<void()> on_begin) {
+  Error error = co_await AwaitFirstByte();
+  if (error == asio::error::eof || error == beast::error::timeout) {
+    co_return ReadOutcome::kClosed;
+  }
+  if (error) throw boost::system::system_error(error);
+  if (on_begin) on_begin();
+  m_stream.expires_after(m_bounds.header_timeout);
+  co_await http::async_read_header(m_stream, m_buffer, m_parser, Into(error));
+  if (error) co_return Reject(error);
+  if (Head()[http::field::expect] == "100-continue") {
+    http::response<http::string_body> go_on(http::status::continue_, 11);
+    co_await http::async_write(m_stream, go_on, asio::use_awaitable);
+  }
+  std::string chunk;
+  while (!m_parser.is_done() && m_held.size() < kHeldBytes) {
+    try {
+      co_await ReadChunk(&chunk);
+    } catch (const boost::system::system_error& failed) {
+      co_return Reject(failed.code());
+    }
+    m_held += chunk;
+  }
+  m_whole = m_parser.is_done();
+  co_return ReadOutcome::kRequest;
+}
+
+asio::awaitable<void> Inbound::ReadChunk(std::string* chunk) {
+  chunk->clear();
+  if (m_parser.is_done()) co_return;
+  chunk->resize(kHeldBytes);
+  m_parser.get().body().data = chunk->data();
+  m_parser.get().body().size = chunk->size();
+  m_stream.expires_after(kCallerBodyTimeout);
+  Error error;
+  co_await http::async_read(m_stream, m_buffer, m_parser, Into(error));
+  if (error == http::error::need_buffer) error = {};
+  if (error) throw boost::system::system_error(error);
+  chunk->resize(chunk->size() - m_parser.get().body().size);
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/transport/relay.cc
@@ -0,0 +1,134 @@
+// Answers to a caller: another's, whole or in parts, or this node's own. An
+// answer that ends early closes the connection, so that it cannot look
+// complete.
+
+#include <spdlog/fmt/fmt.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+#include "kumquatmoor/protocol/headers.h"
+#include "kumquatmoor/transport/exchange.h"
+
+namespace kumquatmoor {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Error = boost::system::error_code;
+
+constexpr std::chrono::seconds kCallerBodyTimeout{30};
+
+auto Into(Error& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+asio::awaitable<bool> RelayWhole(Inbound& inbound, ForwardResult& result,
+                                 bool head_request) {
+  http::response<http::string_body> response(std::move(result.head));
+  response.body() = std::move(result.held);
+  if (!head_request) {
+    response.erase(http::field::transfer_encoding);
+    response.prepare_payload();
+  }
+  Error error;
+  co_await http::async_write(inbound.Stream(), response, Into(error));
+  co_return !error;
+}
+
+asio::awaitable<bool> RelayStreamed(Inbound& inbound, ForwardResult& result) {
+  const bool chunked = result.head.count(http::field::content_length) == 0;
+  http::response<http::buffer_body> response(std::move(result.head));
+  if (chunked) response.chunked(true);
+  http::response_serializer<http::buffer_body> serializer(response);
+  auto& parser = *result.parser;
+  std::string chunk = std::move(result.held);
+  Error error;
+  while (true) {
+    const bool more = !chunk.empty();
+    response.body().data = more ? chunk.data() : nullptr;
+    response.body().size = chunk.size();
+    response.body().more = more;
+    inbound.Stream().expires_after(kCallerBodyTimeout);
+    co_await http::async_write(inbound.Stream(), serializer, Into(error));
+    if (error == http::error::need_buffer) error = {};
+    if (error) co_return false;
+    if (!more) co_return true;
+    if (parser.is_done()) {
+      chunk.clear();
+      continue;
+    }
+    chunk.resize(kHeldBytes);
+    parser.get().body().data = chunk.data();
+    parser.get().body().size = chunk.size();
+    co_await http::async_read(result.connection->stream,
+                              result.connection->buffer, parser, Into(error));
+    if (error == http::error::need_buffer) error = {};
+    if (error) co_return false;
+    chunk.resize(chunk.size() - parser.get().body().size);
+  }
+}
+
+}  // namespace
+
+void ReleaseConnection(ForwardResult& result, UpstreamPool& pool) {
+  if (result.connection == nullptr) return;
+  const bool quiet = result.connection->buffer.size() == 0;
+  if (result.parser->is_done() && result.keep_alive && quiet) {
+    pool.GiveBack(std::move(result.connection));
+  }
+  result.connection.reset();
+}
+
+asio::awaitable<bool> RelayResponse(Inbound& inbound, ForwardResult& result,
+                                    UpstreamPool& pool, bool close) {
+  RemoveHopHeaders(&result.head);
+  result.head.version(11);
+  if (close || !inbound.KeepAlive()) {
+    result.head.set(http::field::connection, "close");
+  }
+  inbound.Stream().expires_after(kCallerBodyTimeout);
+  if (result.whole) {
+    ReleaseConnection(result, pool);
+    const bool head_request = inbound.Head().method() == http::verb::head;
+    co_return co_await RelayWhole(inbound, result, head_request);
+  }
+  const bool whole = co_await RelayStreamed(inbound, result);
+  ReleaseConnection(result, pool);
+  co_return whole;
+}
+
+asio::awaitable<void> WriteOwnAnswer(Inbound& inbound,
+                                     const OwnAnswer& answer) {
+  http::response<http::string_body> response;
+  response.version(11);
+  response.result(answer.status);
+  response.set(headers::kVerdict, VerdictName(answer.verdict));
+  response.set(headers::kReason, answer.reason);
+  if (!answer.request_id.empty()) {
+    response.set(answer.request_id_header, answer.request_id);
+  }
+  if (!answer.load.empty()) response.set(headers::kLoad, answer.load);
+  if (answer.offered) response.set(headers::kOffered, "1");
+  if (answer.retry_after.count() > 0) {
+    const double seconds =
+        std::chrono::duration<double>(answer.retry_after).count();
+    response.set(http::field::retry_after, fmt::format("{:.2f}", seconds));
+  }
+  response.set(http::field::content_type, "text/plain");
+  response.body() = answer.reason + "\n";
+  response.prepare_payload();
+  response.keep_alive(!answer.close && inbound.KeepAlive() &&
+                      inbound.IsWhole());
+  inbound.Stream().expires_after(kCallerBodyTimeout);
+  Error error;
+  co_await http::async_write(inbound.Stream(), response, Into(error));
+}
+
+}  // namespace kumquatmoor
