Drain: wait for every caller's connection that is left

Every connection that is left now has to end first. Test: a request half read, which fails without this.

--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -148,7 +148,6 @@
   using CallerConnections = std::set<CallerConnection*>;
   std::shared_ptr<CallerConnections> m_callers =
       std::make_shared<CallerConnections>();
-  uint32_t m_calls_in_progress = 0;
   // To other nodes.
   std::shared_ptr<ActiveStreams> m_active = std::make_shared<ActiveStreams>();
   bool m_draining = false;
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -157,9 +157,9 @@
   co_await timer.async_wait(asio::use_awaitable);
   m_caller_server.StopAccepting();
   CloseIdleCallers();
+  // Every connection that is left has a request on it, maybe not read whole.
   const auto busy = [this] {
-    return m_runner->GetAdmission().TotalInFlight() > 0 ||
-           m_calls_in_progress > 0;
+    return m_runner->GetAdmission().TotalInFlight() > 0 || !m_callers->empty();
   };
   while (busy() && Clock::now() < m_drain_end) {
     timer.expires_after(kDrainPollInterval);
@@ -167,7 +167,7 @@
   }
   if (busy()) {
     spdlog::warn("node: event=cut_off callers={} local_requests={}",
-                 m_calls_in_progress, m_runner->GetAdmission().TotalInFlight());
+                 m_callers->size(), m_runner->GetAdmission().TotalInFlight());
     m_runner->CutOff();
     for (auto* stream : *m_active) stream->close();
     timer.expires_after(kCutOffAnswerTime);
@@ -226,14 +226,12 @@
                       "the request is not within the bounds");
       break;
     }
-    ++m_calls_in_progress;
     try {
       keep = co_await ServeCaller(inbound);
     } catch (const std::exception& error) {
       spdlog::info("route: event=caller_lost reason=\"{}\"", error.what());
       keep = false;
     }
-    --m_calls_in_progress;
   }
 }
 
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -290,6 +290,30 @@
   CHECK_FALSE(idle.Call("/read/"));
 }
 
+TEST_CASE_METHOD(ProxyFixture, "A drain waits for a request half read") {
+  Start({.caller_grace = milliseconds(100),
+         .drain_timeout = milliseconds(1'500)});
+  asio::io_context context;
+  beast::tcp_stream stream(context);
+  stream.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 17210));
+  const std::string head =
+      "GET /read/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nLeft: 1000\r\n\r\n";
+  asio::write(stream.socket(), asio::buffer(head.substr(0, 20)));
+  std::this_thread::sleep_for(milliseconds(50));
+  std::promise<void> drained;
+  GetProxy().StartDrain([&] { drained.set_value(); });
+  const auto done = drained.get_future();
+  CHECK(done.wait_for(milliseconds(400)) == std::future_status::timeout);
+  asio::write(stream.socket(), asio::buffer(head.substr(20)));
+  beast::flat_buffer buffer;
+  Response response;
+  http::read(stream, buffer, response);
+  // The only target leaves with this node.
+  CHECK(response.result_int() == 503);
+  CHECK_FALSE(response.keep_alive());
+  CHECK(done.wait_for(milliseconds(500)) == std::future_status::ready);
+}
+
 TEST_CASE_METHOD(ProxyFixture, "A drain that takes too long answers everyone") {
   script = [](const RequestHead&) {
     return Reply{.bytes = Signed("r1", "ok"), .delay = milliseconds(900)};
