Drain: end the wait of idle callers instead of closing under a request

The wait is cancelled now: a read that is over is served. A connection accepted in that moment gets 0.1 s for its request.

--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -151,6 +151,7 @@
   // To other nodes.
   std::shared_ptr<ActiveStreams> m_active = std::make_shared<ActiveStreams>();
   bool m_draining = false;
+  bool m_grace_over = false;  // Of the drain.
   TimePoint m_drain_end = TimePoint::max();
 };
 
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -24,6 +24,9 @@
 constexpr milliseconds kDrainPollInterval{20};
 // For the answers to those that a drain cuts off.
 constexpr milliseconds kCutOffAnswerTime{50};
+// For the first request on a connection that was accepted before the grace of a
+// drain ended and is served after it.
+constexpr milliseconds kLastIdleTime{100};
 // Also between two reports of log lines that were left out.
 constexpr std::chrono::seconds kCloseOldInterval{1};
 
@@ -156,6 +159,7 @@
   timer.expires_after(m_options.caller_grace);
   co_await timer.async_wait(asio::use_awaitable);
   m_caller_server.StopAccepting();
+  m_grace_over = true;
   CloseIdleCallers();
   // Every connection that is left has a request on it, maybe not read whole.
   const auto busy = [this] {
@@ -177,13 +181,14 @@
   drained();
 }
 
-// A request that has already arrived is still read and served.
+// Ends the wait for a next request, and with it the session. A request that has
+// already arrived is still read and served: its read is over, or not empty.
 void Proxy::CloseIdleCallers() {
   for (CallerConnection* caller : *m_callers) {
     if (!caller->idle) continue;
     boost::system::error_code error;
     if (caller->stream.socket().available(error) > 0 && !error) continue;
-    caller->stream.close();
+    caller->stream.cancel();
   }
 }
 
@@ -216,7 +221,10 @@
   beast::flat_buffer buffer;
   bool keep = true;
   while (keep) {
-    Inbound inbound(caller.stream, buffer, m_bounds);
+    CallerBounds bounds = m_bounds;
+    // Accepted in the last moment of the grace.
+    if (m_grace_over) bounds.idle_timeout = kLastIdleTime;
+    Inbound inbound(caller.stream, buffer, bounds);
     caller.idle = true;
     const ReadOutcome read =
         co_await inbound.ReadHead([&caller] { caller.idle = false; });
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -87,7 +87,8 @@
 
 asio::awaitable<ReadOutcome> Inbound::ReadHead(std::function<void()> on_begin) {
   Error error = co_await AwaitFirstByte();
-  if (error == asio::error::eof || error == beast::error::timeout) {
+  if (error == asio::error::eof || error == beast::error::timeout ||
+      error == asio::error::operation_aborted) {
     co_return ReadOutcome::kClosed;
   }
   if (error) throw boost::system::system_error(error);
