Pilot zone: fill its targets one by one; a fault that has ended excuses nobody

Change: in a zone that is more than a stage ahead, targets of the new version are filled to three quarters of their slots in order. The acceptable error rate is bounded by what the last hundred requests of the steady versions are likely to come from.

The new tests fail without the changes.

--- a/include/kumquatmoor/coordination/baseline.h
+++ b/include/kumquatmoor/coordination/baseline.h
@@ -70,13 +70,14 @@
     double SlowRateOver(size_t bucket, double longer_rate) const;
   };
 
+  double HighestRecentRate() const;
   // True if the last requests failed too often for the last 30 s.
   bool HasMoreErrorsThanUsual() const;
 
   Window m_long{.half_life = 30};   // Seconds.
   Window m_short{.half_life = 12};  // Requests, so that it works at any rate.
   // Requests; for latency, where a dozen requests say little of a rate near a
-  // half.
+  // half, and for errors that have ended.
   Window m_medium{.half_life = 100};
   TimePoint m_added_at;
   // A sudden error rate of this baseline is an excuse for the others, also when
--- a/include/kumquatmoor/state/picker.h
+++ b/include/kumquatmoor/state/picker.h
@@ -53,6 +53,9 @@
   // times that of the others, so that a fault of all is nobody's.
   double sick_rate = 0.25;
   double sick_ratio = 2.5;
+  // Load up to which a target of a packed version is filled before the next
+  // one. Below 1, so that bursts find a slot.
+  double packed_load = 0.75;
   // A load report older than this is not used.
   std::chrono::milliseconds report_lifetime{1'000};
 };
@@ -77,6 +80,7 @@
   void OnReport(const std::string& member_id, uint32_t in_flight,
                 TimePoint now);
 
+  const TargetLoadOptions& Options() const { return m_options; }
   bool IsEjected(const std::string& member_id, TimePoint now) const;
   bool IsUnreachable(const std::string& member_id, TimePoint now) const;
   // Moving average of failures, 0 to 1.
--- a/include/kumquatmoor/state/routes.h
+++ b/include/kumquatmoor/state/routes.h
@@ -45,6 +45,9 @@
   double write_share = 0;  // Of the others; follows one stage behind.
   uint32_t max_concurrent = 0;
   uint32_t max_rate = 0;
+  // Its targets are filled one after the other instead of evenly, so that a
+  // small share puts the load of a large one on some of them.
+  bool packed = false;
   std::vector<Target> targets;  // Never empty.
 };
 
--- a/src/coordination/baseline.cc
+++ b/src/coordination/baseline.cc
@@ -25,6 +25,10 @@
 constexpr double kManyRequests = 200;
 // Standard deviations above the usual number of errors that are no chance.
 constexpr double kDeviations = 3;
+// Requests from which the last hundred can lower the rate of the last 30 s, and
+// how far above their number of errors the usual one may lie.
+constexpr double kFewestRecent = 50;
+constexpr double kRecentDeviations = 2;
 // The others have recovered when, over at least so many requests, they fail at
 // most this part of what is excused.
 constexpr double kRecoveryRequests = 20;
@@ -155,8 +159,18 @@
   if (recovered) m_excused_rate = 0;
 }
 
+// Highest error rate that the last hundred requests are likely to come from.
+double RouteBaseline::HighestRecentRate() const {
+  const double errors =
+      m_medium.errors + kRecentDeviations * std::sqrt(m_medium.errors + 1) + 1;
+  return errors / std::max(1.0, m_medium.total);
+}
+
 double RouteBaseline::AcceptableErrorRate() const {
-  const double rate = m_long.ErrorRate();
+  // A fault of all that has ended excuses nobody.
+  const double rate = m_medium.total >= kFewestRecent
+                          ? std::min(m_long.ErrorRate(), HighestRecentRate())
+                          : m_long.ErrorRate();
   // Where the usual rate is known well, chance in a dozen requests must not
   // cover a version that is twice as bad.
   const bool chance =
--- a/src/coordination/judge_test.cc
+++ b/src/coordination/judge_test.cc
@@ -470,6 +470,7 @@
   }
 
   double calls_per_tick = 20;        // Of each zone.
+  double error_rate_of_all = 0;      // Of every target of both versions.
   double error_rate_under_load = 0;  // Of new targets with half the zone's.
   std::string failing_zone;          // Whose new target always fails so often.
   double failing_rate = 0;
@@ -517,16 +518,18 @@
     double error_rate = stage >= 500 ? error_rate_under_load : 0;
     if (zone == failing_zone) error_rate = failing_rate;
     std::bernoulli_distribution fails(error_rate);
+    std::bernoulli_distribution every_target_fails(error_rate_of_all);
     for (int count = draw(m_rng); count > 0; --count) {
       ++calls;
       const bool rising = is_new(m_rng);
       if (rising) ++new_calls;
       const std::string version = rising ? "v2" : "v1";
-      m_ledgers[version + zone].Add({.service = "s",
-                                     .version = version,
-                                     .route = "GET /",
-                                     .error = rising && fails(m_rng),
-                                     .latency_ms = 100});
+      m_ledgers[version + zone].Add(
+          {.service = "s",
+           .version = version,
+           .route = "GET /",
+           .error = (rising && fails(m_rng)) || every_target_fails(m_rng),
+           .latency_ms = 100});
     }
     for (const std::string version : {"v1", "v2"}) {
       const std::string node = version + zone;
@@ -573,6 +576,21 @@
   }
 }
 
+TEST_CASE("A fault of all that has ended excuses no version") {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    ZonedMove move(seed, FourteenSeconds());
+    move.error_rate_under_load = 0.2;
+    move.error_rate_of_all = 0.25;
+    move.Run(2);
+    move.error_rate_of_all = 0;
+    move.Run(12);
+    CHECK(move.progress.IsRecalled());
+    CHECK(static_cast<double>(move.new_calls) <=
+          0.1 * static_cast<double>(move.calls) + 50);
+  }
+}
+
 TEST_CASE("A good version settles in every zone before a short deadline") {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     INFO("seed " << seed);
--- a/src/state/picker.cc
+++ b/src/state/picker.cc
@@ -2,7 +2,8 @@
 // candidates with lagging reports this keeps the herd from all running to the
 // one target that was idle a moment ago. A refusal is believed before any
 // report: who is full rests for a moment. Targets of other zones are candidates
-// only when both draws in the own zone are full.
+// only when both draws in the own zone are full. Targets of a packed version
+// are filled in the order of their ids.
 
 #include "kumquatmoor/state/picker.h"
 
@@ -97,6 +98,21 @@
                                                                   : first;
 }
 
+// The first target below the load of packing; nullptr if there is none.
+const Target* FirstBelowPackedLoad(const Candidates& targets,
+                                   const TargetLoads& loads, TimePoint now) {
+  Candidates ordered = targets;
+  std::sort(ordered.begin(), ordered.end(),
+            [](const Target* a, const Target* b) {
+              return a->member_id < b->member_id;
+            });
+  const auto found =
+      std::find_if(ordered.begin(), ordered.end(), [&](const Target* target) {
+        return loads.LoadOf(*target, now) < loads.Options().packed_load;
+      });
+  return found == ordered.end() ? nullptr : *found;
+}
+
 const VersionRoutes* DrawVersion(
     const std::vector<const VersionRoutes*>& versions, bool idempotent,
     std::mt19937_64& rng) {
@@ -123,6 +139,12 @@
   std::copy_if(
       all.begin(), all.end(), std::back_inserter(own_zone),
       [&](const Target* target) { return target->zone == options.zone; });
+  if (version.packed) {
+    const Target* packed = FirstBelowPackedLoad(own_zone, loads, now);
+    if (packed != nullptr) {
+      return {.version = &version, .target = packed, .reason = "packed"};
+    }
+  }
   const Target* near = LessLoadedOfTwo(own_zone, loads, now, rng);
   if (near != nullptr && loads.LoadOf(*near, now) < 1) {
     return {.version = &version, .target = near, .reason = "own zone"};
--- a/src/state/picker_test.cc
+++ b/src/state/picker_test.cc
@@ -103,6 +103,33 @@
   CHECK(picked.count("old0") == 1);
 }
 
+TEST_CASE("Targets of a packed version are filled one after the other") {
+  ServiceRoutes service = MakeService();
+  service.versions.erase(service.versions.begin());
+  service.versions.front().read_share = 1;
+  service.versions.front().packed = true;
+  TargetLoads loads;
+  std::mt19937_64 rng(8);
+  TimePoint now = TimePoint() + seconds(100);
+  loads.OnReport("new0", 0, now);  // Begins the slow start.
+  std::map<std::string, int> sent;
+  const auto send = [&](int requests) {
+    for (int i = 0; i < requests; ++i) {
+      const Pick pick = PickTarget(service, {.zone = "a"}, loads, now, rng);
+      loads.OnSent(pick.target->member_id, now);
+      ++sent[pick.target->member_id];
+    }
+  };
+  send(1);
+  CHECK(sent == std::map<std::string, int>{{"new0", 1}});
+  now += seconds(10);  // After the slow start.
+  // 8 of 10 slots is the first load that is not below 0.75.
+  send(7);
+  CHECK(sent == std::map<std::string, int>{{"new0", 8}});
+  send(3);
+  CHECK(sent == std::map<std::string, int>{{"new0", 8}, {"new1", 3}});
+}
+
 TEST_CASE("A target is tried once") {
   const ServiceRoutes service = MakeService();
   TargetLoads loads;
--- a/src/state/routes.cc
+++ b/src/state/routes.cc
@@ -62,6 +62,14 @@
   return kept.empty() ? targets : kept;
 }
 
+// True while `zone` has a larger share than another one: it is the pilot.
+bool IsAheadOfOthers(const MoveProgress& progress, const std::string& zone) {
+  const uint32_t stage = progress.StageOf(zone);
+  return std::any_of(
+      progress.stage_permille.begin(), progress.stage_permille.end(),
+      [&](const auto& other) { return NextStage(other.second) < stage; });
+}
+
 ServiceRoutes BuildService(const ServiceConfig& config,
                            const MoveProgress& progress,
                            const TargetMap& targets, const std::string& zone) {
@@ -71,6 +79,7 @@
   const uint32_t stage = progress.StageOf(zone);
   const bool recalled = progress.IsRecalled();
   const bool settled = progress.settled.count(zone) > 0;
+  const bool ahead = IsAheadOfOthers(progress, zone);
   for (const auto& row : config.rows()) {
     std::vector<Target> found = TargetsOfRow(config, row, targets);
     if (found.empty()) continue;
@@ -83,6 +92,7 @@
                                .write_share = write_share,
                                .max_concurrent = row.max_concurrent(),
                                .max_rate = row.max_rate(),
+                               .packed = under_test && ahead,
                                .targets = under_test
                                               ? WithoutBlamed(found, progress)
                                               : std::move(found)});
--- a/src/state/routes_test.cc
+++ b/src/state/routes_test.cc
@@ -100,6 +100,42 @@
   }
 }
 
+TEST_CASE("A rising version is packed in the zone that goes ahead") {
+  const Batch first =
+      BuildBatch({}, std::vector<TableRow>{{"s", "v1", 100}}, {}, {});
+  const Batch batch = BuildBatch(
+      first, std::vector<TableRow>{{"s", "v1", 0}, {"s", "v2", 100}}, {}, {});
+  const std::vector<MemberRecord> members = {MakeMember("n1", "s", "v1"),
+                                             MakeMember("n2", "s", "v2")};
+  struct Case {
+    uint32_t own_stage;
+    uint32_t other_stage;
+    bool settled;
+    bool packed;
+  };
+  const Case cases[] = {
+      // One stage ahead is chance: zones do not rise at the same moment.
+      {50, 50, false, false},    {200, 50, false, false},
+      {500, 50, false, true},    {1000, 50, false, true},
+      {1000, 50, true, false},   {50, 1000, false, false},
+      {1000, 1000, false, false}};
+  for (const auto& c : cases) {
+    INFO(c.own_stage << " beside " << c.other_stage);
+    MoveMark mark;
+    mark.set_service("s");
+    mark.set_move_revision(2);
+    (*mark.mutable_stage_permille())["a"] = c.own_stage;
+    (*mark.mutable_stage_permille())["b"] = c.other_stage;
+    if (c.settled) (*mark.mutable_settled())["a"] = true;
+    MarkSet marks;
+    marks.Join(mark);
+    const auto table = BuildRoutes(batch, marks, members, "a");
+    CHECK(table->Find("s")->Find("v2")->packed == c.packed);
+    const VersionRoutes* old_version = table->Find("s")->Find("v1");
+    if (old_version != nullptr) CHECK_FALSE(old_version->packed);
+  }
+}
+
 TEST_CASE("No route names a service or version without a live target") {
   std::mt19937_64 rng(4);
   for (int round = 0; round < 500; ++round) {
