Queue: objectives of callers that come back count from their first attempt

Change: a request with much less time than its route's usual deadline is taken for one that comes back, and its objective starts that much earlier. A start has a margin of 1.4 run times. Late requests wait only while nobody else does.

--- a/include/kumquatmoor/coordination/baseline.h
+++ b/include/kumquatmoor/coordination/baseline.h
@@ -64,6 +64,8 @@
     void Forget(double passed);
     void Add(const OutcomeTally& tally);
     double ErrorRate() const;
+    // Without a prior; 0 if there are too few errors to tell.
+    double PlainErrorRate() const;
     double SlowRate(size_t bucket) const;
     // The rates in this window, drawn towards those of a longer one.
     double ErrorRateOver(double longer_rate) const;
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -34,6 +34,7 @@
 #include "kumquatmoor/state/evidence.h"
 #include "kumquatmoor/state/picker.h"
 #include "kumquatmoor/state/routes.h"
+#include "kumquatmoor/state/usual_deadlines.h"
 #include "kumquatmoor/transport/bounded_ring.h"
 #include "kumquatmoor/transport/exchange.h"
 #include "kumquatmoor/transport/http_server.h"
@@ -141,6 +142,7 @@
   std::unique_ptr<LocalRunner> m_runner;
   LogBudget m_log_budget;
   TargetLoads m_loads;
+  UsualDeadlines m_usual_deadlines;
   std::map<std::string, RetryBudget> m_retry_budgets;  // By service.
   size_t m_live_nodes = 1;
   std::mt19937_64 m_rng;
--- a/include/kumquatmoor/state/slot_queue.h
+++ b/include/kumquatmoor/state/slot_queue.h
@@ -17,11 +17,11 @@
 // that running backend servers make of each other are short and hold slots
 // elsewhere meanwhile. Equally long ones go earliest deadline first (EDF), by
 // the latest start that meets the latency objective. What can still meet its
-// objective goes before what cannot: under overload plain EDF would serve each
-// request just too late. Late requests only fill slots that would stay free, so
-// no more than a slot's worth of them wait; the others are refused at once,
-// with the time after which there should be room. Time is an argument. Not
-// thread-safe.
+// objective, with a margin for run times that vary, goes before what cannot:
+// under overload plain EDF would serve each request just too late. Late
+// requests only fill slots that would stay free, so no more than a slot's worth
+// of them wait; the others are refused at once, with the time after which there
+// should be room. Time is an argument. Not thread-safe.
 
 #include <chrono>
 #include <cstddef>
@@ -38,8 +38,12 @@
   // Requests that wait for each slot at most; bounds memory, the estimated wait
   // refuses long before it.
   size_t waiting_per_slot = 16;
-  // Late requests that wait for each slot at most.
+  // Late requests that wait for each slot at most, while no other waits.
   size_t late_per_slot = 1;
+  // Expected run times by which a request has to start before its objective.
+  // Run times vary: of those that start one expected run time before it, half
+  // end late. From `make overload`.
+  double run_time_margin = 1.4;
 };
 
 struct QueuedRequest {
@@ -82,9 +86,15 @@
   std::chrono::milliseconds LongestWait() const;
 
  private:
+  TimePoint LatestStart(const QueuedRequest& request) const;
+  bool IsLate(const QueuedRequest& request, TimePoint now) const;
+  bool GoesBefore(const QueuedRequest& a, const QueuedRequest& b,
+                  TimePoint now) const;
   // Time until a request gets a slot behind others with this much work.
   std::chrono::milliseconds WaitBehind(std::chrono::milliseconds work) const;
   size_t CountLate(TimePoint now) const;
+  // How many late requests may wait, of the `late` ones that do.
+  size_t MostLate(size_t late) const;
 
   SlotQueueOptions m_options;
   uint32_t m_running = 0;
--- a/src/coordination/baseline.cc
+++ b/src/coordination/baseline.cc
@@ -15,6 +15,9 @@
 // Weight of the prior, in requests: an unknown rate counts as 1 in this many.
 constexpr double kPriorRequests = 50;
 constexpr double kPriorSlowRequests = 20;
+// Errors from which the rate of few requests is taken as it is, without the
+// prior.
+constexpr double kFewestErrors = 3;
 // Requests from which latencies are compared.
 constexpr double kFewestWarmRequests = 8;
 // Error rate of the baseline, over at least so many requests, that excuses the
@@ -106,6 +109,10 @@
   return (errors + 1) / (total + kPriorRequests);
 }
 
+double RouteBaseline::Window::PlainErrorRate() const {
+  return errors < kFewestErrors ? 0 : errors / total;
+}
+
 double RouteBaseline::Window::SlowRate(size_t bucket) const {
   double slower = 0;
   for (size_t i = bucket + 1; i < latency.size(); ++i) slower += latency[i];
@@ -181,7 +188,10 @@
       m_excused_rate <= 0
           ? 0
           : m_excused_rate + kExcusedMargin * (1 - m_excused_rate);
-  return std::max({kToleratedErrorRate, kMargin * worse, excused});
+  // On some routes every request fails, however few they are.
+  const double plain = kMargin * m_long.PlainErrorRate();
+  return std::max({kToleratedErrorRate, kMargin * worse,
+                   m_long.total < kFewestRecent ? plain : 0, excused});
 }
 
 bool RouteBaseline::KnowsLatency() const {
--- a/src/coordination/judge_test.cc
+++ b/src/coordination/judge_test.cc
@@ -472,6 +472,7 @@
   double calls_per_tick = 20;        // Of each zone.
   double error_rate_of_all = 0;      // Of every target of both versions.
   double error_rate_under_load = 0;  // Of new targets with half the zone's.
+  double failing_route_calls = 0;    // A tick and zone; none of them succeeds.
   std::string failing_zone;          // Whose new target always fails so often.
   double failing_rate = 0;
 
@@ -531,6 +532,16 @@
            .error = (rising && fails(m_rng)) || every_target_fails(m_rng),
            .latency_ms = 100});
     }
+    std::poisson_distribution<int> draw_failing(failing_route_calls);
+    const int failing = failing_route_calls > 0 ? draw_failing(m_rng) : 0;
+    for (int i = 0; i < failing; ++i) {
+      const std::string version = is_new(m_rng) ? "v2" : "v1";
+      m_ledgers[version + zone].Add({.service = "s",
+                                     .version = version,
+                                     .route = "GET /fails",
+                                     .error = true,
+                                     .latency_ms = 1'000});
+    }
     for (const std::string version : {"v1", "v2"}) {
       const std::string node = version + zone;
       Evidence evidence = m_ledgers[node].Report("s", version);
@@ -591,6 +602,18 @@
   }
 }
 
+TEST_CASE("A route that always fails is no fault of the new version") {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    ZonedMove move(seed, FourteenSeconds());
+    move.failing_route_calls = 0.5;
+    move.Run(14);
+    CHECK_FALSE(move.progress.IsRecalled());
+    CHECK(move.progress.blamed.empty());
+    CHECK(move.settled_at > 0);
+  }
+}
+
 TEST_CASE("A good version settles in every zone before a short deadline") {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     INFO("seed " << seed);
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -21,6 +21,7 @@
   uint32_t priority = 0;
   int64_t max_attempts = 1;  // Targets that it may be sent to.
   TimePoint started;
+  std::chrono::milliseconds asked{0};  // Time that the caller allows.
   TimePoint objective = TimePoint::max();
   TimePoint deadline;
 
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -99,7 +99,8 @@
   const auto asked = ParseCount(Text(head[names.deadline_ms]));
   const milliseconds allowed =
       asked ? milliseconds(*asked) : m_options.default_deadline;
-  call.deadline = call.started + std::min(allowed, kMaxDeadline);
+  call.asked = std::min(allowed, kMaxDeadline);
+  call.deadline = call.started + call.asked;
   return call;
 }
 
@@ -113,8 +114,9 @@
     call->deadline = std::min(call->deadline,
                               call->started + milliseconds(route.timeout_ms()));
   }
+  const milliseconds age = m_usual_deadlines.Note(route.name(), call->asked);
   if (route.objective_ms() > 0) {
-    call->objective = call->started + milliseconds(route.objective_ms());
+    call->objective = call->started + milliseconds(route.objective_ms()) - age;
   }
 }
 
@@ -350,10 +352,10 @@
   if (!m_log_budget.Allow(kind, now)) return;
   spdlog::info(
       "route: event=attempt request={} route={} service={} version={} "
-      "target={} zone={} because=\"{}\" revision={} verdict={} status={} "
-      "elapsed_ms={:.1f} reason=\"{}\"",
+      "target={} zone={} because=\"{}\" revision={} asked_ms={} verdict={} "
+      "status={} elapsed_ms={:.1f} reason=\"{}\"",
       call.request_id, call.route, call.service, call.version, target,
-      pick.target->zone, pick.reason, m_routes->revision,
+      pick.target->zone, pick.reason, m_routes->revision, call.asked.count(),
       VerdictName(result.verdict), status, Elapsed(call.started),
       result.reason);
 }
--- a/src/state/slot_queue.cc
+++ b/src/state/slot_queue.cc
@@ -14,20 +14,27 @@
 
 using std::chrono::milliseconds;
 
-TimePoint LatestStart(const QueuedRequest& request) {
-  return request.objective - request.run_time;
+// Run times within a factor of 2 count as equal.
+int SizeClass(const QueuedRequest& request) {
+  return std::bit_width(static_cast<uint64_t>(request.run_time.count()));
 }
 
-bool IsLate(const QueuedRequest& request, TimePoint now) {
-  return now > LatestStart(request);
+}  // namespace
+
+SlotQueue::SlotQueue(SlotQueueOptions options) : m_options(options) {}
+
+TimePoint SlotQueue::LatestStart(const QueuedRequest& request) const {
+  const std::chrono::duration<double, std::milli> margin =
+      request.run_time * m_options.run_time_margin;
+  return request.objective - std::chrono::duration_cast<milliseconds>(margin);
 }
 
-// Run times within a factor of 2 count as equal.
-int SizeClass(const QueuedRequest& request) {
-  return std::bit_width(static_cast<uint64_t>(request.run_time.count()));
+bool SlotQueue::IsLate(const QueuedRequest& request, TimePoint now) const {
+  return now > LatestStart(request);
 }
 
-bool GoesBefore(const QueuedRequest& a, const QueuedRequest& b, TimePoint now) {
+bool SlotQueue::GoesBefore(const QueuedRequest& a, const QueuedRequest& b,
+                           TimePoint now) const {
   const auto rank = [&](const QueuedRequest& request) {
     return std::make_tuple(IsLate(request, now), request.priority,
                            SizeClass(request), LatestStart(request),
@@ -36,10 +43,6 @@
   return rank(a) < rank(b);
 }
 
-}  // namespace
-
-SlotQueue::SlotQueue(SlotQueueOptions options) : m_options(options) {}
-
 milliseconds SlotQueue::WaitBehind(milliseconds work) const {
   return (work + m_running_work / 2) / std::max(1U, m_options.slots);
 }
@@ -57,6 +60,11 @@
       [&](const QueuedRequest& request) { return IsLate(request, now); }));
 }
 
+size_t SlotQueue::MostLate(size_t late) const {
+  const bool others_wait = late < m_waiting.size();
+  return others_wait ? 0 : m_options.late_per_slot * m_options.slots;
+}
+
 QueueAnswer SlotQueue::Enter(const QueuedRequest& request, TimePoint now) {
   if (m_waiting.empty() && m_running < m_options.slots) {
     ++m_running;
@@ -73,8 +81,8 @@
   const bool room =
       m_waiting.size() < m_options.waiting_per_slot * m_options.slots;
   const bool late = IsLate(request, start);
-  const bool late_room =
-      CountLate(now) < m_options.late_per_slot * m_options.slots;
+  const size_t waiting_late = CountLate(now);
+  const bool late_room = waiting_late < MostLate(waiting_late);
   if (!in_time || !room || (late && !late_room)) return answer;
   m_waiting.push_back(request);
   answer.admission = QueueAdmission::kWaits;
@@ -108,8 +116,8 @@
     hopeless.push_back(request.id);
     return true;
   });
-  const size_t most_late = m_options.late_per_slot * m_options.slots;
-  for (size_t late = CountLate(now); late > most_late; --late) {
+  size_t late = CountLate(now);
+  for (const size_t most = MostLate(late); late > most; --late) {
     const auto last =
         std::max_element(m_waiting.begin(), m_waiting.end(),
                          [&](const QueuedRequest& a, const QueuedRequest& b) {
--- /dev/null
+++ b/src/state/usual_deadlines.cc
@@ -0,0 +1,63 @@
+// Misra-Gries: a range that has a counter raises it, another one takes a
+// counter that is 0, and if there is none every counter falls by one.
+
+#include "kumquatmoor/state/usual_deadlines.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kumquatmoor {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Weight of the latest deadline in the mean of its range: about the last 20.
+constexpr double kWeight = 0.05;
+
+int RangeOf(double deadline_ms) {
+  return static_cast<int>(std::log(std::max(1.0, deadline_ms)) /
+                          std::log(UsualDeadlines::kRange));
+}
+
+}  // namespace
+
+void UsualDeadlines::Count(double deadline_ms, Sketch* sketch) {
+  const int range = RangeOf(deadline_ms);
+  auto counter = std::find_if(
+      sketch->begin(), sketch->end(), [&](const Counter& candidate) {
+        return candidate.noted > 0 && candidate.range == range;
+      });
+  if (counter == sketch->end()) {
+    counter = std::find_if(
+        sketch->begin(), sketch->end(),
+        [](const Counter& candidate) { return candidate.noted == 0; });
+    if (counter == sketch->end()) {
+      for (Counter& other : *sketch) --other.noted;
+      return;
+    }
+    *counter = {.range = range, .mean_ms = deadline_ms};
+  }
+  counter->mean_ms += kWeight * (deadline_ms - counter->mean_ms);
+  if (++counter->noted < kMostNoted) return;
+  for (Counter& other : *sketch) other.noted /= 2;
+}
+
+milliseconds UsualDeadlines::Note(const std::string& route,
+                                  milliseconds deadline) {
+  if (m_routes.size() >= kMaxRoutes && m_routes.count(route) == 0) {
+    return milliseconds(0);
+  }
+  const auto deadline_ms = static_cast<double>(deadline.count());
+  Sketch& sketch = m_routes[route];
+  Count(deadline_ms, &sketch);
+  const auto usual = std::max_element(
+      sketch.begin(), sketch.end(),
+      [](const Counter& a, const Counter& b) { return a.noted < b.noted; });
+  const bool known = usual->noted >= kFewestNoted;
+  if (!known || deadline_ms >= kRepeatedPart * usual->mean_ms) {
+    return milliseconds(0);
+  }
+  return milliseconds(static_cast<int64_t>(usual->mean_ms - deadline_ms));
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/state/usual_deadlines_test.cc
@@ -0,0 +1,64 @@
+#include "kumquatmoor/state/usual_deadlines.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+namespace kumquatmoor {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kFull{3'000};
+
+TEST_CASE("The age of a request follows from the usual deadline") {
+  UsualDeadlines deadlines;
+  CHECK(deadlines.Note("r", milliseconds(2'400)) == milliseconds(0));
+  for (int i = 0; i < 20; ++i) deadlines.Note("r", kFull);
+  CHECK(deadlines.Note("r", kFull) == milliseconds(0));
+  CHECK(deadlines.Note("r", milliseconds(2'200)) == milliseconds(800));
+  // The spread of callers.
+  CHECK(deadlines.Note("r", milliseconds(2'600)) == milliseconds(0));
+  // More patient than the others, and another route.
+  CHECK(deadlines.Note("r", milliseconds(9'000)) == milliseconds(0));
+  CHECK(deadlines.Note("other", milliseconds(2'400)) == milliseconds(0));
+}
+
+TEST_CASE("A storm of repeated requests does not hide the usual deadline") {
+  UsualDeadlines deadlines;
+  std::mt19937_64 rng(3);
+  // As callers were seen to ask on the users' bench.
+  std::uniform_int_distribution<int> first_left(2'600, 3'000);
+  std::uniform_int_distribution<int> repeated_left(50, 2'300);
+  for (int i = 0; i < 5'000; ++i) {
+    const bool first = rng() % 3 == 0;
+    const milliseconds deadline(first ? first_left(rng) : repeated_left(rng));
+    const milliseconds age = deadlines.Note("r", deadline);
+    if (i < 200) continue;
+    if (first) {
+      CHECK(age == milliseconds(0));
+    } else if (deadline < milliseconds(2'200)) {
+      CHECK(age >= milliseconds(2'600) - deadline);
+      CHECK(age <= milliseconds(3'000) - deadline);
+    }
+  }
+}
+
+TEST_CASE("A new usual deadline replaces the old one") {
+  UsualDeadlines deadlines;
+  for (int i = 0; i < 10'000; ++i) deadlines.Note("r", kFull);
+  for (int i = 0; i < 1'000; ++i) deadlines.Note("r", milliseconds(1'000));
+  CHECK(deadlines.Note("r", milliseconds(700)) == milliseconds(300));
+}
+
+TEST_CASE("Routes without number have no usual deadline") {
+  UsualDeadlines deadlines;
+  for (size_t i = 0; i <= UsualDeadlines::kMaxRoutes; ++i) {
+    for (int n = 0; n < 20; ++n) deadlines.Note(std::to_string(i), kFull);
+  }
+  CHECK(deadlines.Note("0", milliseconds(2'000)) == milliseconds(1'000));
+  CHECK(deadlines.Note(std::to_string(UsualDeadlines::kMaxRoutes),
+                       milliseconds(2'000)) == milliseconds(0));
+}
+
+}  // namespace
+}  // namespace kumquatmoor
