Gateways: a node that loses the platform says so, and another one reads it

The four gateways were cut off from the store, not from the mesh. They stayed alive and so stayed gateways; a change reached nobody for 4 s.

Change: a member record says that its last call to the platform failed; the next member of the zone takes over at once. If nobody reaches the platform, all are candidates again.

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -87,6 +87,8 @@
   void SetEndpoints(std::span<const Endpoint> endpoints, TimePoint now);
   // A backend server of this node has said that it leaves.
   void NoteLeaving(const LeavingInstance& leaving, TimePoint now);
+  // Tells the others whether this node's calls to the platform fail.
+  void SetWithoutPlatform(bool without, TimePoint now);
   // Announces that this node is leaving for good.
   std::vector<Outgoing> Leave(TimePoint now);
 
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -45,6 +45,9 @@
   std::chrono::milliseconds isolation{1'500};
   // Time for which others hold a newer batch after which it does so as well.
   std::chrono::milliseconds longest_behind{600};
+  // A node whose calls to the platform failed is a gateway's candidate again
+  // after this time: that of a long partition.
+  std::chrono::milliseconds platform_retry{10'000};
 };
 
 class ControlLoop {
@@ -81,6 +84,8 @@
   // True if callers may be sent here. Safe from any thread.
   bool TakesCallers() const { return m_takes_callers; }
   void TakeNews(const SourceNews& news);
+  // Whether the last call to the platform was answered.
+  void NotePlatform(bool reachable);
   MeshProgress Progress() const;
   const std::vector<DirectoryEntry>& Directory() const { return m_directory; }
   DirectoryPlan PlanOwnDirectory() const;
@@ -115,6 +120,7 @@
   void UpdateAckTree(TimePoint now);
   void UpdateMoves(TimePoint now);
   void NoteLeaving(const std::string& instance, int64_t started_ms);
+  void RetryPlatform(TimePoint now);
   void TakeLeaving();
   void CloseFallingVersions();
   void OnVersionClosed(const std::string& service, const std::string& version);
@@ -138,6 +144,7 @@
   bool m_store_loaded = false;
   std::vector<DirectoryEntry> m_directory;
   std::atomic<bool> m_takes_callers{false};
+  TimePoint m_platform_retry_at;
   TimePoint m_heard_at;  // Last datagram of another node.
   // Versions of local backend servers that lost their share in a move.
   std::set<std::pair<std::string, std::string>> m_closing;
--- a/include/kumquatmoor/node/gateway.h
+++ b/include/kumquatmoor/node/gateway.h
@@ -30,7 +30,9 @@
 
 struct GatewayOptions {
   // Bounds the time for which a connection gone silent hides changes.
-  std::chrono::milliseconds watch_wait{2'000};
+  // A gateway that is cut off from the platform only finds out by it, and a
+  // change has to be in force everywhere within 2 s.
+  std::chrono::milliseconds watch_wait{1'000};
   // Changes that follow each other this fast are taken together.
   std::chrono::milliseconds watch_pause{250};
   std::chrono::milliseconds first_backoff{200};
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -318,6 +318,15 @@
   SpreadMember(m_options.id);
 }
 
+void Replica::SetWithoutPlatform(bool without, TimePoint now) {
+  MemberRecord self = Self();
+  if (self.without_platform() == without) return;
+  self.set_without_platform(without);
+  self.set_version(self.version() + 1);
+  m_members.Join(self, now);
+  SpreadMember(m_options.id);
+}
+
 std::vector<Outgoing> Replica::Leave(TimePoint now) {
   MemberRecord self = Self();
   self.set_status(LEFT);
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <utility>
 
+#include "kumquatmoor/node/gateway_choice.h"
 #include "kumquatmoor/state/batch.h"
 #include "kumquatmoor/state/routes.h"
 
@@ -80,6 +81,7 @@
     UpdateAckTree(now);
   }
   TakeLeaving();
+  RetryPlatform(now);
   const size_t live = m_replica.Members().Alive().size();
   if (live != m_published_live) {
     m_published_live = live;
@@ -242,12 +244,26 @@
   if (m_replica.IsBehindFor(m_options.longest_behind, Clock::now())) {
     return true;
   }
-  const auto gateways =
-      RendezvousTop(OwnZoneIds(), "gateway", m_options.gateways_per_zone);
+  const auto gateways = ChooseGateways(
+      m_replica.Members(), m_options.replica.zone, m_options.gateways_per_zone);
   return std::find(gateways.begin(), gateways.end(), m_options.replica.id) !=
          gateways.end();
 }
 
+void ControlLoop::NotePlatform(bool reachable) {
+  const TimePoint now = Clock::now();
+  if (!reachable) m_platform_retry_at = now + m_options.platform_retry;
+  m_replica.SetWithoutPlatform(!reachable, now);
+  // The next gateway of the zone does not wait for the next tick.
+  if (!reachable && m_ready) Send(m_replica.Tick(now));
+}
+
+// Whoever is no gateway makes no calls, and cannot see that they would succeed.
+void ControlLoop::RetryPlatform(TimePoint now) {
+  if (now < m_platform_retry_at) return;
+  m_replica.SetWithoutPlatform(false, now);
+}
+
 void ControlLoop::TakeNews(const SourceNews& news) {
   const TimePoint now = Clock::now();
   if (news.batch && news.batch->revision() > 0) m_replica.Offer(*news.batch);
@@ -264,7 +280,8 @@
 }
 
 DirectoryPlan ControlLoop::PlanOwnDirectory() const {
-  const auto first = RendezvousTop(OwnZoneIds(), "gateway", 1);
+  const auto first =
+      ChooseGateways(m_replica.Members(), m_options.replica.zone, 1);
   const bool removes = m_ready && !IsIsolated() && !first.empty() &&
                        first.front() == m_options.replica.id;
   return PlanDirectory(m_directory, m_replica.Members(), m_replica.Self(),
--- a/src/node/gateway.cc
+++ b/src/node/gateway.cc
@@ -75,6 +75,7 @@
     spdlog::warn("gateway: event=platform_lost reason=\"{}\"", failure.message);
   }
   m_reachable = false;
+  m_loop->Post([](ControlLoop& loop) { loop.NotePlatform(false); });
 }
 
 void Gateway::Serve() {
@@ -92,7 +93,10 @@
     BackOff();
     return;
   }
-  if (!m_reachable) spdlog::info("gateway: event=platform_back");
+  if (!m_reachable) {
+    spdlog::info("gateway: event=platform_back");
+    m_loop->Post([](ControlLoop& loop) { loop.NotePlatform(true); });
+  }
   m_reachable = true;
   m_backoff = m_options.first_backoff;
   m_loaded = true;
--- /dev/null
+++ b/src/node/gateway_choice.cc
@@ -0,0 +1,19 @@
+#include "kumquatmoor/node/gateway_choice.h"
+
+#include "kumquatmoor/node/mover.h"
+
+namespace kumquatmoor {
+
+std::vector<std::string> ChooseGateways(const MemberList& members,
+                                        const std::string& zone, size_t count) {
+  std::vector<std::string> alive;
+  std::vector<std::string> with_platform;
+  for (const auto* member : members.AliveIn(zone)) {
+    alive.push_back(member->id());
+    if (!member->without_platform()) with_platform.push_back(member->id());
+  }
+  return RendezvousTop(with_platform.empty() ? alive : with_platform, "gateway",
+                       count);
+}
+
+}  // namespace kumquatmoor
