--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 BUILD ?= build
 PYTHON ?= python3
 
-.PHONY: all deps build test demo bench moves choice capacity mutants fuzz sanitize lint format proto
+.PHONY: all deps build test demo bench moves choice overload capacity mutants fuzz sanitize lint format proto
 
 all: build
 
@@ -40,6 +40,10 @@
 choice: build
 	@$(BUILD)/choice
 
+# Ways to queue beside a backend server under overload, on a virtual clock.
+overload: build
+	@$(BUILD)/overload
+
 # Nodes at rest and with changes, at several sizes of the mesh.
 capacity: build
 	@KUMQUATMOOR_BUILD=$(abspath $(BUILD)) $(PYTHON) tools/capacity.py
