--- a/include/kumquatmoor/state/slot_queue.h
+++ b/include/kumquatmoor/state/slot_queue.h
@@ -19,9 +19,9 @@
 // the latest start that meets the latency objective. What can still meet its
 // objective, with a margin for run times that vary, goes before what cannot:
 // under overload plain EDF would serve each request just too late. Late
-// requests only fill slots that would stay free, so no more than a slot's worth
-// of them wait; the others are refused at once, with the time after which there
-// should be room. Time is an argument. Not thread-safe.
+// requests only fill slots that would stay free: a slot's worth of them waits
+// while nobody else does. All others are refused at once, with the time after
+// which there should be room. Time is an argument. Not thread-safe.
 
 #include <chrono>
 #include <cstddef>
