--- a/include/kumquatmoor/coordination/judge.h
+++ b/include/kumquatmoor/coordination/judge.h
@@ -58,8 +58,8 @@
 inline constexpr StageTimes kShortMoveStageTimes = {1, 2.5, 1, 1};
 // Highest stage of the other zones until the pilot zone has settled.
 inline constexpr uint32_t kStageBesidePilot = 50;
-// Full stage in the pilot zone. At a hundred requests a second a failure rate of
-// 8% shows within this time.
+// Full stage in the pilot zone. At a hundred requests a second a failure rate
+// of 8% shows within this time.
 inline constexpr std::chrono::milliseconds kShortMoveSettle{2'500};
 // Full stage in the others, which confirm what the pilot zone has shown.
 inline constexpr std::chrono::milliseconds kFollowerSettle{1'500};
