--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -75,6 +75,13 @@
   std::string address;
 };
 
+// The probes of this node that ended since the last TakeProbeDelays().
+struct ProbeDelays {
+  std::chrono::milliseconds max_round_trip{0};  // Of the acknowledged probes.
+  uint64_t acknowledged = 0;
+  uint64_t failed = 0;  // No ACK within the probe interval.
+};
+
 enum class OfferOutcome {
   kApplied,
   kOld,       // Not newer than the current batch.
@@ -153,6 +160,10 @@
   // True if digests have shown for at least `time` that other nodes hold a
   // newer batch.
   bool IsBehindFor(std::chrono::milliseconds time, TimePoint now) const;
+  // Time since a digest first showed that another node holds a newer batch; 0
+  // if this node holds the newest one known.
+  std::chrono::milliseconds TimeBehind(TimePoint now) const;
+  ProbeDelays TakeProbeDelays();
   Digest MakeDigest() const;
   // The latest warnings for operators, oldest first.
   const std::vector<std::string>& Warnings() const { return m_warnings; }
@@ -186,7 +197,8 @@
   void OnPing(const Datagram& datagram, std::vector<OutgoingDatagram>* out);
   void OnPingRequest(const Datagram& datagram,
                      std::vector<OutgoingDatagram>* out);
-  void OnAck(const Datagram& datagram, std::vector<OutgoingDatagram>* out);
+  void OnAck(const Datagram& datagram, TimePoint now,
+             std::vector<OutgoingDatagram>* out);
   void CompareDigest(const Datagram& datagram, TimePoint now);
   void AddRecentUpdates(Datagram* datagram) const;
 
@@ -216,6 +228,7 @@
   // ping to the requester's id and its sequence number.
   std::map<uint64_t, std::pair<std::string, uint64_t>> m_relayed_probes;
   uint64_t m_sequence = 0;
+  ProbeDelays m_probe_delays;
   TimePoint m_next_probe;
   TimePoint m_last_tick;
   uint32_t m_digest_mismatches = 0;  // Consecutive ones.
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -158,6 +158,9 @@
   void OnVersionClosed(const std::string& service, const std::string& version);
   bool IsIsolated() const;
   void LogChanges();
+  // Logs how long probes took, how late ticks came, and for how long other
+  // members have held a newer batch.
+  void LogDelays(TimePoint now);
   Datagram MakeDatagram(Datagram::Kind kind) const;
 
   boost::asio::io_context& m_context;
@@ -191,6 +194,9 @@
   uint64_t m_logged_revision = 0;
   int64_t m_in_force_ms = 0;  // Unix time of publishing that revision.
   size_t m_logged_warnings = 0;
+  TimePoint m_next_delay_log;
+  TimePoint m_tick_due;  // When the timer of the next tick expires.
+  std::chrono::milliseconds m_max_tick_delay{0};  // Since the last LogDelays().
   TimePoint m_next_move_update;
   TimePoint m_next_ack_update;
 };
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -160,7 +160,7 @@
       OnPingRequest(datagram, &out);
       break;
     case Datagram::ACK:
-      OnAck(datagram, &out);
+      OnAck(datagram, now, &out);
       break;
     default:
       break;
@@ -182,6 +182,12 @@
   return m_behind_since && now - *m_behind_since >= time;
 }
 
+std::chrono::milliseconds Replica::TimeBehind(TimePoint now) const {
+  if (!m_behind_since) return std::chrono::milliseconds(0);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                               *m_behind_since);
+}
+
 void Replica::CompareDigest(const Datagram& datagram, TimePoint now) {
   const Digest& received = datagram.digest();
   const Digest own = MakeDigest();
--- a/src/coordination/replica_probe.cc
+++ b/src/coordination/replica_probe.cc
@@ -12,6 +12,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -90,6 +91,7 @@
     if (waited >= m_options.probe_interval) {
       spdlog::info("membership: event=probe_failed member={} sequence={}",
                    probe.subject, it->first);
+      ++m_probe_delays.failed;
       Suspect(probe.subject, now);
       it = m_probes.erase(it);
       continue;
@@ -190,7 +192,7 @@
   out->push_back(AddressedTo(*subject, std::move(ping)));
 }
 
-void Replica::OnAck(const Datagram& datagram,
+void Replica::OnAck(const Datagram& datagram, TimePoint now,
                     std::vector<OutgoingDatagram>* out) {
   auto relayed = m_relayed_probes.find(datagram.sequence());
   if (relayed != m_relayed_probes.end()) {
@@ -203,7 +205,18 @@
     m_relayed_probes.erase(relayed);
     return;
   }
-  m_probes.erase(datagram.sequence());
+  const auto probe = m_probes.find(datagram.sequence());
+  if (probe == m_probes.end()) return;
+  const auto round_trip = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - probe->second.sent);
+  ++m_probe_delays.acknowledged;
+  m_probe_delays.max_round_trip =
+      std::max(m_probe_delays.max_round_trip, round_trip);
+  m_probes.erase(probe);
+}
+
+ProbeDelays Replica::TakeProbeDelays() {
+  return std::exchange(m_probe_delays, {});
 }
 
 void Replica::Refute(const MemberRecord& claim, TimePoint now) {
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -19,6 +19,7 @@
 constexpr milliseconds kTickInterval{50};
 constexpr milliseconds kMoveUpdateInterval{250};
 constexpr milliseconds kAckUpdateInterval{500};
+constexpr milliseconds kDelayLogInterval{5'000};
 
 int64_t UnixMs() {
   return std::chrono::duration_cast<milliseconds>(
@@ -66,6 +67,11 @@
 
 void ControlLoop::Tick() {
   const TimePoint now = Clock::now();
+  if (m_tick_due != TimePoint()) {
+    m_max_tick_delay =
+        std::max(m_max_tick_delay,
+                 std::chrono::duration_cast<milliseconds>(now - m_tick_due));
+  }
   while (auto outcome = m_outcomes->TryPop())
     m_move_controller.OnOutcome(*outcome);
   if (m_registry.Expire(now)) {
@@ -93,7 +99,9 @@
   if (auto peer = m_replica.PopSyncPeer()) m_syncs->TryPush(std::move(*peer));
   PublishRoutes();
   LogChanges();
+  LogDelays(now);
   m_timer.expires_after(kTickInterval);
+  m_tick_due = m_timer.expiry();
   m_timer.async_wait([this](boost::system::error_code error) {
     if (!error) Tick();
   });
@@ -455,6 +463,18 @@
   }
 }
 
+void ControlLoop::LogDelays(TimePoint now) {
+  if (now < m_next_delay_log) return;
+  m_next_delay_log = now + kDelayLogInterval;
+  const ProbeDelays probes = m_replica.TakeProbeDelays();
+  const milliseconds tick_delay = std::exchange(m_max_tick_delay, {});
+  spdlog::info(
+      "control: event=delays max_round_trip_ms={} probes_acknowledged={} "
+      "probes_failed={} max_tick_delay_ms={} behind_ms={}",
+      probes.max_round_trip.count(), probes.acknowledged, probes.failed,
+      tick_delay.count(), m_replica.TimeBehind(now).count());
+}
+
 std::string ControlLoop::ControlMetrics() const {
   const auto line = [](const char* name, uint64_t value) {
     return fmt::format("{} {}\n", name, value);
--- a/src/node/sync_worker.cc
+++ b/src/node/sync_worker.cc
@@ -146,9 +146,13 @@
     return loop.GetReplica().MakeSyncRequest(joining);
   });
   if (!request) return false;
+  const auto started = std::chrono::steady_clock::now();
   auto outcome = Attempt([&] { return m_client->Sync(peer, *request); });
+  const auto elapsed = std::chrono::duration_cast<milliseconds>(
+      std::chrono::steady_clock::now() - started);
   if (auto* failure = std::get_if<Failure>(&outcome)) {
-    spdlog::info("sync: event=failed reason=\"{}\"", failure->message);
+    spdlog::info("sync: event=failed peer={} elapsed_ms={} reason=\"{}\"",
+                 peer.address, elapsed.count(), failure->message);
     return false;
   }
   SyncReply& reply = std::get<SyncReply>(outcome);
@@ -157,6 +161,8 @@
     SleepWithJitter(milliseconds(reply.retry_after_ms()));
     return false;
   }
+  spdlog::info("sync: event=completed peer={} elapsed_ms={} newer_revision={}",
+               peer.address, elapsed.count(), reply.batch().revision());
   using SyncOffer = std::optional<SyncRequest>;
   const auto offer =
       m_loop->Run<SyncOffer>([reply = std::move(reply)](ControlLoop& loop) {
