--- a/include/kumquatmoor/node/node_settings.h
+++ b/include/kumquatmoor/node/node_settings.h
@@ -62,6 +62,9 @@
   // Time after SIGTERM for which callers are still served, so that they can
   // switch to another node.
   std::chrono::milliseconds caller_grace{1'500};
+  // Rate of the host's link in Mbit/s, 0 if unknown. Requests and responses to
+  // other nodes are paced below it, so that control traffic does not wait.
+  double link_mbps = 0;
   std::string log_level = "info";
   std::string log_file;  // Empty: standard output.
 };
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -71,6 +71,8 @@
   // aborted. Their callers receive a response that states whether the request
   // may have run.
   std::chrono::milliseconds drain_timeout{10'000};
+  // Rate of the host's link in bytes per second, 0 if unknown.
+  double link_rate = 0;
   uint64_t seed = 1;
 };
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -18,6 +18,7 @@
 
 constexpr size_t kOutcomeRingCapacity = 65'536;
 constexpr size_t kSyncRingCapacity = 16;
+constexpr double kBytesPerSecondPerMbps = 125'000;
 constexpr char kJson[] = "application/json";
 constexpr char kText[] = "text/plain; version=0.0.4";
 // Time for a leaving node to send its last datagrams.
@@ -54,6 +55,7 @@
                            .reserve = settings.retry_reserve},
           .caller_grace = settings.caller_grace,
           .drain_timeout = settings.drain_timeout,
+          .link_rate = settings.link_mbps * kBytesPerSecondPerMbps,
           .seed = RandomSeed()};
 }
 
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -77,6 +77,8 @@
       "retry_ratio", {.fallback = 0.1, .minimum = 0, .maximum = 1});
   settings->retry_reserve = reader->Number(
       "retry_reserve", {.fallback = 160, .minimum = 0, .maximum = 1e6});
+  settings->link_mbps = reader->Number(
+      "link_mbps", {.fallback = 0, .minimum = 0, .maximum = 1e6});
   settings->caller_grace =
       ReadDuration(reader, "caller_grace_ms", settings->caller_grace, 0);
 }
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -3,6 +3,7 @@
 
 #include "kumquatmoor/node/proxy.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <future>
 #include <optional>
 #include <thread>
@@ -64,6 +66,7 @@
   // Requests that reached the backend server. Not synchronized: read only while
   // no request is in progress.
   std::vector<RequestHead> seen;
+  uint32_t slots = 1;  // Of the backend server.
 
   ~ProxyFixture() {
     m_context.stop();
@@ -92,7 +95,7 @@
                            .version = "v1",
                            .instance = "i-1",
                            .address = kBackend,
-                           .slots = 1}});
+                           .slots = slots}});
     if (with_routes) m_proxy->SetRoutes(Routes());
   }
 
@@ -386,5 +389,93 @@
   CHECK(second->result_int() == 503);
 }
 
+// A host's outgoing link: a FIFO queue that sends `rate` bytes per second.
+// Reads what the proxy writes to its connections and computes how long a packet
+// that entered the queue at the worst moment would wait.
+class EmulatedLink {
+ public:
+  explicit EmulatedLink(double rate) : m_rate(rate) {}
+
+  // Sends a request for the local backend server, as another node does.
+  void Request(const std::string& id) {
+    tcp::socket& socket = m_sockets.emplace_back(m_context);
+    socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 17211));
+    http::request<http::string_body> request(http::verb::get, "/read/1", 11);
+    request.set(headers::kService, "s");
+    request.set(headers::kVersion, "v1");
+    request.set(headers::kIdempotent, "1");
+    request.set("Id", id);
+    request.set("Left", "20000");
+    http::write(socket, request);
+    socket.non_blocking(true);
+  }
+
+  // Reads until `bytes` have arrived in total, or for 20 s.
+  void ReadUntil(size_t bytes) {
+    constexpr std::chrono::seconds kLimit{20};
+    const auto start = std::chrono::steady_clock::now();
+    auto last_read = start;
+    double backlog = 0;
+    while (m_bytes < bytes) {
+      const size_t arrived = ReadAvailable();
+      const auto now = std::chrono::steady_clock::now();
+      if (now - start > kLimit) return;
+      // The bytes arrived at some time since the last read, so that a late read
+      // does not count as a burst.
+      const std::chrono::duration<double> elapsed = now - last_read;
+      backlog += static_cast<double>(arrived) - elapsed.count() * m_rate;
+      backlog = std::max(0.0, backlog);
+      m_longest_wait_ms = std::max(m_longest_wait_ms, 1'000 * backlog / m_rate);
+      m_bytes += arrived;
+      last_read = now;
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  }
+
+  size_t Bytes() const { return m_bytes; }
+  double LongestWaitMs() const { return m_longest_wait_ms; }
+
+ private:
+  size_t ReadAvailable() {
+    size_t total = 0;
+    for (auto& socket : m_sockets) {
+      beast::error_code error;
+      while (!error) total += socket.read_some(asio::buffer(m_buffer), error);
+    }
+    return total;
+  }
+
+  double m_rate;  // Bytes per second.
+  asio::io_context m_context;
+  std::deque<tcp::socket> m_sockets;
+  std::array<char, 65'536> m_buffer{};
+  size_t m_bytes = 0;
+  double m_longest_wait_ms = 0;
+};
+
+// Guards against control traffic that waits behind the responses in the host's
+// link: probes get lost and configurations come late.
+TEST_CASE_METHOD(ProxyFixture,
+                 "Large responses leave room for control traffic on the link",
+                 "[.link]") {
+  constexpr double kLinkRate = 1'250'000;  // 10 Mbit/s.
+  constexpr int kResponses = 20;
+  constexpr size_t kBodyBytes = 90'000;
+  // A probe crosses two links in each direction, and is repeated by way of
+  // another member after 300 ms.
+  constexpr double kMaxWaitMs = 100;
+  slots = kResponses;
+  script = [](const RequestHead& head) {
+    return Reply{
+        .bytes = Signed(std::string(head["Id"]), std::string(kBodyBytes, 'x'))};
+  };
+  Start({.link_rate = kLinkRate});
+  EmulatedLink link(kLinkRate);
+  for (int i = 0; i < kResponses; ++i) link.Request("bulk" + std::to_string(i));
+  link.ReadUntil(kResponses * kBodyBytes);
+  CHECK(link.Bytes() >= kResponses * kBodyBytes);
+  CHECK(link.LongestWaitMs() <= kMaxWaitMs);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
