Pace messages to other nodes below the rate of the host's link

Cause: a node handed each response to the kernel at once. 90 KB each, at nine tenths of a link of 10 Mbit/s, fill the link's queue; probes, synchronisations and reads of the store of that host wait behind them or are lost. Class: small urgent traffic behind bulk in a queue that nobody limits.

Bodies go in parts of 16 KB, messages with fewer bytes left first, so that the queue of the link holds some ten milliseconds and short calls pass downloads. The rate comes from the settings (link_mbps); without it nothing is paced.

--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -170,6 +170,7 @@
   HttpServer m_caller_server;
   HttpServer m_data_server;
   UpstreamPool m_pool;  // Connections to other nodes.
+  LinkPacer m_pacer;    // Of messages to other nodes.
   std::shared_ptr<const RouteTable> m_routes;
   CallerBounds m_bounds;
   CallMetrics m_metrics;
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -41,6 +41,7 @@
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/protocol/verdict.h"
 #include "kumquatmoor/transport/fault_plan.h"
+#include "kumquatmoor/transport/link_pacer.h"
 #include "kumquatmoor/transport/upstream_pool.h"
 
 namespace kumquatmoor {
@@ -156,6 +157,8 @@
   const CallHeaders* headers = nullptr;  // Null: the default names.
   // Contains the connection while the request is in flight. May be null.
   std::shared_ptr<ActiveStreams> active;
+  // Paces the body of the request to another node. May be null.
+  LinkPacer* pacer = nullptr;
   // The address is that of a backend server. Its response is validated, and the
   // verdict is derived from the headers that only backend servers send.
   bool to_backend = false;
@@ -194,14 +197,22 @@
 // response is written, so that a slow caller does not occupy the connection.
 void ReleaseConnection(ForwardResult& result, UpstreamPool& pool);
 
+struct RelayOptions {
+  bool close = false;  // Close the caller's connection after the response.
+  // Paces the body if the caller is another node. May be null.
+  LinkPacer* pacer = nullptr;
+  // A paced response whose turn has not come by then is cut short.
+  Deadline deadline = Deadline::max();
+};
+
 // Writes the head and the body of the response to the caller. Returns false if
 // the body was not relayed completely; the caller's connection must then be
-// closed. The response has a "Connection: close" header if `close` is true or
-// the caller does not keep its connection alive.
+// closed. The response has a "Connection: close" header if the connection is
+// closed after it.
 boost::asio::awaitable<bool> RelayResponse(InboundRequest& inbound,
                                            ForwardResult& result,
                                            UpstreamPool& pool,
-                                           bool close = false);
+                                           RelayOptions options = {});
 
 // Removes the hop-by-hop headers, which apply to a single connection, and
 // Expect, which this node handles itself. Transfer-Encoding stays: it depends
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -72,6 +72,7 @@
                       return DataSession(std::move(socket));
                     }),
       m_pool(context),
+      m_pacer(context, m_options.link_rate),
       m_runner(std::make_unique<LocalRunner>(context, m_options.headers,
                                              m_options.admission, outcomes,
                                              &m_metrics)),
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -312,6 +312,7 @@
   options.faults = m_faults;
   options.headers = &m_options.headers;
   options.active = m_active;
+  options.pacer = &m_pacer;
   attempt.result = co_await Forward(m_pool, inbound, options);
   if (attempt.result.verdict == Verdict::kNotRun) {
     ++(attempt.result.answered ? attempt.refusals : attempt.unreachable);
@@ -377,8 +378,8 @@
   attempt.result.head.erase(headers::kLoad);
   attempt.result.head.erase(headers::kOffered);
   UpstreamPool& pool = attempt.local ? m_runner->Pool() : m_pool;
-  const bool complete =
-      co_await RelayResponse(inbound, attempt.result, pool, m_draining);
+  const bool complete = co_await RelayResponse(inbound, attempt.result, pool,
+                                               {.close = m_draining});
   if (attempt.local && !attempt.local->finished) {
     attempt.local->result.answered = true;
     attempt.local->result.verdict = verdict;
@@ -435,7 +436,8 @@
     if (run.result.fully_buffered) m_runner->Finish(call, run, true);
     const unsigned status = run.result.head.result_int();
     const bool complete =
-        co_await RelayResponse(inbound, run.result, m_runner->Pool());
+        co_await RelayResponse(inbound, run.result, m_runner->Pool(),
+                               {.pacer = &m_pacer, .deadline = call.deadline});
     run.result.head.result(status);
     m_runner->Finish(call, run, complete);
     co_return complete&& inbound.KeepAlive();
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -457,7 +457,7 @@
 // link: probes get lost and configurations come late.
 TEST_CASE_METHOD(ProxyFixture,
                  "Large responses leave room for control traffic on the link",
-                 "[.link]") {
+                 "[link]") {
   constexpr double kLinkRate = 1'250'000;  // 10 Mbit/s.
   constexpr int kResponses = 20;
   constexpr size_t kBodyBytes = 90'000;
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -28,6 +28,7 @@
 
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/transport/endpoint_address.h"
+#include "transport/paced_write.h"
 
 namespace kumquatmoor {
 namespace {
@@ -118,25 +119,28 @@
 // is never chunked.
 asio::awaitable<Error> SendBuffered(UpstreamConnection& connection,
                                     const InboundRequest& inbound,
-                                    RequestHead&& head) {
-  http::request<http::string_body> request(std::move(head));
+                                    ForwardOptions& options) {
+  http::request<http::string_body> request(std::move(options.head));
   request.body() = inbound.BufferedBody();
   const bool has_body =
       !request.body().empty() || request.count(http::field::content_length) > 0;
   request.erase(http::field::transfer_encoding);
   request.erase(http::field::content_length);
   if (has_body) request.content_length(request.body().size());
-  Error error;
-  co_await http::async_write(connection.stream, request, Into(error));
-  co_return error;
+  const size_t size = request.body().size();
+  http::request_serializer<http::string_body> serializer(request);
+  co_return co_await WritePaced(
+      connection.stream, serializer,
+      {.body_bytes = size, .body_left = size, .deadline = options.deadline},
+      options.pacer);
 }
 
 // Sends the buffered part of the body, then the rest as the caller sends it.
 // Throws boost::system::system_error if reading from the caller fails.
 asio::awaitable<Error> SendStreamed(UpstreamConnection& connection,
                                     InboundRequest& inbound,
-                                    RequestHead&& head) {
-  http::request<http::buffer_body> request(std::move(head));
+                                    ForwardOptions& options) {
+  http::request<http::buffer_body> request(std::move(options.head));
   // chunked(false) is never called, because it also removes the Content-Length.
   if (request.count(http::field::content_length) == 0) {
     request.chunked(true);
@@ -151,7 +155,11 @@
     request.body().data = more ? chunk.data() : nullptr;
     request.body().size = chunk.size();
     request.body().more = more;
-    co_await http::async_write(connection.stream, serializer, Into(error));
+    error = co_await WritePaced(connection.stream, serializer,
+                                {.body_bytes = chunk.size(),
+                                 .body_left = kMaxBufferedResponseBytes,
+                                 .deadline = options.deadline},
+                                options.pacer);
     if (error == http::error::need_buffer) error = {};
     if (error) co_return error;
     if (more) {
@@ -221,14 +229,12 @@
 
 // Sends the request with its body.
 asio::awaitable<Error> Send(ForwardResult& result, InboundRequest& inbound,
-                            RequestHead&& head) {
+                            ForwardOptions& options) {
   if (inbound.IsFullyBuffered()) {
-    co_return co_await SendBuffered(*result.connection, inbound,
-                                    std::move(head));
+    co_return co_await SendBuffered(*result.connection, inbound, options);
   }
   try {
-    co_return co_await SendStreamed(*result.connection, inbound,
-                                    std::move(head));
+    co_return co_await SendStreamed(*result.connection, inbound, options);
   } catch (const boost::system::system_error& error) {
     result.caller_gone = true;  // The body could not be read completely.
     co_return error.code();
@@ -384,7 +390,7 @@
   }
   if (!error) {
     result.offered = options.to_backend;
-    error = co_await Send(result, inbound, std::move(options.head));
+    error = co_await Send(result, inbound, options);
   }
   if (!error) {
     if (!inbound.IsFullyBuffered()) {
--- a/src/transport/relay.cc
+++ b/src/transport/relay.cc
@@ -15,6 +15,7 @@
 
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/transport/exchange.h"
+#include "transport/paced_write.h"
 
 namespace kumquatmoor {
 namespace {
@@ -34,16 +35,20 @@
 // A response to a HEAD request keeps its headers, which describe a body that is
 // not sent; for any other request the Content-Length is that of the buffer.
 asio::awaitable<bool> RelayBuffered(InboundRequest& inbound,
-                                    ForwardResult& result,
-                                    bool is_head_request) {
+                                    ForwardResult& result, bool is_head_request,
+                                    const RelayOptions& options) {
   http::response<http::string_body> response(std::move(result.head));
   response.body() = std::move(result.buffered_body);
   if (!is_head_request) {
     response.erase(http::field::transfer_encoding);
     response.prepare_payload();
   }
-  Error error;
-  co_await http::async_write(inbound.Stream(), response, Into(error));
+  const size_t size = response.body().size();
+  http::response_serializer<http::string_body> serializer(response);
+  const Error error = co_await WritePaced(
+      inbound.Stream(), serializer,
+      {.body_bytes = size, .body_left = size, .deadline = options.deadline},
+      options.pacer);
   co_return !error;
 }
 
@@ -51,7 +56,8 @@
 // The response keeps its Content-Length, or is chunked if it has none. Returns
 // false if the upstream or the caller fails before the end.
 asio::awaitable<bool> RelayStreamed(InboundRequest& inbound,
-                                    ForwardResult& result) {
+                                    ForwardResult& result,
+                                    const RelayOptions& options) {
   const bool chunked = result.head.count(http::field::content_length) == 0;
   http::response<http::buffer_body> response(std::move(result.head));
   if (chunked) response.chunked(true);
@@ -65,7 +71,11 @@
     response.body().size = chunk.size();
     response.body().more = more;
     inbound.Stream().expires_after(kCallerWriteTimeout);
-    co_await http::async_write(inbound.Stream(), serializer, Into(error));
+    error = co_await WritePaced(inbound.Stream(), serializer,
+                                {.body_bytes = chunk.size(),
+                                 .body_left = kMaxBufferedResponseBytes,
+                                 .deadline = options.deadline},
+                                options.pacer);
     if (error == http::error::need_buffer) error = {};
     if (error) co_return false;
     if (!more) co_return true;
@@ -98,19 +108,19 @@
 
 asio::awaitable<bool> RelayResponse(InboundRequest& inbound,
                                     ForwardResult& result, UpstreamPool& pool,
-                                    bool close) {
+                                    RelayOptions options) {
   RemoveHopByHopHeaders(&result.head);
   result.head.version(11);
-  if (close || !inbound.KeepAlive()) {
+  if (options.close || !inbound.KeepAlive()) {
     result.head.set(http::field::connection, "close");
   }
   inbound.Stream().expires_after(kCallerWriteTimeout);
   if (result.fully_buffered) {
     ReleaseConnection(result, pool);
     const bool is_head_request = inbound.Head().method() == http::verb::head;
-    co_return co_await RelayBuffered(inbound, result, is_head_request);
+    co_return co_await RelayBuffered(inbound, result, is_head_request, options);
   }
-  const bool complete = co_await RelayStreamed(inbound, result);
+  const bool complete = co_await RelayStreamed(inbound, result, options);
   ReleaseConnection(result, pool);
   co_return complete;
 }
