Messages to other nodes yield the link to control traffic

Control traffic has a tenth of the link while responses fill the rest. That is enough for probes, not for a synchronisation with a large configuration: 1,400 routes, estimated at over 100 KB, would take a second on a link of 10 Mbit/s, and time out after 0.6 s.

Bytes of datagrams and of synchronisation replies are now charged to the link's schedule, so that the parts of responses wait for them. The test failed with an empty ChargeLink: 0.77 s for bytes that need 1.12 s on the link.

--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -111,6 +111,8 @@
   MeshProgress Progress() const;
   // The member directory as last read from the platform.
   const std::vector<DirectoryEntry>& Directory() const { return m_directory; }
+  // Counts bytes of control traffic that this node sends outside this loop.
+  void ChargeLink(size_t bytes) { m_proxy->ChargeLink(bytes); }
   // The changes that this node should make to the member directory.
   DirectoryPlan PlanOwnDirectory() const;
   // Registers or renews a local backend server. Returns false and changes
@@ -184,7 +186,8 @@
   // Outgoing versions of local backend servers that take no new requests, as
   // pairs of service and version.
   std::set<std::pair<std::string, std::string>> m_closing;
-  size_t m_published_live = 0;  // Live members, as given to the proxy.
+  uint64_t m_charged_bytes = 0;  // Of BytesSent(), given to ChargeLink().
+  size_t m_published_live = 0;   // Live members, as given to the proxy.
   bool m_draining = false;
   std::shared_ptr<const RouteTable> m_published;
   uint64_t m_published_change = 0;
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -89,6 +89,9 @@
   void SetBackends(std::vector<LocalBackend> backends);
   // Sets the number of live nodes, which share the retry budget of a service.
   void SetLiveNodes(size_t count);
+  // Counts bytes of control traffic that this host sends, to which messages to
+  // other nodes yield the link.
+  void ChargeLink(size_t bytes);
   // Refuses new requests for a version that has lost its share. Calls `closed`
   // once no request for the version is left.
   void CloseVersion(std::string service, std::string version,
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -20,6 +20,8 @@
 constexpr milliseconds kMoveUpdateInterval{250};
 constexpr milliseconds kAckUpdateInterval{500};
 constexpr milliseconds kDelayLogInterval{5'000};
+// Fewer bytes of datagrams do not delay anything noticeably.
+constexpr uint64_t kMinChargedBytes = 4'096;
 
 int64_t UnixMs() {
   return std::chrono::duration_cast<milliseconds>(
@@ -91,6 +93,10 @@
   }
   RestoreLeavingInstances();
   ClearPlatformFailure(now);
+  if (m_socket.BytesSent() - m_charged_bytes >= kMinChargedBytes) {
+    ChargeLink(m_socket.BytesSent() - m_charged_bytes);
+    m_charged_bytes = m_socket.BytesSent();
+  }
   const size_t live = m_replica.Members().Alive().size();
   if (live != m_published_live) {
     m_published_live = live;
--- a/src/node/control_service.cc
+++ b/src/node/control_service.cc
@@ -99,7 +99,9 @@
     return grpc::Status::OK;
   }
   auto answer = m_loop->Run<SyncReply>([request = *request](ControlLoop& l) {
-    return l.GetReplica().HandleSyncRequest(request, Clock::now());
+    SyncReply reply = l.GetReplica().HandleSyncRequest(request, Clock::now());
+    l.ChargeLink(reply.ByteSizeLong());
+    return reply;
   });
   --m_active_syncs;
   if (!answer) return Busy();
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -117,6 +117,11 @@
   });
 }
 
+void Proxy::ChargeLink(size_t bytes) {
+  if (!m_pacer.IsEnabled()) return;
+  asio::post(m_context, [this, bytes] { m_pacer.Charge(bytes); });
+}
+
 void Proxy::CloseVersion(std::string service, std::string version,
                          std::function<void()> closed) {
   asio::post(m_context, [this, service = std::move(service),
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -477,5 +477,31 @@
   CHECK(link.LongestWaitMs() <= kMaxWaitMs);
 }
 
+// Guards against a synchronisation with a large configuration that times out
+// because responses use the link at the same time.
+TEST_CASE_METHOD(ProxyFixture,
+                 "Large responses yield the link to control messages",
+                 "[link]") {
+  constexpr double kLinkRate = 1'250'000;  // 10 Mbit/s.
+  constexpr int kResponses = 10;
+  constexpr size_t kBodyBytes = 90'000;
+  constexpr size_t kControlBytes = 500'000;
+  slots = kResponses;
+  script = [](const RequestHead& head) {
+    return Reply{
+        .bytes = Signed(std::string(head["Id"]), std::string(kBodyBytes, 'x'))};
+  };
+  Start({.link_rate = kLinkRate});
+  EmulatedLink link(kLinkRate);
+  const auto start = std::chrono::steady_clock::now();
+  GetProxy().ChargeLink(kControlBytes);
+  for (int i = 0; i < kResponses; ++i) link.Request("bulk" + std::to_string(i));
+  link.ReadUntil(kResponses * kBodyBytes);
+  const std::chrono::duration<double> elapsed =
+      std::chrono::steady_clock::now() - start;
+  CHECK(link.Bytes() >= kResponses * kBodyBytes);
+  CHECK(elapsed.count() * kLinkRate >= kResponses * kBodyBytes + kControlBytes);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
