Keep open connections that the last response kept open when a drain began

Cause: the header of a response and the decision to close the connection after it read the drain flag at two times. If the drain began while the response was being written, the response kept the connection open and the proxy closed it without reading the next request. The new test holds the write open and failed in the one run without the fix.

Fix: the flag is read once per response.

--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -118,8 +118,9 @@
   // connection must be closed.
   boost::asio::awaitable<bool> ServeCaller(InboundRequest& inbound);
   boost::asio::awaitable<bool> ServeNode(InboundRequest& inbound);
-  // Responds to a request that cannot be routed.
-  boost::asio::awaitable<void> Reject(InboundRequest& inbound, unsigned status,
+  // Responds to a request that cannot be routed. False if the connection must
+  // be closed.
+  boost::asio::awaitable<bool> Reject(InboundRequest& inbound, unsigned status,
                                       std::string reason);
   // Sends the request to one target after another until an attempt succeeds or
   // no retry is allowed. `attempt` has the result of the last attempt.
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -176,7 +176,7 @@
   return found->second;
 }
 
-asio::awaitable<void> Proxy::Reject(InboundRequest& inbound, unsigned status,
+asio::awaitable<bool> Proxy::Reject(InboundRequest& inbound, unsigned status,
                                     std::string reason) {
   LocalReply answer;
   answer.status = status;
@@ -192,6 +192,7 @@
                  answer.request_id, status, answer.reason);
   }
   co_await WriteLocalReply(inbound, answer);
+  co_return inbound.KeepAlive() && inbound.IsFullyBuffered() && !answer.close;
 }
 
 asio::awaitable<bool> Proxy::ServeCaller(InboundRequest& inbound) {
@@ -199,8 +200,8 @@
   auto rejection = ReadCallerCall(inbound, &call);
   call.deadline = std::min(call.deadline, m_drain_end);
   if (rejection) {
-    co_await Reject(inbound, rejection->status, std::move(rejection->reason));
-    co_return inbound.KeepAlive() && inbound.IsFullyBuffered() && !m_draining;
+    co_return co_await Reject(inbound, rejection->status,
+                              std::move(rejection->reason));
   }
   RetryBudgetFor(call.service).OnFirstAttempt();
   Attempt attempt;
@@ -377,9 +378,12 @@
                           attempt.call.request_id);
   attempt.result.head.erase(headers::kLoad);
   attempt.result.head.erase(headers::kOffered);
+  // A drain that begins during the write must not close a connection that the
+  // response keeps open.
+  const bool close = m_draining;
   UpstreamPool& pool = attempt.local ? m_runner->Pool() : m_pool;
-  const bool complete = co_await RelayResponse(inbound, attempt.result, pool,
-                                               {.close = m_draining});
+  const bool complete =
+      co_await RelayResponse(inbound, attempt.result, pool, {.close = close});
   if (attempt.local && !attempt.local->finished) {
     attempt.local->result.answered = true;
     attempt.local->result.verdict = verdict;
@@ -387,7 +391,7 @@
     m_runner->Finish(attempt.call, *attempt.local, complete);
   }
   m_metrics.OnCall(verdict, ElapsedMs(attempt.call.started));
-  co_return complete&& inbound.KeepAlive() && !m_draining;
+  co_return complete&& inbound.KeepAlive() && !close;
 }
 
 asio::awaitable<bool> Proxy::GiveUp(InboundRequest& inbound, const Call& call,
@@ -418,7 +422,7 @@
   }
   m_metrics.OnCall(answer.verdict, ElapsedMs(call.started));
   co_await WriteLocalReply(inbound, answer);
-  co_return inbound.KeepAlive() && inbound.IsFullyBuffered() && !m_draining;
+  co_return inbound.KeepAlive() && inbound.IsFullyBuffered() && !answer.close;
 }
 
 asio::awaitable<bool> Proxy::ServeNode(InboundRequest& inbound) {
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -170,6 +170,12 @@
   std::optional<Response> Call(const std::string& target,
                                const std::string& id = "r1",
                                const std::string& host = "h") {
+    if (!Send(target, id, host)) return std::nullopt;
+    return Receive();
+  }
+
+  bool Send(const std::string& target, const std::string& id,
+            const std::string& host = "h") {
     http::request<http::string_body> request(http::verb::get, target, 11);
     request.set(http::field::host, host);
     request.set("From", "forged");
@@ -177,18 +183,25 @@
     if (!id.empty()) request.set("Id", id);
     beast::error_code error;
     http::write(m_stream, request, error);
-    if (error) return std::nullopt;
-    Response response;
-    http::read(m_stream, m_buffer, response, error);
+    return !error;
+  }
+
+  std::optional<Response> Receive() {
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(kMaxBodyBytes);
+    beast::error_code error;
+    http::read(m_stream, m_buffer, parser, error);
     if (error == http::error::end_of_stream ||
         error == asio::error::connection_reset) {
       return std::nullopt;
     }
     REQUIRE_FALSE(error);
-    return response;
+    return parser.release();
   }
 
  private:
+  static constexpr uint64_t kMaxBodyBytes = 64U << 20U;
+
   int m_left_ms;
   asio::io_context m_context;
   beast::tcp_stream m_stream;
@@ -306,6 +319,35 @@
   CHECK_FALSE(idle.Call("/read/"));
 }
 
+// Guards against a connection that is closed without a response although the
+// response before it, which was written when the drain began, kept it open.
+TEST_CASE_METHOD(
+    ProxyFixture,
+    "A drain that begins while a response is written keeps its promise") {
+  // Exceeds the buffers of the two sockets, so that the write is pending.
+  constexpr size_t kBodyBytes = 12'000'000;
+  script = [](const RequestHead& head) {
+    return Reply{
+        .bytes = Signed(std::string(head["Id"]), std::string(kBodyBytes, 'x'))};
+  };
+  Start({.caller_grace = milliseconds(2'000),
+         .drain_timeout = milliseconds(8'000)});
+  CallerClient caller(8'000);
+  caller.Send("/read/", "r1");
+  std::this_thread::sleep_for(milliseconds(300));
+  std::promise<void> drained;
+  GetProxy().StartDrain([&] { drained.set_value(); });
+  std::this_thread::sleep_for(milliseconds(100));
+  const auto first = caller.Receive();
+  REQUIRE(first);
+  REQUIRE(first->keep_alive());
+  const auto second = caller.Call("/read/", "r2");
+  REQUIRE(second);
+  CHECK_FALSE(second->keep_alive());
+  REQUIRE(drained.get_future().wait_for(milliseconds(8'000)) ==
+          std::future_status::ready);
+}
+
 // Many connections send a request around the end of the caller grace, where the
 // proxy closes idle connections. Guards against a request that is sent to the
 // backend server although its connection was closed without a response.
