--- a/src/coordination/replica_test.cc
+++ b/src/coordination/replica_test.cc
@@ -465,6 +465,31 @@
   CHECK(replica.Warnings().size() == 2);
 }
 
+// Guards against pushes that a node cannot apply, which delay each change by a
+// synchronisation.
+TEST_CASE("A push brings a batch into force without a synchronisation",
+          "[.delta]") {
+  TimePoint now;
+  Replica sender({.id = "a", .control_address = "a"}, now);
+  Replica receiver({.id = "b", .control_address = "b"}, now);
+  Batch batch;
+  batch.set_revision(3);
+  receiver.HandleSyncRequest(sender.MakeSyncRequest(true), now);
+  sender.HandleSyncRequest(receiver.MakeSyncRequest(true), now);
+  REQUIRE(sender.Offer(batch) == OfferOutcome::kApplied);
+  REQUIRE(receiver.Offer(batch) == OfferOutcome::kApplied);
+  sender.Tick(now);
+  // A batch that an operator wrote: it does not name the one that it replaces.
+  batch.set_revision(5);
+  batch.set_author("operators");
+  REQUIRE(sender.Offer(batch) == OfferOutcome::kApplied);
+  for (const auto& outgoing : sender.Tick(now)) {
+    receiver.OnDatagram(outgoing.datagram, now);
+  }
+  CHECK(receiver.CurrentBatch().revision() == 5);
+  CHECK_FALSE(receiver.PopSyncPeer());
+}
+
 TEST_CASE("A replica measures how long it has missed a newer batch") {
   Replica replica({.id = "n", .control_address = "n"}, {});
   const TimePoint start = TimePoint() + std::chrono::hours(1);
