Deltas of an operators' configuration apply

Cause: ApplyDelta took the revision that the delta is based on for the predecessor that the resulting batch names. A table names it, so the tests with tables passed; an operators' batch names none, and the digest of the result never matched. A refused delta starts a synchronisation, which hid the fault: it only cost time and bytes.

Fix: the delta carries the predecessor of the result on its own. A node of before refuses such a delta as it did and synchronises; a delta of such a node applies here if its batch names no predecessor.

--- a/src/coordination/replica_test.cc
+++ b/src/coordination/replica_test.cc
@@ -468,7 +468,7 @@
 // Guards against pushes that a node cannot apply, which delay each change by a
 // synchronisation.
 TEST_CASE("A push brings a batch into force without a synchronisation",
-          "[.delta]") {
+          "[delta]") {
   TimePoint now;
   Replica sender({.id = "a", .control_address = "a"}, now);
   Replica receiver({.id = "b", .control_address = "b"}, now);
--- a/src/state/batch.cc
+++ b/src/state/batch.cc
@@ -196,6 +196,7 @@
   delta.set_base_revision(from.revision());
   delta.set_revision(to.revision());
   delta.set_digest(BatchDigest(to));
+  delta.set_batch_base_revision(to.base_revision());
   delta.set_base_key(to.base_key());
   delta.set_write_id(to.write_id());
   delta.set_author(to.author());
@@ -234,7 +235,7 @@
   for (const auto& name : delta.removed_routes()) routes.erase(name);
   Batch batch;
   batch.set_revision(delta.revision());
-  batch.set_base_revision(delta.base_revision());
+  batch.set_base_revision(delta.batch_base_revision());
   batch.set_base_key(delta.base_key());
   batch.set_write_id(delta.write_id());
   batch.set_author(delta.author());
