Compress replies between nodes

A configuration that does not fit into a datagram is transferred to every node; on links of 10 Mbit/s this took 266 ms on average, and the last of 80 nodes had 1,400 new routes 1.72 s after the first. gzip is built into gRPC.

--- a/src/node/control_service.cc
+++ b/src/node/control_service.cc
@@ -76,6 +76,9 @@
   builder.SetSyncServerOption(grpc::ServerBuilder::NUM_CQS, 1);
   builder.SetSyncServerOption(grpc::ServerBuilder::MIN_POLLERS, 1);
   builder.SetSyncServerOption(grpc::ServerBuilder::MAX_POLLERS, kMaxPollers);
+  // A configuration of many routes shrinks to a fraction, which matters on slow
+  // links.
+  builder.SetDefaultCompressionAlgorithm(GRPC_COMPRESS_GZIP);
   // Without SO_REUSEPORT a second process on the same address, which is an
   // error in the settings, fails to bind instead of sharing it.
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
