--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -25,17 +25,16 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
 #include "kumquatmoor/state/limits.h"
+#include "kumquatmoor/state/recent_ids.h"
 #include "kumquatmoor/state/routes.h"
 #include "kumquatmoor/state/run_times.h"
 #include "kumquatmoor/state/slot_queue.h"
@@ -177,7 +176,6 @@
   // Why the request is refused whether or not a slot is free; "" if it is not.
   std::string_view RefusalReason(const AdmissionRequest& request, Entry* entry,
                                  TimePoint now);
-  void RecordSeenId(const std::string& request_id);
 
   AdmissionOptions m_options;
   std::map<Key, Entry> m_entries;
@@ -185,8 +183,7 @@
   uint64_t m_last_ticket = 0;
   bool m_draining = false;
   // Ids of non-idempotent requests that were admitted or queued.
-  std::unordered_set<std::string> m_seen_ids;
-  std::deque<std::string> m_seen_ids_by_age;
+  RecentIds m_seen_ids{kMaxSeenIds};
 };
 
 }  // namespace kumquatmoor
--- a/include/kumquatmoor/node/call_metrics.h
+++ b/include/kumquatmoor/node/call_metrics.h
@@ -14,12 +14,15 @@
 #include <cstdint>
 #include <string>
 
+#include "kumquatmoor/protocol/attempt_kind.h"
 #include "kumquatmoor/protocol/verdict.h"
 
 namespace kumquatmoor {
 
 class CallMetrics {
  public:
+  using Runs = std::array<uint64_t, 3>;  // Indexed by AttemptKind.
+
   CallMetrics();
 
   // Counts a caller's request that ended, with all its retries.
@@ -28,11 +31,14 @@
   // Counts a request for a local backend server that this node refused.
   void OnRefusal() { ++m_refusals; }
   // Counts a request that was passed on to a local backend server.
-  void OnLocalRun() { ++m_local_runs; }
+  void OnLocalRun(AttemptKind kind) {
+    ++m_local_runs[static_cast<size_t>(kind)];
+  }
   // Counts an outcome that was dropped because the ring to the control thread
   // was full.
   void OnLostOutcome() { ++m_lost_outcomes; }
 
+  const Runs& LocalRuns() const { return m_local_runs; }
   // All metrics in the Prometheus text format.
   std::string ToPrometheus() const;
 
@@ -44,7 +50,7 @@
   std::array<uint64_t, 3> m_calls{};  // Indexed by Verdict.
   uint64_t m_retries = 0;
   uint64_t m_refusals = 0;
-  uint64_t m_local_runs = 0;
+  Runs m_local_runs{};
   uint64_t m_lost_outcomes = 0;
   boost::histogram::histogram<std::tuple<Axis>> m_latency;
   double m_latency_sum_ms = 0;
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -161,6 +161,9 @@
   void CloseIdleCallers();
   // Logs the numbers of suppressed log lines.
   void LogSuppressed();
+  // Logs the requests to the local backend servers since the last call, by
+  // AttemptKind, if there were others than first attempts.
+  void LogRetries();
   // Closes pooled connections that were idle for too long, at an interval.
   boost::asio::awaitable<void> CloseOldConnections();
   boost::asio::awaitable<void> WaitUntilDrained(std::function<void()> drained);
@@ -178,6 +181,7 @@
   std::shared_ptr<const RouteTable> m_routes;
   CallerBounds m_bounds;
   CallMetrics m_metrics;
+  CallMetrics::Runs m_logged_runs{};  // As of the last LogRetries().
   std::unique_ptr<LocalRunner> m_runner;
   LogBudget m_log_budget;
   TargetLoads m_loads;
--- a/include/kumquatmoor/protocol/headers.h
+++ b/include/kumquatmoor/protocol/headers.h
@@ -37,6 +37,8 @@
 inline constexpr char kPriority[] = "Kumquatmoor-Priority";
 // Request between nodes: milliseconds that remain of the latency objective.
 inline constexpr char kObjectiveMs[] = "Kumquatmoor-Objective-Ms";
+// Request between nodes: see AttemptKind. Absent: a first attempt.
+inline constexpr char kAttemptKind[] = "Kumquatmoor-Attempt-Kind";
 // Response between nodes: "1" if the request was sent to a backend server.
 inline constexpr char kOffered[] = "Kumquatmoor-Offered";
 
@@ -53,6 +55,9 @@
   std::string expected_instance;
   // Request to a backend server: the service that runs on the caller's host.
   std::string caller_service;
+  // A call that a backend server makes while it runs a request has the id of
+  // that request, this separator and a suffix as its id. Not a header.
+  std::string call_id_separator;
   // Response of a backend server: present if it did not execute the request.
   std::string not_run;
   // Response of a backend server: present in every complete response. A
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -78,7 +78,7 @@
                                           Entry* entry, TimePoint now) {
   const std::string_view unavailable = UnavailableReason(*entry);
   if (!unavailable.empty()) return unavailable;
-  if (!request.idempotent && m_seen_ids.count(request.request_id) > 0) {
+  if (!request.idempotent && m_seen_ids.Contains(request.request_id)) {
     return kDuplicate;
   }
   if (entry->max_concurrent > 0 &&
@@ -155,7 +155,7 @@
   result.ticket = ticket;
   ++result.in_flight;
   if (result.queued) entry.waiting.emplace(ticket, request);
-  if (!request.idempotent) RecordSeenId(request.request_id);
+  if (!request.idempotent) m_seen_ids.Insert(request.request_id);
   return result;
 }
 
@@ -167,7 +167,7 @@
     found->second.queue.OnRunEnded(expected);
     if (run_time) found->second.run_times.Add(request.route, *run_time);
   }
-  if (!handed_over && !request.idempotent) m_seen_ids.erase(request.request_id);
+  if (!handed_over && !request.idempotent) m_seen_ids.Erase(request.request_id);
 }
 
 std::vector<WaitDecision> Admission::TakeDecisions(TimePoint now) {
@@ -182,7 +182,7 @@
     decision.result.leaving = reason != kNoSlotInTime;
     decision.result.wait = entry.queue.LongestWait();
     if (!waiting.mapped().idempotent) {
-      m_seen_ids.erase(waiting.mapped().request_id);
+      m_seen_ids.Erase(waiting.mapped().request_id);
     }
     decisions.push_back(std::move(decision));
   };
@@ -213,7 +213,7 @@
   if (found == m_entries.end()) return false;
   if (!found->second.queue.Remove(ticket)) return false;
   found->second.waiting.erase(ticket);
-  if (!request.idempotent) m_seen_ids.erase(request.request_id);
+  if (!request.idempotent) m_seen_ids.Erase(request.request_id);
   return true;
 }
 
@@ -231,14 +231,6 @@
   if (found != m_entries.end()) found->second.closed = false;
 }
 
-void Admission::RecordSeenId(const std::string& request_id) {
-  if (!m_seen_ids.insert(request_id).second) return;
-  m_seen_ids_by_age.push_back(request_id);
-  if (m_seen_ids_by_age.size() <= kMaxSeenIds) return;
-  m_seen_ids.erase(m_seen_ids_by_age.front());
-  m_seen_ids_by_age.pop_front();
-}
-
 uint32_t Admission::InFlight(const std::string& service,
                              const std::string& version) const {
   auto found = m_entries.find({service, version});
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "kumquatmoor/node/admission.h"
+#include "kumquatmoor/protocol/attempt_kind.h"
 
 namespace kumquatmoor {
 
@@ -20,6 +21,7 @@
   std::string route;  // Name of the configured route, or method and path.
   bool idempotent = true;
   uint32_t priority = 0;
+  AttemptKind attempt_kind = AttemptKind::kFirst;
   // Backend servers that the request may be sent to, one after another.
   int64_t max_attempts = 1;
   TimePoint started;
--- a/src/node/call_metrics.cc
+++ b/src/node/call_metrics.cc
@@ -28,12 +28,18 @@
                         VerdictName(verdict),
                         m_calls[static_cast<size_t>(verdict)]);
   }
+  text += "# TYPE kumquatmoor_local_runs_total counter\n";
+  for (auto kind :
+       {AttemptKind::kFirst, AttemptKind::kRetry, AttemptKind::kCallOfRetry}) {
+    text += fmt::format("kumquatmoor_local_runs_total{{kind=\"{}\"}} {}\n",
+                        AttemptKindName(kind),
+                        m_local_runs[static_cast<size_t>(kind)]);
+  }
   const auto counter = [&](const char* name, uint64_t value) {
     text += fmt::format("# TYPE {} counter\n{} {}\n", name, name, value);
   };
   counter("kumquatmoor_retries_total", m_retries);
   counter("kumquatmoor_refusals_total", m_refusals);
-  counter("kumquatmoor_local_runs_total", m_local_runs);
   counter("kumquatmoor_lost_outcomes_total", m_lost_outcomes);
   text += "# TYPE kumquatmoor_call_ms histogram\n";
   double below = m_latency.at(-1);
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -48,6 +48,13 @@
   }
 }
 
+bool LocalRunner::IsCallOfRetry(const std::string& request_id) const {
+  if (m_headers.call_id_separator.empty()) return false;
+  const size_t end = request_id.rfind(m_headers.call_id_separator);
+  return end != std::string::npos &&
+         m_retried_runs.Contains(request_id.substr(0, end));
+}
+
 void LocalRunner::AbortAll() {
   for (auto& [ticket, waiter] : m_waiters) waiter->timer.cancel();
   for (auto* stream : *m_active) stream->close();
@@ -92,7 +99,8 @@
   RemoveHopByHopHeaders(head);
   for (const char* name :
        {headers::kService, headers::kVersion, headers::kIdempotent,
-        headers::kPriority, headers::kObjectiveMs, headers::kRoute}) {
+        headers::kPriority, headers::kObjectiveMs, headers::kRoute,
+        headers::kAttemptKind}) {
     head->erase(name);
   }
   head->set(m_headers.request_id, call.request_id);
@@ -119,7 +127,10 @@
   }
   run.started = Clock::now();
   if (run.result.caller_gone) co_return;
-  m_metrics->OnLocalRun();
+  m_metrics->OnLocalRun(call.attempt_kind);
+  if (call.attempt_kind != AttemptKind::kFirst) {
+    m_retried_runs.Insert(call.request_id);
+  }
   ForwardOptions options;
   options.address = run.admission.address;
   options.head = std::move(head);
--- a/src/node/local_runner.h
+++ b/src/node/local_runner.h
@@ -26,6 +26,7 @@
 #include "kumquatmoor/node/call_metrics.h"
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/state/outcome_counters.h"
+#include "kumquatmoor/state/recent_ids.h"
 #include "kumquatmoor/transport/bounded_ring.h"
 #include "kumquatmoor/transport/exchange.h"
 #include "kumquatmoor/transport/upstream_pool.h"
@@ -64,6 +65,10 @@
   // when a slot may have become free or requests may no longer be admitted.
   void WakeWaiting();
 
+  // True if a backend server of this host makes the call with this id while it
+  // runs a retry.
+  bool IsCallOfRetry(const std::string& request_id) const;
+
   // Aborts every request that waits or runs, at the end of the drain timeout.
   void AbortAll();
 
@@ -71,6 +76,9 @@
   UpstreamPool& Pool() { return m_pool; }
 
  private:
+  // Far more than the requests that a backend server runs at once.
+  static constexpr size_t kMaxRetriedRuns = 4'096;
+
   // A request that waits for a slot.
   struct Waiter {
     explicit Waiter(boost::asio::io_context& context) : timer(context) {}
@@ -91,6 +99,8 @@
   UpstreamPool m_pool;
   BoundedRing<Outcome>* m_outcomes;
   CallMetrics* m_metrics;
+  // Ids of retries that were sent to a backend server.
+  RecentIds m_retried_runs{kMaxRetriedRuns};
   std::map<uint64_t, std::shared_ptr<Waiter>> m_waiters;  // By ticket.
   // Connections to backend servers that carry a request.
   std::shared_ptr<ActiveStreams> m_active = std::make_shared<ActiveStreams>();
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -216,6 +216,22 @@
   }
 }
 
+void Proxy::LogRetries() {
+  CallMetrics::Runs runs = m_metrics.LocalRuns();
+  for (size_t kind = 0; kind < runs.size(); ++kind) {
+    runs[kind] -= m_logged_runs[kind];
+  }
+  m_logged_runs = m_metrics.LocalRuns();
+  const auto count = [&](AttemptKind kind) {
+    return runs[static_cast<size_t>(kind)];
+  };
+  const uint64_t retries = count(AttemptKind::kRetry);
+  const uint64_t calls_of_retries = count(AttemptKind::kCallOfRetry);
+  if (retries + calls_of_retries == 0) return;
+  spdlog::info("admit: event=retries first={} retry={} call_of_retry={}",
+               count(AttemptKind::kFirst), retries, calls_of_retries);
+}
+
 asio::awaitable<void> Proxy::CloseOldConnections() {
   asio::steady_timer timer(m_context);
   while (true) {
@@ -224,6 +240,7 @@
     m_pool.CloseExpired();
     m_runner->Pool().CloseExpired();
     LogSuppressed();
+    LogRetries();
   }
 }
 
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -82,9 +82,11 @@
   std::optional<LocalRun> local;
   TimePoint started;     // Start of the current attempt.
   bool leaving = false;  // As in AdmissionResult.
-  int64_t offers = 0;    // Backend servers that the request was sent to.
-  int refusals = 0;      // Nodes that refused the request.
-  int unreachable = 0;   // Nodes that could not be connected to.
+  // The request may have reached a backend server.
+  bool arrived = false;
+  int64_t offers = 0;   // Backend servers that the request was sent to.
+  int refusals = 0;     // Nodes that refused the request.
+  int unreachable = 0;  // Nodes that could not be connected to.
   milliseconds retry_after{0};
 };
 
@@ -129,6 +131,9 @@
 std::optional<Proxy::Rejection> Proxy::ReadCallerCall(
     const InboundRequest& inbound, Call* call) {
   *call = ReadCall(inbound, m_options.headers);
+  if (m_runner->IsCallOfRetry(call->request_id)) {
+    call->attempt_kind = AttemptKind::kCallOfRetry;
+  }
   const RequestHead& head = inbound.Head();
   const std::string_view method = Text(head.method_string());
   if (m_routes == nullptr) {
@@ -230,12 +235,18 @@
     }
     tried.insert(pick.target->member_id);
     attempt.call.version = pick.target->version;
+    if (attempt.arrived && call.attempt_kind == AttemptKind::kFirst) {
+      attempt.call.attempt_kind = AttemptKind::kRetry;
+    }
     attempt.result = ForwardResult();
     attempt.local.reset();
     attempt.leaving = false;
     co_await TryTarget(inbound, pick, attempt);
     RecordAttempt(pick, attempt);
     if (attempt.result.offered) ++attempt.offers;
+    const bool outcome_unknown = !attempt.result.answered &&
+                                 attempt.result.verdict == Verdict::kMayHaveRun;
+    if (attempt.result.offered || outcome_unknown) attempt.arrived = true;
     if (attempt.result.caller_gone) co_return;
     if (!ShouldRetry(inbound, attempt)) co_return;
     m_metrics.OnRetry();
@@ -269,6 +280,7 @@
   head.set(headers::kRoute, call.route);
   head.set(headers::kIdempotent, call.idempotent ? "1" : "0");
   head.set(headers::kPriority, std::to_string(call.priority));
+  head.set(headers::kAttemptKind, AttemptKindName(call.attempt_kind));
   const auto now = Clock::now();
   if (call.objective != TimePoint::max()) {
     const auto left =
@@ -363,12 +375,13 @@
   if (!m_log_budget.Allow(kind, now)) return;
   spdlog::info(
       "route: event=attempt request={} route={} service={} version={} "
-      "target={} zone={} because=\"{}\" revision={} asked_ms={} verdict={} "
-      "status={} elapsed_ms={:.1f} reason=\"{}\"",
+      "target={} zone={} kind={} because=\"{}\" revision={} asked_ms={} "
+      "verdict={} status={} elapsed_ms={:.1f} reason=\"{}\"",
       call.request_id, call.route, call.service, call.version, target,
-      pick.target->zone, pick.reason, m_routes->revision,
-      call.allowed_time.count(), VerdictName(result.verdict), status,
-      ElapsedMs(call.started), result.reason);
+      pick.target->zone, AttemptKindName(call.attempt_kind), pick.reason,
+      m_routes->revision, call.allowed_time.count(),
+      VerdictName(result.verdict), status, ElapsedMs(call.started),
+      result.reason);
 }
 
 asio::awaitable<bool> Proxy::Answer(InboundRequest& inbound, Attempt& attempt) {
@@ -431,6 +444,8 @@
   call.route = std::string(Text(head[headers::kRoute]));
   call.idempotent = head[headers::kIdempotent] == "1";
   call.priority = ParseCount(Text(head[headers::kPriority])).value_or(0);
+  call.attempt_kind = ParseAttemptKind(Text(head[headers::kAttemptKind]))
+                          .value_or(AttemptKind::kFirst);
   if (auto left = ParseCount(Text(head[headers::kObjectiveMs]))) {
     call.objective = call.started + milliseconds(*left);
   }
