--- /dev/null
+++ b/src/node/test_mesh.cc
@@ -0,0 +1,210 @@
+#include "node/test_mesh.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+#include "kumquatmoor/transport/endpoint_address.h"
+
+namespace kumquatmoor {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr char kVersion[] = "v1";
+constexpr char kZone[] = "z";
+constexpr char kRouteHost[] = "h";
+constexpr uint32_t kMaxAttempts = 3;
+
+// A completion token that stores the error instead of throwing it.
+auto Into(beast::error_code& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+}  // namespace
+
+CallHeaders TestMeshHeaders() {
+  return {.request_id = "Id",
+          .deadline_ms = "Left",
+          .expected_instance = "Expect",
+          .caller_service = "From",
+          .call_id_separator = ".",
+          .not_run = "Not-Run",
+          .signature = "Signed"};
+}
+
+TestMesh::~TestMesh() { m_context.stop(); }
+
+void TestMesh::AddHost(HostOptions options) {
+  auto host = std::make_unique<Host>();
+  host->options = std::move(options);
+  host->name = fmt::format("n{}", m_hosts.size());
+  host->backend_address = NewAddress();
+  m_hosts.push_back(std::move(host));
+}
+
+std::string TestMesh::NewAddress() {
+  return fmt::format("127.0.0.1:{}", m_next_port++);
+}
+
+std::shared_ptr<const RouteTable> TestMesh::Routes() const {
+  Batch batch;
+  batch.set_revision(1);
+  std::set<std::string> services;
+  std::vector<MemberRecord> members;
+  for (const auto& host : m_hosts) {
+    services.insert(host->options.service);
+    MemberRecord& member = members.emplace_back();
+    member.set_id(host->name);
+    member.set_zone(kZone);
+    member.set_data_address(host->data_address);
+    Endpoint* endpoint = member.add_endpoints();
+    endpoint->set_service(host->options.service);
+    endpoint->set_version(kVersion);
+    endpoint->set_slots(host->options.slots);
+  }
+  for (const auto& name : services) {
+    ServiceConfig* service = batch.add_services();
+    service->set_service(name);
+    Row* row = service->add_rows();
+    row->set_version("*");
+    row->set_weight(100);
+    row->set_from_weight(100);
+    HttpRoute* route = batch.add_routes();
+    route->set_name(name);
+    route->set_host(kRouteHost);
+    route->set_prefix("/" + name + "/");
+    route->set_max_attempts(kMaxAttempts);
+    WeightedService* part = route->add_parts();
+    part->set_service(name);
+    part->set_weight(1);
+  }
+  return BuildRoutes(batch, {}, members, kZone);
+}
+
+void TestMesh::StartNode(Host& host) {
+  host.caller_address = NewAddress();
+  host.data_address = NewAddress();
+  ProxyOptions options = host.options.proxy;
+  options.id = host.name;
+  options.zone = kZone;
+  options.caller_address = host.caller_address;
+  options.data_address = host.data_address;
+  options.service = host.options.service;
+  options.headers = TestMeshHeaders();
+  options.admission.waiting_per_slot = 16;
+  host.proxy =
+      std::make_unique<Proxy>(m_context, options, nullptr, &m_outcomes);
+  if (const auto error = host.proxy->Start()) {
+    throw std::runtime_error(error.message());
+  }
+  host.proxy->SetLiveNodes(m_live_nodes);
+  host.proxy->SetBackends({{.service = host.options.service,
+                            .version = kVersion,
+                            .instance = "i-" + host.name,
+                            .address = host.backend_address,
+                            .slots = host.options.slots}});
+}
+
+void TestMesh::Start(size_t live_nodes) {
+  m_live_nodes = live_nodes;
+  for (size_t i = 0; i < m_hosts.size(); ++i) {
+    Host& host = *m_hosts[i];
+    host.backend = std::make_unique<HttpServer>(
+        m_context, HttpServerOptions{.address = host.backend_address},
+        MakeBufferedSession({}, [this, i](HttpRequest& request,
+                                          asio::ip::tcp::socket& /*socket*/) {
+          return RunScript(i, request);
+        }));
+    if (const auto error = host.backend->Start()) {
+      throw std::runtime_error(error.message());
+    }
+    StartNode(host);
+  }
+  PublishRoutes();
+}
+
+void TestMesh::PublishRoutes() {
+  const auto routes = Routes();
+  for (const auto& host : m_hosts) host->proxy->SetRoutes(routes);
+}
+
+void TestMesh::RestartNode(size_t host) {
+  Host& restarted = *m_hosts[host];
+  m_idle.erase(host);
+  m_replaced.push_back(std::move(restarted.proxy));
+  StartNode(restarted);
+  PublishRoutes();
+}
+
+void TestMesh::Run(std::function<asio::awaitable<void>()> main) {
+  std::exception_ptr failure;
+  asio::co_spawn(m_context, std::move(main),
+                 [&](const std::exception_ptr& error) {
+                   failure = error;
+                   m_context.stop();
+                 });
+  m_context.restart();
+  m_context.run();
+  if (failure) std::rethrow_exception(failure);
+}
+
+asio::awaitable<HttpResponse> TestMesh::RunScript(size_t host,
+                                                  const HttpRequest& request) {
+  const std::string& service = m_hosts[host]->options.service;
+  m_arrivals.push_back({.host = host,
+                        .service = service,
+                        .id = std::string(request["Id"]),
+                        .at = Clock::now()});
+  return m_scripts.at(service)(host, request);
+}
+
+HttpResponse TestMesh::Response(const HttpRequest& request, unsigned status) {
+  HttpResponse response = MakeResponse(status, "", "text/plain");
+  response.set("Id", request["Id"]);
+  response.set("Signed", "yes");
+  return response;
+}
+
+asio::awaitable<HttpResponse> TestMesh::Call(CallOptions options) {
+  auto& idle = m_idle[options.host];
+  std::unique_ptr<Connection> connection;
+  beast::error_code error;
+  HttpResponse response;
+  response.result(0);
+  if (idle.empty()) {
+    connection = std::make_unique<Connection>(
+        Connection{.stream = beast::tcp_stream(m_context)});
+    co_await connection->stream.async_connect(
+        *TcpEndpoint(m_hosts[options.host]->caller_address), Into(error));
+    if (error) co_return response;
+  } else {
+    connection = std::move(idle.back());
+    idle.pop_back();
+  }
+  HttpRequest request(http::verb::get, options.target, 11);
+  request.set(http::field::host, kRouteHost);
+  request.set("Id", options.id);
+  request.set("Left", std::to_string(options.deadline.count()));
+  co_await http::async_write(connection->stream, request, Into(error));
+  if (error) co_return response;
+  HttpResponse received;
+  co_await http::async_read(connection->stream, connection->buffer, received,
+                            Into(error));
+  if (error) co_return response;
+  if (received.keep_alive()) {
+    m_idle[options.host].push_back(std::move(connection));
+  }
+  co_return received;
+}
+
+}  // namespace kumquatmoor
--- /dev/null
+++ b/src/node/test_mesh.h
@@ -0,0 +1,123 @@
+#ifndef KUMQUATMOOR_SRC_NODE_TEST_MESH_H_
+#define KUMQUATMOOR_SRC_NODE_TEST_MESH_H_
+
+// TestMesh: proxies over loopback, each beside a scripted backend server, for
+// tests of what several nodes do together.
+//
+//   TestMesh mesh;
+//   mesh.AddHost({.service = "s"});
+//   mesh.Start();
+//   mesh.Run([&]() -> asio::awaitable<void> {
+//     const TestMesh::CallOptions call{.target = "/s/1", .id = "r1"};
+//     const HttpResponse response = co_await mesh.Call(call);
+//     ...
+//   });
+//
+// Everything runs on the thread that calls Run. A request to "/SERVICE/..." is
+// routed to the service. The headers have short names, see TestMeshHeaders.
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "kumquatmoor/node/proxy.h"
+#include "kumquatmoor/transport/http_server.h"
+
+namespace kumquatmoor {
+
+CallHeaders TestMeshHeaders();
+
+class TestMesh {
+ public:
+  struct HostOptions {
+    std::string service;
+    uint32_t slots = 8;
+    ProxyOptions proxy = {};
+  };
+  // A request that reached a backend server.
+  struct Arrival {
+    size_t host = 0;
+    std::string service;
+    std::string id;
+    TimePoint at;
+  };
+  // Returns a backend server's response to a request.
+  using Script = std::function<boost::asio::awaitable<HttpResponse>(
+      size_t host, const HttpRequest& request)>;
+  struct CallOptions {
+    size_t host = 0;  // Whose proxy is called.
+    std::string target;
+    std::string id;
+    std::chrono::milliseconds deadline{1'000};
+  };
+
+  TestMesh() = default;
+  ~TestMesh();
+  TestMesh(const TestMesh&) = delete;
+  TestMesh& operator=(const TestMesh&) = delete;
+
+  void AddHost(HostOptions options);
+  void SetScript(const std::string& service, Script script) {
+    m_scripts[service] = std::move(script);
+  }
+  // Starts all hosts. Each node counts `live_nodes` live nodes.
+  void Start(size_t live_nodes);
+  // Replaces the node of a host by a new one with other addresses, which knows
+  // nothing of the earlier one. The backend server continues to run.
+  void RestartNode(size_t host);
+  // Runs the mesh until `main` ends.
+  void Run(std::function<boost::asio::awaitable<void>()> main);
+  // Calls a host's proxy. The status of the response is 0 if there is none.
+  boost::asio::awaitable<HttpResponse> Call(CallOptions options);
+  // A response of a backend server to `request`.
+  static HttpResponse Response(const HttpRequest& request, unsigned status);
+
+  boost::asio::io_context& Context() { return m_context; }
+  Proxy& NodeOf(size_t host) { return *m_hosts[host]->proxy; }
+  const std::vector<Arrival>& Arrivals() const { return m_arrivals; }
+
+ private:
+  struct Host {
+    HostOptions options;
+    std::string name;
+    std::string data_address;
+    std::string caller_address;
+    std::string backend_address;
+    std::unique_ptr<Proxy> proxy;
+    std::unique_ptr<HttpServer> backend;
+  };
+  struct Connection {
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+  };
+
+  std::string NewAddress();
+  void StartNode(Host& host);
+  void PublishRoutes();
+  std::shared_ptr<const RouteTable> Routes() const;
+  boost::asio::awaitable<HttpResponse> RunScript(size_t host,
+                                                 const HttpRequest& request);
+
+  boost::asio::io_context m_context{1};
+  BoundedRing<Outcome> m_outcomes{65'536};
+  std::map<std::string, Script> m_scripts;  // By service.
+  std::vector<std::unique_ptr<Host>> m_hosts;
+  // Nodes that were replaced. Their sessions may still refer to them.
+  std::vector<std::unique_ptr<Proxy>> m_replaced;
+  // Idle connections of callers, by host.
+  std::map<size_t, std::vector<std::unique_ptr<Connection>>> m_idle;
+  std::vector<Arrival> m_arrivals;
+  size_t m_live_nodes = 1;
+  uint16_t m_next_port = 17'300;
+};
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_SRC_NODE_TEST_MESH_H_
