A refusal by a node does not replace the response of another target

Callers saw 503 with the verdict NotRun, and Retry-After, for an idempotent request that a backend server had run and failed. Cause: only the last attempt counted; when a retry was refused by the next node, that refusal became the answer. Now the last attempt that may have reached a backend server is the outcome, unless a later one reaches another.

--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -82,12 +82,24 @@
   std::optional<LocalRun> local;
   TimePoint started;     // Start of the current attempt.
   bool leaving = false;  // As in AdmissionResult.
-  // The request may have reached a backend server.
-  bool arrived = false;
-  int64_t offers = 0;   // Backend servers that the request was sent to.
-  int refusals = 0;     // Nodes that refused the request.
-  int unreachable = 0;  // Nodes that could not be connected to.
+  int64_t offers = 0;    // Backend servers that the request was sent to.
+  int refusals = 0;      // Nodes that refused the request.
+  int unreachable = 0;   // Nodes that could not be connected to.
   milliseconds retry_after{0};
+
+  // True if this attempt may have reached a backend server.
+  bool MayHaveArrived() const {
+    const bool outcome_unknown =
+        !result.answered && result.verdict == Verdict::kMayHaveRun;
+    return result.offered || outcome_unknown;
+  }
+  // The next attempt, with the totals of this one.
+  Attempt Next() const {
+    return {.call = call,
+            .offers = offers,
+            .refusals = refusals,
+            .unreachable = unreachable};
+  }
 };
 
 std::string Proxy::NewRequestId() {
@@ -224,6 +236,7 @@
 asio::awaitable<void> Proxy::TryTargets(InboundRequest& inbound,
                                         const Call& call, Attempt& attempt) {
   std::set<std::string> tried;
+  std::optional<Attempt> arrived;  // The last one that may have arrived.
   while (true) {
     // `pick` points into the routing table, which must stay alive during the
     // attempt.
@@ -231,26 +244,29 @@
     const Pick pick = PickFor(call, tried);
     if (pick.target == nullptr) {
       if (tried.empty()) attempt.result.reason = std::string(pick.reason);
-      co_return;
+      break;
     }
     tried.insert(pick.target->member_id);
+    Attempt next = attempt.Next();
+    if (attempt.MayHaveArrived()) arrived = std::move(attempt);
+    attempt = std::move(next);
     attempt.call.version = pick.target->version;
-    if (attempt.arrived && call.attempt_kind == AttemptKind::kFirst) {
+    if (arrived && call.attempt_kind == AttemptKind::kFirst) {
       attempt.call.attempt_kind = AttemptKind::kRetry;
     }
-    attempt.result = ForwardResult();
-    attempt.local.reset();
-    attempt.leaving = false;
     co_await TryTarget(inbound, pick, attempt);
     RecordAttempt(pick, attempt);
     if (attempt.result.offered) ++attempt.offers;
-    const bool outcome_unknown = !attempt.result.answered &&
-                                 attempt.result.verdict == Verdict::kMayHaveRun;
-    if (attempt.result.offered || outcome_unknown) attempt.arrived = true;
     if (attempt.result.caller_gone) co_return;
-    if (!ShouldRetry(inbound, attempt)) co_return;
+    if (!ShouldRetry(inbound, attempt)) break;
     m_metrics.OnRetry();
   }
+  // A refusal by a node says nothing about the attempts before it.
+  if (arrived && !attempt.MayHaveArrived()) {
+    arrived->refusals = attempt.refusals;
+    arrived->unreachable = attempt.unreachable;
+    attempt = std::move(*arrived);
+  }
 }
 
 bool Proxy::ShouldRetry(const InboundRequest& inbound, const Attempt& attempt) {
@@ -260,6 +276,8 @@
   const bool failed =
       !result.answered || result.head.result_int() >= 500 || refused;
   if (!failed || inbound.streamed) return false;
+  // A response with a large body cannot be kept until the next attempt ends.
+  if (result.answered && !result.fully_buffered) return false;
   if (Clock::now() >= call.deadline) return false;
   if (!refused && !call.idempotent) return false;
   if (refused && !result.offered) {
--- a/src/node/retry_budget_test.cc
+++ b/src/node/retry_budget_test.cc
@@ -196,5 +196,33 @@
   CHECK(WorstExcess(front) <= 0);
 }
 
+// Guards against a caller that is told that its request has not run because the
+// last of several nodes refused it.
+TEST_CASE(
+    "A refusal by a node does not replace the response of another target") {
+  // The order of the two targets is random.
+  for (int round = 0; round < 10; ++round) {
+    TestMesh mesh;
+    mesh.AddHost({.service = "s"});
+    mesh.AddHost({.service = "s"});
+    mesh.SetScript(
+        "s",
+        [](size_t /*host*/,
+           const HttpRequest& request) -> asio::awaitable<HttpResponse> {
+          co_return TestMesh::Response(request, 500);
+        });
+    mesh.Start(2);
+    mesh.NodeOf(1).StartDrain([] {});
+    HttpResponse response;
+    mesh.Run([&]() -> asio::awaitable<void> {
+      const TestMesh::CallOptions call{.target = "/s/1", .id = "r1"};
+      response = co_await mesh.Call(call);
+    });
+    REQUIRE(mesh.Arrivals().size() == 1);
+    CHECK(response.result_int() == 500);
+    CHECK(response["Signed"] == "yes");
+  }
+}
+
 }  // namespace
 }  // namespace kumquatmoor
