Admit retries beside the backend server, not by shares of the hosts

What callers saw: nothing yet; the backend servers of a service got more retries than its budget allows when nodes had just started or were cut off. Cause: each node spent the reserve divided by the live nodes that it knew, and a node that knows only itself spent all of it. Class: a bound on all hosts together that each host spends from its own view. Now each request carries its kind, and the node beside the backend server, which all requests pass, admits retries up to a ratio of the first attempts that it has seen in a sliding window. It needs no count of hosts, a new guard starts empty, and a refusal is no arrival. The caller's node skips such a target for retries for 200 ms.

--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -6,7 +6,7 @@
 // which ones are refused.
 //
 //   Admission admission({.waiting_per_slot = 16});
-//   admission.SetBackends(backends);
+//   admission.SetBackends(backends, now);
 //   AdmissionResult result = admission.Admit(request, now);
 //   if (result.queued) {
 //     ...  // TakeDecisions returns the decision for result.ticket later.
@@ -33,8 +33,10 @@
 #include <utility>
 #include <vector>
 
+#include "kumquatmoor/protocol/attempt_kind.h"
 #include "kumquatmoor/state/limits.h"
 #include "kumquatmoor/state/recent_ids.h"
+#include "kumquatmoor/state/retry_guard.h"
 #include "kumquatmoor/state/routes.h"
 #include "kumquatmoor/state/run_times.h"
 #include "kumquatmoor/state/slot_queue.h"
@@ -59,6 +61,7 @@
   // Requests that may wait, per slot. With 0 there is no queue: a request that
   // finds no free slot is refused.
   size_t waiting_per_slot = 0;
+  RetryGuardOptions retries;  // Of each backend server.
 };
 
 struct AdmissionRequest {
@@ -67,6 +70,7 @@
   std::string request_id;
   std::string route;
   bool idempotent = true;
+  AttemptKind kind = AttemptKind::kFirst;
   uint32_t priority = 0;
   TimePoint objective = TimePoint::max();
   TimePoint deadline = TimePoint::max();
@@ -82,6 +86,8 @@
   // The backend server takes no requests for some time: it is draining or gone,
   // or its version was recalled or lost its share.
   bool leaving = false;
+  // The retry budget is used up, for requests of this kind.
+  bool retry_denied = false;
   bool queued = false;  // The request waits for a slot, under `ticket`.
   uint64_t ticket = 0;
   std::chrono::milliseconds wait{0};  // Estimated time until a slot is free.
@@ -114,7 +120,7 @@
   // Replaces the backend servers. Requests in flight stay counted, also for a
   // backend server that is no longer in the list. Of several backend servers
   // with the same service and version, only the last one is used.
-  void SetBackends(const std::vector<LocalBackend>& backends);
+  void SetBackends(const std::vector<LocalBackend>& backends, TimePoint now);
   // Updates the limits of the table rows and the recalled versions.
   void SetRoutes(const RouteTable& routes);
   // Refuses all new requests from now on.
@@ -140,7 +146,8 @@
   std::vector<WaitDecision> TakeDecisions(TimePoint now);
   // Removes a queued request, for example because its caller disconnected.
   // False if the request is not queued.
-  bool CancelQueued(const AdmissionRequest& request, uint64_t ticket);
+  bool CancelQueued(const AdmissionRequest& request, uint64_t ticket,
+                    TimePoint now);
 
   // Number of requests that run or wait at one backend server, or at all of
   // them together.
@@ -163,6 +170,7 @@
     uint32_t max_concurrent = 0;
     double max_rate = 0;  // Requests per second.
     TokenBucket rate{{}};
+    std::optional<RetryGuard> retries;  // Set once the entry is announced.
   };
 
   // A result with the state of the backend server and no decision.
@@ -173,6 +181,15 @@
   // Why the backend server takes no requests at all, queued ones included; ""
   // if it does.
   std::string_view UnavailableReason(const Entry& entry) const;
+  // Takes a retry from the budget, unless the request is a first attempt.
+  static bool TakeRetry(const AdmissionRequest& request, Entry* entry,
+                        TimePoint now);
+  // Counts a first attempt that is sent to the backend server.
+  static void CountFirstAttempt(const AdmissionRequest& request, Entry* entry,
+                                TimePoint now);
+  // Reverses TakeRetry for a request that does not run.
+  static void ReturnRetry(const AdmissionRequest& request, Entry* entry,
+                          TimePoint now);
   // Why the request is refused whether or not a slot is free; "" if it is not.
   std::string_view RefusalReason(const AdmissionRequest& request, Entry* entry,
                                  TimePoint now);
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -187,7 +187,6 @@
   // pairs of service and version.
   std::set<std::pair<std::string, std::string>> m_closing;
   uint64_t m_charged_bytes = 0;  // Of BytesSent(), given to ChargeLink().
-  size_t m_published_live = 0;   // Live members, as given to the proxy.
   bool m_draining = false;
   std::shared_ptr<const RouteTable> m_published;
   uint64_t m_published_change = 0;
--- a/include/kumquatmoor/node/node_settings.h
+++ b/include/kumquatmoor/node/node_settings.h
@@ -55,10 +55,12 @@
   std::chrono::milliseconds announce_interval{1'500};
   // Requests that may wait for each slot of a backend server.
   int64_t waiting_per_slot = 0;
-  // Retry budget of all nodes together for one service: the ratio of retries to
-  // requests, and the number of retries that can be saved up in addition.
+  // Retry budget of all nodes together for one service in any time window: the
+  // ratio of retries to requests, and the retries that each backend server
+  // admits in addition.
   double retry_ratio = 0.1;
-  double retry_reserve = 160;
+  double retry_reserve_per_backend = 4;
+  std::chrono::milliseconds retry_window{10'000};
   // Time after SIGTERM for which callers are still served, so that they can
   // switch to another node.
   std::chrono::milliseconds caller_grace{1'500};
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -63,7 +63,6 @@
   std::chrono::milliseconds default_deadline{2'000};
   int64_t max_attempts = 3;  // Of requests without a configured route.
   AdmissionOptions admission;
-  RetryBudgetOptions retry_budget;  // Of each service; nodes share the reserve.
   // Time after the start of a drain for which new requests of callers are still
   // served. Callers switch to other nodes in this time.
   std::chrono::milliseconds caller_grace{1'500};
@@ -87,8 +86,6 @@
 
   void SetRoutes(std::shared_ptr<const RouteTable> routes);
   void SetBackends(std::vector<LocalBackend> backends);
-  // Sets the number of live nodes, which share the retry budget of a service.
-  void SetLiveNodes(size_t count);
   // Counts bytes of control traffic that this host sends, to which messages to
   // other nodes yield the link.
   void ChargeLink(size_t bytes);
@@ -150,11 +147,10 @@
   void ApplyRoute(const HttpRoute& route, Call* call);
   RequestHead HeadForNode(const InboundRequest& inbound,
                           const Call& call) const;
-  Pick PickFor(const Call& call, const std::set<std::string>& tried);
-  // Whether another target may be tried. Takes a retry from the budget if
-  // needed.
+  Pick PickFor(const Call& call, AttemptKind kind,
+               const std::set<std::string>& tried);
+  // Whether another target may be tried.
   bool ShouldRetry(const InboundRequest& inbound, const Attempt& attempt);
-  RetryBudget& RetryBudgetFor(const std::string& service);
   // Updates the load figures of the target and logs the attempt.
   void RecordAttempt(const Pick& pick, const Attempt& attempt);
   std::string NewRequestId();
@@ -186,8 +182,6 @@
   LogBudget m_log_budget;
   TargetLoads m_loads;
   TypicalDeadlines m_typical_deadlines;
-  std::map<std::string, RetryBudget> m_retry_budgets;  // By service.
-  size_t m_live_nodes = 1;
   std::mt19937_64 m_rng;
   // Connections of callers. Shared with the sessions, whose coroutine frames
   // may outlive the proxy.
--- a/include/kumquatmoor/protocol/headers.h
+++ b/include/kumquatmoor/protocol/headers.h
@@ -39,6 +39,9 @@
 inline constexpr char kObjectiveMs[] = "Kumquatmoor-Objective-Ms";
 // Request between nodes: see AttemptKind. Absent: a first attempt.
 inline constexpr char kAttemptKind[] = "Kumquatmoor-Attempt-Kind";
+// Response between nodes: "1" if the request was refused because it is not a
+// first attempt and the retry budget is used up.
+inline constexpr char kRetryDenied[] = "Kumquatmoor-Retry-Denied";
 // Response between nodes: "1" if the request was sent to a backend server.
 inline constexpr char kOffered[] = "Kumquatmoor-Offered";
 
--- a/include/kumquatmoor/state/picker.h
+++ b/include/kumquatmoor/state/picker.h
@@ -19,6 +19,7 @@
 // Time and randomness are arguments. Not thread-safe; each proxy thread owns
 // one TargetLoads.
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -28,6 +29,7 @@
 #include <string>
 #include <string_view>
 
+#include "kumquatmoor/protocol/attempt_kind.h"
 #include "kumquatmoor/state/limits.h"
 #include "kumquatmoor/state/routes.h"
 
@@ -48,6 +50,9 @@
   // requests for this time, unless all targets are full. Its load reports do
   // not shorten the time, as they may be old or wrong.
   std::chrono::milliseconds full_backoff{20};
+  // A target that refused a retry because its retry budget is used up gets no
+  // requests of the same kind for this time.
+  std::chrono::milliseconds retry_denied_backoff{200};
   // An unreachable target gets no requests for this time, which doubles with
   // each consecutive failure up to the maximum. After that one request probes
   // it, as in a half-open circuit breaker.
@@ -87,6 +92,10 @@
   void OnRefused(const std::string& member_id, TimePoint now);
   // The target refused a request because its slots or a limit were used up.
   void OnFull(const std::string& member_id, TimePoint now);
+  // The target refused a request of this kind because its retry budget is used
+  // up.
+  void OnRetryDenied(const std::string& member_id, AttemptKind kind,
+                     TimePoint now);
   // The target reported its number of requests in flight, from all callers.
   void OnReport(const std::string& member_id, uint32_t in_flight,
                 TimePoint now);
@@ -103,6 +112,9 @@
   double LatencyMs(const std::string& member_id) const;
   // True for `full_backoff` after OnFull().
   bool IsFull(const std::string& member_id, TimePoint now) const;
+  // True for `retry_denied_backoff` after OnRetryDenied() for this kind.
+  bool IsRetryDenied(const std::string& member_id, AttemptKind kind,
+                     TimePoint now) const;
   // Requests in flight per slot; the target is full from 1 on. Doubled during
   // slow start.
   double LoadOf(const Target& target, TimePoint now) const;
@@ -117,6 +129,7 @@
     uint32_t consecutive_ejections = 0;
     TimePoint ejected_until;
     TimePoint full_until;
+    std::array<TimePoint, 3> retry_denied_until;  // Indexed by AttemptKind.
     uint32_t consecutive_unreachable = 0;
     TimePoint unreachable_until;
     double failure_rate = 0;
@@ -131,6 +144,7 @@
 struct PickOptions {
   std::string_view zone;
   bool idempotent = true;
+  AttemptKind kind = AttemptKind::kFirst;
   // Member ids of targets to skip, as earlier attempts were sent to them. Not
   // owned.
   const std::set<std::string>* tried = nullptr;
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -227,9 +227,10 @@
   std::string request_id;
   std::string_view request_id_header = headers::kRequestId;
   std::chrono::milliseconds retry_after{0};  // 0: no Retry-After header.
-  std::string load;      // "IN_FLIGHT/SLOTS" if sent to a node, or empty.
-  bool offered = false;  // The request was sent to a backend server.
-  bool close = false;    // Close the connection after the reply.
+  std::string load;           // "IN_FLIGHT/SLOTS" if sent to a node, or empty.
+  bool offered = false;       // The request was sent to a backend server.
+  bool retry_denied = false;  // The retry budget is used up.
+  bool close = false;         // Close the connection after the reply.
 };
 
 // Writes `reply` to the caller. Write errors are ignored.
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -20,6 +20,7 @@
 constexpr std::string_view kClosed = "version has no share any more";
 constexpr std::string_view kAllSlotsTaken = "all slots are taken";
 constexpr std::string_view kNoSlotInTime = "no slot in time";
+constexpr std::string_view kRetryBudget = "the retry budget is used up";
 constexpr std::string_view kNoSuchBackend = "no such backend server here";
 
 // The part of one target in a limit that `targets` share, rounded up.
@@ -30,7 +31,8 @@
 
 }  // namespace
 
-void Admission::SetBackends(const std::vector<LocalBackend>& backends) {
+void Admission::SetBackends(const std::vector<LocalBackend>& backends,
+                            TimePoint now) {
   for (auto& [key, entry] : m_entries) entry.announced = false;
   for (const auto& backend : backends) {
     Entry& entry = m_entries[{backend.service, backend.version}];
@@ -39,6 +41,7 @@
     }
     entry.queue.SetWaitingPerSlot(m_options.waiting_per_slot);
     entry.closed = m_closed.count({backend.service, backend.version}) > 0;
+    if (!entry.retries) entry.retries.emplace(m_options.retries, now);
     entry.backend = backend;
     entry.announced = true;
   }
@@ -91,6 +94,21 @@
   return {};
 }
 
+bool Admission::TakeRetry(const AdmissionRequest& request, Entry* entry,
+                          TimePoint now) {
+  return request.kind != AttemptKind::kRetry || entry->retries->TakeRetry(now);
+}
+
+void Admission::CountFirstAttempt(const AdmissionRequest& request, Entry* entry,
+                                  TimePoint now) {
+  if (request.kind != AttemptKind::kRetry) entry->retries->OnFirstAttempt(now);
+}
+
+void Admission::ReturnRetry(const AdmissionRequest& request, Entry* entry,
+                            TimePoint now) {
+  if (request.kind == AttemptKind::kRetry) entry->retries->ReturnRetry(now);
+}
+
 // Some slots are reserved for requests with side effects. With a queue, the
 // priority of a request has this effect instead.
 bool Admission::HasFreeSlot(const AdmissionRequest& request,
@@ -137,6 +155,11 @@
     result.reason = kAllSlotsTaken;
     return result;
   }
+  if (!TakeRetry(request, &entry, now)) {
+    result.reason = kRetryBudget;
+    result.retry_denied = true;
+    return result;
+  }
   const uint64_t ticket = ++m_last_ticket;
   const QueueResult queue_result =
       entry.queue.Enter({.id = ticket,
@@ -147,12 +170,14 @@
                         now);
   result.wait = queue_result.wait;
   if (queue_result.admission == QueueAdmission::kRefused) {
+    ReturnRetry(request, &entry, now);
     result.reason = kNoSlotInTime;
     return result;
   }
   result.admitted = queue_result.admission == QueueAdmission::kRunNow;
   result.queued = !result.admitted;
   result.ticket = ticket;
+  if (result.admitted) CountFirstAttempt(request, &entry, now);
   ++result.in_flight;
   if (result.queued) entry.waiting.emplace(ticket, request);
   if (!request.idempotent) m_seen_ids.Insert(request.request_id);
@@ -176,6 +201,7 @@
                           std::string_view reason) {
     auto waiting = entry.waiting.extract(ticket);
     const std::string& route = waiting.mapped().route;
+    ReturnRetry(waiting.mapped(), &entry, now);
     WaitDecision decision{.ticket = ticket,
                           .result = Describe(entry, route, now)};
     decision.result.reason = reason;
@@ -199,6 +225,7 @@
     while (auto ticket = entry.queue.TakeNext(now)) {
       const auto waiting = entry.waiting.extract(*ticket);
       const std::string& route = waiting.mapped().route;
+      CountFirstAttempt(waiting.mapped(), &entry, now);
       WaitDecision decision{.ticket = *ticket,
                             .result = Describe(entry, route, now)};
       decision.result.admitted = true;
@@ -208,11 +235,13 @@
   return decisions;
 }
 
-bool Admission::CancelQueued(const AdmissionRequest& request, uint64_t ticket) {
+bool Admission::CancelQueued(const AdmissionRequest& request, uint64_t ticket,
+                             TimePoint now) {
   auto found = m_entries.find({request.service, request.version});
   if (found == m_entries.end()) return false;
   if (!found->second.queue.Remove(ticket)) return false;
   found->second.waiting.erase(ticket);
+  ReturnRetry(request, &found->second, now);
   if (!request.idempotent) m_seen_ids.Erase(request.request_id);
   return true;
 }
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -35,6 +35,7 @@
             .request_id = request_id,
             .route = route,
             .idempotent = idempotent,
+            .kind = attempt_kind,
             .priority = priority,
             .objective = objective,
             .deadline = deadline};
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -97,11 +97,6 @@
     ChargeLink(m_socket.BytesSent() - m_charged_bytes);
     m_charged_bytes = m_socket.BytesSent();
   }
-  const size_t live = m_replica.Members().Alive().size();
-  if (live != m_published_live) {
-    m_published_live = live;
-    m_proxy->SetLiveNodes(live);
-  }
   if (auto peer = m_replica.PopSyncPeer()) m_syncs->TryPush(std::move(*peer));
   PublishRoutes();
   LogChanges();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -41,22 +41,24 @@
 
 ProxyOptions MakeProxyOptions(const NodeSettings& settings,
                               CallHeaders headers) {
-  return {.id = settings.id,
-          .zone = settings.zone,
-          .caller_address = settings.caller_address,
-          .data_address = settings.data_address,
-          .service = settings.service,
-          .headers = std::move(headers),
-          .default_deadline = settings.default_deadline,
-          .max_attempts = settings.max_attempts,
-          .admission = {.waiting_per_slot =
-                            static_cast<size_t>(settings.waiting_per_slot)},
-          .retry_budget = {.ratio = settings.retry_ratio,
-                           .reserve = settings.retry_reserve},
-          .caller_grace = settings.caller_grace,
-          .drain_timeout = settings.drain_timeout,
-          .link_rate = settings.link_mbps * kBytesPerSecondPerMbps,
-          .seed = RandomSeed()};
+  return {
+      .id = settings.id,
+      .zone = settings.zone,
+      .caller_address = settings.caller_address,
+      .data_address = settings.data_address,
+      .service = settings.service,
+      .headers = std::move(headers),
+      .default_deadline = settings.default_deadline,
+      .max_attempts = settings.max_attempts,
+      .admission = {.waiting_per_slot =
+                        static_cast<size_t>(settings.waiting_per_slot),
+                    .retries = {.ratio = settings.retry_ratio,
+                                .reserve = settings.retry_reserve_per_backend,
+                                .window = settings.retry_window}},
+      .caller_grace = settings.caller_grace,
+      .drain_timeout = settings.drain_timeout,
+      .link_rate = settings.link_mbps * kBytesPerSecondPerMbps,
+      .seed = RandomSeed()};
 }
 
 ControlLoopOptions MakeLoopOptions(const NodeSettings& settings) {
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -100,23 +100,12 @@
 void Proxy::SetBackends(std::vector<LocalBackend> backends) {
   asio::post(m_context, [this, backends = std::move(backends)] {
     Admission& admission = m_runner->GetAdmission();
-    admission.SetBackends(backends);
+    admission.SetBackends(backends, Clock::now());
     if (m_routes != nullptr) admission.SetRoutes(*m_routes);
     m_runner->WakeWaiting();
   });
 }
 
-void Proxy::SetLiveNodes(size_t count) {
-  asio::post(m_context, [this, count] {
-    m_live_nodes = std::max<size_t>(1, count);
-    for (auto& [service, budget] : m_retry_budgets) {
-      budget.SetOptions({.ratio = m_options.retry_budget.ratio,
-                         .reserve = m_options.retry_budget.reserve /
-                                    static_cast<double>(m_live_nodes)});
-    }
-  });
-}
-
 void Proxy::ChargeLink(size_t bytes) {
   if (!m_pacer.IsEnabled()) return;
   asio::post(m_context, [this, bytes] { m_pacer.Charge(bytes); });
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -80,11 +80,12 @@
   Call call;  // With the version of the current target.
   ForwardResult result;
   std::optional<LocalRun> local;
-  TimePoint started;     // Start of the current attempt.
-  bool leaving = false;  // As in AdmissionResult.
-  int64_t offers = 0;    // Backend servers that the request was sent to.
-  int refusals = 0;      // Nodes that refused the request.
-  int unreachable = 0;   // Nodes that could not be connected to.
+  TimePoint started;          // Start of the current attempt.
+  bool leaving = false;       // As in AdmissionResult.
+  bool retry_denied = false;  // As in AdmissionResult.
+  int64_t offers = 0;         // Backend servers that the request was sent to.
+  int refusals = 0;           // Nodes that refused the request.
+  int unreachable = 0;        // Nodes that could not be connected to.
   milliseconds retry_after{0};
 
   // True if this attempt may have reached a backend server.
@@ -173,26 +174,17 @@
   return std::nullopt;
 }
 
-Pick Proxy::PickFor(const Call& call, const std::set<std::string>& tried) {
+Pick Proxy::PickFor(const Call& call, AttemptKind kind,
+                    const std::set<std::string>& tried) {
   const ServiceRoutes* service = m_routes->Find(call.service);
   if (service == nullptr) return {.reason = "no live target"};
-  const PickOptions options{
-      .zone = m_options.zone, .idempotent = call.idempotent, .tried = &tried};
+  const PickOptions options{.zone = m_options.zone,
+                            .idempotent = call.idempotent,
+                            .kind = kind,
+                            .tried = &tried};
   return PickTarget(*service, options, m_loads, Clock::now(), m_rng);
 }
 
-RetryBudget& Proxy::RetryBudgetFor(const std::string& service) {
-  auto found = m_retry_budgets.find(service);
-  if (found == m_retry_budgets.end()) {
-    const RetryBudgetOptions options{
-        .ratio = m_options.retry_budget.ratio,
-        .reserve =
-            m_options.retry_budget.reserve / static_cast<double>(m_live_nodes)};
-    found = m_retry_budgets.emplace(service, RetryBudget(options)).first;
-  }
-  return found->second;
-}
-
 asio::awaitable<bool> Proxy::Reject(InboundRequest& inbound, unsigned status,
                                     std::string reason) {
   LocalReply answer;
@@ -220,7 +212,6 @@
     co_return co_await Reject(inbound, rejection->status,
                               std::move(rejection->reason));
   }
-  RetryBudgetFor(call.service).OnFirstAttempt();
   Attempt attempt;
   attempt.call = call;
   co_await TryTargets(inbound, call, attempt);
@@ -241,7 +232,9 @@
     // `pick` points into the routing table, which must stay alive during the
     // attempt.
     const std::shared_ptr<const RouteTable> routes = m_routes;
-    const Pick pick = PickFor(call, tried);
+    AttemptKind kind = call.attempt_kind;
+    if (arrived || attempt.MayHaveArrived()) kind = AttemptKind::kRetry;
+    const Pick pick = PickFor(call, kind, tried);
     if (pick.target == nullptr) {
       if (tried.empty()) attempt.result.reason = std::string(pick.reason);
       break;
@@ -251,9 +244,7 @@
     if (attempt.MayHaveArrived()) arrived = std::move(attempt);
     attempt = std::move(next);
     attempt.call.version = pick.target->version;
-    if (arrived && call.attempt_kind == AttemptKind::kFirst) {
-      attempt.call.attempt_kind = AttemptKind::kRetry;
-    }
+    attempt.call.attempt_kind = kind;
     co_await TryTarget(inbound, pick, attempt);
     RecordAttempt(pick, attempt);
     if (attempt.result.offered) ++attempt.offers;
@@ -284,8 +275,7 @@
     return attempt.refusals < kMaxRefusalsPerCall &&
            attempt.unreachable < kMaxUnreachableNodes;
   }
-  if (attempt.offers >= call.max_attempts) return false;
-  return RetryBudgetFor(call.service).TakeRetry();
+  return attempt.offers < call.max_attempts;
 }
 
 RequestHead Proxy::HeadForNode(const InboundRequest& inbound,
@@ -329,6 +319,7 @@
     // streamed keeps the slot until its end.
     if (!relay_pending) m_runner->Finish(call, run, run.result.fully_buffered);
     attempt.leaving = run.admission.leaving;
+    attempt.retry_denied = run.admission.retry_denied;
     attempt.retry_after = run.admission.wait;
     std::swap(attempt.result, run.result);
     if (attempt.result.verdict == Verdict::kNotRun) ++attempt.refusals;
@@ -356,6 +347,7 @@
   if (attempt.result.verdict == Verdict::kNotRun) {
     attempt.result.reason = std::string(Text(head[headers::kReason]));
     attempt.leaving = head.count(http::field::retry_after) == 0;
+    attempt.retry_denied = head.count(headers::kRetryDenied) > 0;
     attempt.retry_after = ParseRetryAfter(Text(head[http::field::retry_after]));
   }
 }
@@ -380,6 +372,8 @@
     m_loads.OnUnreachable(target, now);
   } else if (attempt.leaving) {
     m_loads.OnRefused(target, now);
+  } else if (attempt.retry_denied) {
+    m_loads.OnRetryDenied(target, call.attempt_kind, now);
   } else if (result.verdict == Verdict::kNotRun) {
     m_loads.OnFull(target, now);
   }
@@ -492,6 +486,7 @@
   if (!run.admission.leaving) {
     answer.retry_after = std::max(run.admission.wait, kMinRetryAfter);
   }
+  answer.retry_denied = run.admission.retry_denied;
   if (run.admission.slots > 0) answer.load = LoadText(run.admission);
   if (answer.verdict != Verdict::kNotRun) {
     answer.status = run.result.timed_out ? 504 : 502;
--- a/src/state/picker.cc
+++ b/src/state/picker.cc
@@ -26,13 +26,18 @@
   return idempotent ? version.read_share : version.write_share;
 }
 
+// Skips the targets that were tried, and those that would refuse the request
+// for the sake of their retry budget.
 Candidates UntriedTargets(const VersionRoutes& version,
-                          const PickOptions& options) {
+                          const PickOptions& options, const TargetLoads& loads,
+                          TimePoint now) {
   Candidates untried;
   for (const auto& target : version.targets) {
     const bool tried =
         options.tried != nullptr && options.tried->count(target.member_id) > 0;
-    if (!tried) untried.push_back(&target);
+    const bool denied =
+        loads.IsRetryDenied(target.member_id, options.kind, now);
+    if (!tried && !denied) untried.push_back(&target);
   }
   return untried;
 }
@@ -141,8 +146,9 @@
                    const TargetLoads& loads, TimePoint now,
                    std::mt19937_64& rng) {
   const Candidates healthy = HealthyTargets(
-      ReachableTargets(UntriedTargets(version, options), loads, now), loads,
-      now);
+      ReachableTargets(UntriedTargets(version, options, loads, now), loads,
+                       now),
+      loads, now);
   const Candidates candidates = TargetsNotFull(healthy, loads, now);
   Candidates own_zone;
   std::copy_if(
@@ -256,6 +262,19 @@
   m_entries[member_id].full_until = now + m_options.full_backoff;
 }
 
+void TargetLoads::OnRetryDenied(const std::string& member_id, AttemptKind kind,
+                                TimePoint now) {
+  m_entries[member_id].retry_denied_until[static_cast<size_t>(kind)] =
+      now + m_options.retry_denied_backoff;
+}
+
+bool TargetLoads::IsRetryDenied(const std::string& member_id, AttemptKind kind,
+                                TimePoint now) const {
+  auto found = m_entries.find(member_id);
+  return found != m_entries.end() &&
+         now < found->second.retry_denied_until[static_cast<size_t>(kind)];
+}
+
 void TargetLoads::OnReport(const std::string& member_id, uint32_t in_flight,
                            TimePoint now) {
   Entry& entry = m_entries[member_id];
