Pace retries by the first attempts of the last second

A window of 10 s let a fault of some seconds use up the budget at once: few failures in its first second, many after that. Now each first attempt earns its part, and a guard saves what a second earns. The bound holds in any period.

--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -6,7 +6,7 @@
 // which ones are refused.
 //
 //   Admission admission({.waiting_per_slot = 16});
-//   admission.SetBackends(backends, now);
+//   admission.SetBackends(backends);
 //   AdmissionResult result = admission.Admit(request, now);
 //   if (result.queued) {
 //     ...  // TakeDecisions returns the decision for result.ticket later.
@@ -120,7 +120,7 @@
   // Replaces the backend servers. Requests in flight stay counted, also for a
   // backend server that is no longer in the list. Of several backend servers
   // with the same service and version, only the last one is used.
-  void SetBackends(const std::vector<LocalBackend>& backends, TimePoint now);
+  void SetBackends(const std::vector<LocalBackend>& backends);
   // Updates the limits of the table rows and the recalled versions.
   void SetRoutes(const RouteTable& routes);
   // Refuses all new requests from now on.
@@ -146,8 +146,7 @@
   std::vector<WaitDecision> TakeDecisions(TimePoint now);
   // Removes a queued request, for example because its caller disconnected.
   // False if the request is not queued.
-  bool CancelQueued(const AdmissionRequest& request, uint64_t ticket,
-                    TimePoint now);
+  bool CancelQueued(const AdmissionRequest& request, uint64_t ticket);
 
   // Number of requests that run or wait at one backend server, or at all of
   // them together.
--- a/include/kumquatmoor/node/node_settings.h
+++ b/include/kumquatmoor/node/node_settings.h
@@ -55,12 +55,9 @@
   std::chrono::milliseconds announce_interval{1'500};
   // Requests that may wait for each slot of a backend server.
   int64_t waiting_per_slot = 0;
-  // Retry budget of all nodes together for one service in any time window: the
-  // ratio of retries and calls of retries to requests, and the number that each
-  // backend server gets in addition.
+  // Retries and calls of retries of a service, over all nodes and in any
+  // period, for each request.
   double retry_ratio = 0.2;
-  double retry_reserve_per_backend = 4;
-  std::chrono::milliseconds retry_window{10'000};
   // Time after SIGTERM for which callers are still served, so that they can
   // switch to another node.
   std::chrono::milliseconds caller_grace{1'500};
--- a/include/kumquatmoor/state/retry_guard.h
+++ b/include/kumquatmoor/state/retry_guard.h
@@ -2,15 +2,16 @@
 #define KUMQUATMOOR_STATE_RETRY_GUARD_H_
 
 // RetryGuard: limits the retries, and the calls of retries, that one backend
-// server receives to a ratio of its first attempts, within a sliding window.
+// server receives to a ratio of its first attempts.
 //
-//   RetryGuard guard({.ratio = 0.2, .reserve = 4}, now);
+//   RetryGuard guard({.ratio = 0.2});
 //   if (!guard.Take(AttemptKind::kRetry, now)) return Refuse();
 //
 // Each backend server has a guard on its own host, which all of its requests
-// pass. The retries of a service over all hosts thus stay below `ratio` times
-// its first attempts plus `reserve` for each backend server, whatever the hosts
-// know of each other.
+// pass. In any period, the retries of a service over all hosts thus stay below
+// `ratio` times its first attempts plus what each guard has saved, whatever the
+// hosts know of each other. What a guard saves is bounded by what the first
+// attempts of a second earn, or by a small constant.
 //
 // Without the calls of retries, the retries of each service in a chain of calls
 // would multiply the load of the services after it. Retries may use half of the
@@ -18,9 +19,8 @@
 // retries as much as it may, the calls of these retries find room at the next
 // service.
 //
-// A guard that has just been created allows no retries but
-// those that the first attempts since then account for: earlier retries, before
-// a restart of its node, are unknown to it.
+// A new guard has saved nothing: what was spent before a restart of its node is
+// unknown to it.
 //
 // Time is an argument. Not thread-safe.
 
@@ -37,41 +37,36 @@
 struct RetryGuardOptions {
   // Retries and calls of retries for each first attempt.
   double ratio = 0.2;
-  // The same in a window in addition. Accrues over the first window.
-  double reserve = 4;
-  std::chrono::milliseconds window{10'000};
+  // Retries, and calls of retries, that can be saved up at low rates.
+  double min_saved = 2;
 };
 
 class RetryGuard {
  public:
-  RetryGuard(RetryGuardOptions options, TimePoint now)
-      : m_options(options), m_created(now) {}
+  explicit RetryGuard(RetryGuardOptions options) : m_options(options) {}
 
   // Counts a request for the backend server. Returns false if it must not be
   // sent; a first attempt always may.
   bool Take(AttemptKind kind, TimePoint now);
   // Reverses Take for a request that was not sent.
-  void Return(AttemptKind kind, TimePoint now);
+  void Return(AttemptKind kind);
 
  private:
-  using Counts = std::array<uint64_t, 3>;  // Indexed by AttemptKind.
-
-  // What was counted in one interval of the window.
+  // First attempts in one interval of the last second.
   struct Bucket {
     int64_t number = 0;  // Start of the interval, in intervals since the epoch.
-    Counts counts{};
+    uint64_t first_attempts = 0;
   };
 
-  // Drops the buckets that have left the window, and returns the current one.
-  Bucket& CurrentBucket(TimePoint now);
-  // Maximum number of retries, and of calls of retries, in the window that ends
-  // now.
-  double MaxOfKind(TimePoint now) const;
+  // What a first attempt earns for each of the two kinds.
+  double Earned() const;
+  // Counts a first attempt of the last second.
+  void CountFirstAttempt(TimePoint now);
 
   RetryGuardOptions m_options;
-  TimePoint m_created;
-  std::deque<Bucket> m_buckets;  // Oldest first.
-  Counts m_sums{};               // Of `m_buckets`.
+  std::deque<Bucket> m_buckets;     // Oldest first.
+  uint64_t m_first_attempts = 0;    // Sum of `m_buckets`.
+  std::array<double, 3> m_saved{};  // Indexed by AttemptKind.
 };
 
 }  // namespace kumquatmoor
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -31,8 +31,7 @@
 
 }  // namespace
 
-void Admission::SetBackends(const std::vector<LocalBackend>& backends,
-                            TimePoint now) {
+void Admission::SetBackends(const std::vector<LocalBackend>& backends) {
   for (auto& [key, entry] : m_entries) entry.announced = false;
   for (const auto& backend : backends) {
     Entry& entry = m_entries[{backend.service, backend.version}];
@@ -41,7 +40,7 @@
     }
     entry.queue.SetWaitingPerSlot(m_options.waiting_per_slot);
     entry.closed = m_closed.count({backend.service, backend.version}) > 0;
-    if (!entry.retries) entry.retries.emplace(m_options.retries, now);
+    if (!entry.retries) entry.retries.emplace(m_options.retries);
     entry.backend = backend;
     entry.announced = true;
   }
@@ -155,7 +154,7 @@
                         now);
   result.wait = queue_result.wait;
   if (queue_result.admission == QueueAdmission::kRefused) {
-    entry.retries->Return(request.kind, now);
+    entry.retries->Return(request.kind);
     result.reason = kNoSlotInTime;
     return result;
   }
@@ -185,7 +184,7 @@
                           std::string_view reason) {
     auto waiting = entry.waiting.extract(ticket);
     const std::string& route = waiting.mapped().route;
-    entry.retries->Return(waiting.mapped().kind, now);
+    entry.retries->Return(waiting.mapped().kind);
     WaitDecision decision{.ticket = ticket,
                           .result = Describe(entry, route, now)};
     decision.result.reason = reason;
@@ -218,13 +217,12 @@
   return decisions;
 }
 
-bool Admission::CancelQueued(const AdmissionRequest& request, uint64_t ticket,
-                             TimePoint now) {
+bool Admission::CancelQueued(const AdmissionRequest& request, uint64_t ticket) {
   auto found = m_entries.find({request.service, request.version});
   if (found == m_entries.end()) return false;
   if (!found->second.queue.Remove(ticket)) return false;
   found->second.waiting.erase(ticket);
-  found->second.retries->Return(request.kind, now);
+  found->second.retries->Return(request.kind);
   if (!request.idempotent) m_seen_ids.Erase(request.request_id);
   return true;
 }
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -90,7 +90,7 @@
   run.admission.queued = false;
   run.admission.reason = waiter->caller_gone ? "the caller went away"
                                              : "no slot before the deadline";
-  m_admission.CancelQueued(call.ForAdmission(), ticket, Clock::now());
+  m_admission.CancelQueued(call.ForAdmission(), ticket);
 }
 
 void LocalRunner::SetRequestHeaders(const Call& call,
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -18,8 +18,8 @@
 
 constexpr size_t kOutcomeRingCapacity = 65'536;
 constexpr size_t kSyncRingCapacity = 16;
-// The part of the retry ratio that is used. The rest is a margin for windows
-// that differ in time between the hosts.
+// The part of the retry ratio that is used. The rest is a margin for what the
+// hosts have saved up.
 constexpr double kUsedRetryRatio = 0.9;
 constexpr double kBytesPerSecondPerMbps = 125'000;
 constexpr char kJson[] = "application/json";
@@ -44,24 +44,22 @@
 
 ProxyOptions MakeProxyOptions(const NodeSettings& settings,
                               CallHeaders headers) {
-  return {
-      .id = settings.id,
-      .zone = settings.zone,
-      .caller_address = settings.caller_address,
-      .data_address = settings.data_address,
-      .service = settings.service,
-      .headers = std::move(headers),
-      .default_deadline = settings.default_deadline,
-      .max_attempts = settings.max_attempts,
-      .admission = {.waiting_per_slot =
-                        static_cast<size_t>(settings.waiting_per_slot),
-                    .retries = {.ratio = kUsedRetryRatio * settings.retry_ratio,
-                                .reserve = settings.retry_reserve_per_backend,
-                                .window = settings.retry_window}},
-      .caller_grace = settings.caller_grace,
-      .drain_timeout = settings.drain_timeout,
-      .link_rate = settings.link_mbps * kBytesPerSecondPerMbps,
-      .seed = RandomSeed()};
+  return {.id = settings.id,
+          .zone = settings.zone,
+          .caller_address = settings.caller_address,
+          .data_address = settings.data_address,
+          .service = settings.service,
+          .headers = std::move(headers),
+          .default_deadline = settings.default_deadline,
+          .max_attempts = settings.max_attempts,
+          .admission = {.waiting_per_slot =
+                            static_cast<size_t>(settings.waiting_per_slot),
+                        .retries = {.ratio = kUsedRetryRatio *
+                                             settings.retry_ratio}},
+          .caller_grace = settings.caller_grace,
+          .drain_timeout = settings.drain_timeout,
+          .link_rate = settings.link_mbps * kBytesPerSecondPerMbps,
+          .seed = RandomSeed()};
 }
 
 ControlLoopOptions MakeLoopOptions(const NodeSettings& settings) {
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -75,13 +75,6 @@
       "waiting_per_slot", {.fallback = 0, .minimum = 0, .maximum = 1'000});
   settings->retry_ratio = reader->Number(
       "retry_ratio", {.fallback = 0.2, .minimum = 0, .maximum = 1});
-  settings->retry_reserve_per_backend =
-      reader->Number("retry_reserve_per_backend",
-                     {.fallback = 4, .minimum = 0, .maximum = 1e6});
-  const double retry_window_s = reader->Number(
-      "retry_window_s", {.fallback = 10, .minimum = 1, .maximum = 3'600});
-  settings->retry_window =
-      milliseconds(static_cast<int64_t>(retry_window_s * kMsPerSecond));
   settings->link_mbps = reader->Number(
       "link_mbps", {.fallback = 0, .minimum = 0, .maximum = 1e6});
   settings->caller_grace =
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -100,7 +100,7 @@
 void Proxy::SetBackends(std::vector<LocalBackend> backends) {
   asio::post(m_context, [this, backends = std::move(backends)] {
     Admission& admission = m_runner->GetAdmission();
-    admission.SetBackends(backends, Clock::now());
+    admission.SetBackends(backends);
     if (m_routes != nullptr) admission.SetRoutes(*m_routes);
     m_runner->WakeWaiting();
   });
--- a/src/state/retry_guard.cc
+++ b/src/state/retry_guard.cc
@@ -1,5 +1,10 @@
-// The window is divided into intervals of equal length, each with a bucket of
-// counts. The sums cover the last kBuckets intervals and the current one.
+// Each first attempt adds to the two balances, from which retries and calls of
+// retries are taken. As with a token bucket, what is taken in any period is at
+// most what was added in it plus the maximum balance.
+//
+// The maximum balance follows the rate of first attempts. With a larger one, a
+// fault of some seconds would meet many retries at first and then few, and a
+// version that gets its traffic later than another one would seem to fail more.
 
 #include "kumquatmoor/state/retry_guard.h"
 
@@ -8,58 +13,50 @@
 namespace kumquatmoor {
 namespace {
 
-constexpr int64_t kBuckets = 20;
+constexpr std::chrono::milliseconds kBucketTime{100};
+constexpr int64_t kBucketsPerSecond = std::chrono::seconds(1) / kBucketTime;
 // The part of the budget that retries and calls of retries get each.
 constexpr double kPartOfKind = 0.5;
 
-size_t IndexOf(AttemptKind kind) { return static_cast<size_t>(kind); }
-
 }  // namespace
 
-RetryGuard::Bucket& RetryGuard::CurrentBucket(TimePoint now) {
-  const int64_t number = now.time_since_epoch() * kBuckets / m_options.window;
-  while (!m_buckets.empty() && m_buckets.front().number < number - kBuckets) {
-    for (size_t i = 0; i < m_sums.size(); ++i) {
-      m_sums[i] -= m_buckets.front().counts[i];
-    }
+double RetryGuard::Earned() const { return kPartOfKind * m_options.ratio; }
+
+void RetryGuard::CountFirstAttempt(TimePoint now) {
+  const int64_t number = now.time_since_epoch() / kBucketTime;
+  while (!m_buckets.empty() &&
+         m_buckets.front().number <= number - kBucketsPerSecond) {
+    m_first_attempts -= m_buckets.front().first_attempts;
     m_buckets.pop_front();
   }
   if (m_buckets.empty() || m_buckets.back().number < number) {
     m_buckets.push_back({.number = number});
   }
-  return m_buckets.back();
-}
-
-double RetryGuard::MaxOfKind(TimePoint now) const {
-  const std::chrono::duration<double> age = now - m_created;
-  const std::chrono::duration<double> window = m_options.window;
-  const auto first_attempts =
-      static_cast<double>(m_sums[IndexOf(AttemptKind::kFirst)]);
-  return kPartOfKind * (m_options.ratio * first_attempts +
-                        m_options.reserve * std::min(1.0, age / window));
+  ++m_buckets.back().first_attempts;
+  ++m_first_attempts;
 }
 
 bool RetryGuard::Take(AttemptKind kind, TimePoint now) {
-  Bucket& bucket = CurrentBucket(now);
-  const size_t index = IndexOf(kind);
-  if (kind != AttemptKind::kFirst &&
-      static_cast<double>(m_sums[index] + 1) > MaxOfKind(now)) {
-    return false;
+  if (kind == AttemptKind::kFirst) {
+    CountFirstAttempt(now);
+    const double max_saved = std::max(
+        m_options.min_saved, Earned() * static_cast<double>(m_first_attempts));
+    for (double& saved : m_saved) {
+      saved = std::min(saved + Earned(), max_saved);
+    }
+    return true;
   }
-  ++bucket.counts[index];
-  ++m_sums[index];
+  double& saved = m_saved[static_cast<size_t>(kind)];
+  if (saved < 1) return false;
+  saved -= 1;
   return true;
 }
 
-void RetryGuard::Return(AttemptKind kind, TimePoint now) {
-  CurrentBucket(now);
-  const size_t index = IndexOf(kind);
-  // The bucket in which the request was counted may have left the window.
-  for (auto bucket = m_buckets.rbegin(); bucket != m_buckets.rend(); ++bucket) {
-    if (bucket->counts[index] == 0) continue;
-    --bucket->counts[index];
-    --m_sums[index];
-    return;
+void RetryGuard::Return(AttemptKind kind) {
+  if (kind == AttemptKind::kFirst) {
+    for (double& saved : m_saved) saved = std::max(0.0, saved - Earned());
+  } else {
+    m_saved[static_cast<size_t>(kind)] += 1;
   }
 }
 
