--- a/include/kumquatmoor/protocol/headers.h
+++ b/include/kumquatmoor/protocol/headers.h
@@ -63,6 +63,13 @@
   std::string call_id_separator;
   // Response of a backend server: present if it did not execute the request.
   std::string not_run;
+  // Response of a backend server: the requests per second, a decimal number,
+  // that it accepts from all hosts together for as long as its responses say
+  // so.
+  std::string backend_limit;
+  // Response of a backend server: "1" if it leaves and must get no new
+  // requests.
+  std::string backend_leaving;
   // Response of a backend server: present in every complete response. A
   // successful response without it counts as incomplete.
   std::string signature;
