--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -34,6 +34,7 @@
 #include <vector>
 
 #include "kumquatmoor/protocol/attempt_kind.h"
+#include "kumquatmoor/protocol/backend_notice.h"
 #include "kumquatmoor/state/limits.h"
 #include "kumquatmoor/state/recent_ids.h"
 #include "kumquatmoor/state/retry_guard.h"
@@ -130,6 +131,11 @@
   // Reverses CloseVersion.
   void OpenVersion(const std::string& service, const std::string& version);
 
+  // Records what the process `instance` of a backend server says in a response.
+  // Returns true if this differs from its response before.
+  bool OnNotice(const std::string& service, const std::string& version,
+                const std::string& instance, const BackendNotice& notice);
+
   // Admits, queues or refuses a request. Each admitted request must be
   // released.
   AdmissionResult Admit(const AdmissionRequest& request, TimePoint now);
@@ -162,6 +168,7 @@
     bool announced = false;  // False once the backend server is gone.
     bool recalled = false;
     bool closed = false;
+    BackendNotice notice;  // Of its last response.
     SlotQueue queue{{}};
     RunTimes run_times;
     std::map<uint64_t, AdmissionRequest> waiting;  // By ticket.
--- /dev/null
+++ b/include/kumquatmoor/protocol/backend_notice.h
@@ -0,0 +1,30 @@
+#ifndef KUMQUATMOOR_PROTOCOL_BACKEND_NOTICE_H_
+#define KUMQUATMOOR_PROTOCOL_BACKEND_NOTICE_H_
+
+// BackendNotice: what a backend server says of itself in its responses.
+//
+//   BackendNotice notice{.limit = ParseRate("5.9")};
+//
+// A notice holds until the next response, which may have another one or none.
+// All functions are pure and safe to call from any thread.
+
+#include <optional>
+#include <string_view>
+
+namespace kumquatmoor {
+
+struct BackendNotice {
+  // Requests per second that it accepts from all hosts together.
+  std::optional<double> limit;
+  bool leaving = false;  // It must get no new requests.
+
+  bool operator==(const BackendNotice&) const = default;
+};
+
+// Parses a rate per second, a decimal number. Returns nullopt if the text is
+// not a number, or is negative, infinite or NaN.
+std::optional<double> ParseRate(std::string_view text);
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_PROTOCOL_BACKEND_NOTICE_H_
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -41,6 +41,7 @@
     entry.queue.SetWaitingPerSlot(m_options.waiting_per_slot);
     entry.closed = m_closed.count({backend.service, backend.version}) > 0;
     if (!entry.retries) entry.retries.emplace(m_options.retries);
+    if (entry.backend.instance != backend.instance) entry.notice = {};
     entry.backend = backend;
     entry.announced = true;
   }
@@ -167,6 +168,19 @@
   return result;
 }
 
+bool Admission::OnNotice(const std::string& service, const std::string& version,
+                         const std::string& instance,
+                         const BackendNotice& notice) {
+  auto found = m_entries.find({service, version});
+  if (found == m_entries.end()) return false;
+  Entry& entry = found->second;
+  if (entry.backend.instance != instance || entry.notice == notice) {
+    return false;
+  }
+  entry.notice = notice;
+  return true;
+}
+
 void Admission::Release(const AdmissionRequest& request, bool handed_over,
                         std::chrono::milliseconds expected,
                         std::optional<std::chrono::milliseconds> run_time) {
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -5,6 +5,7 @@
 #include "node/local_runner.h"
 
 #include <spdlog/fmt/fmt.h>
+#include <spdlog/spdlog.h>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -142,6 +143,7 @@
   options.active = m_active;
   run.result = co_await Forward(m_pool, inbound, options);
   if (!run.result.answered) co_return;
+  ReadNotice(call, run);
   run.result.head.set(headers::kVerdict, VerdictName(run.result.verdict));
   run.result.head.set(m_headers.request_id, call.request_id);
   run.result.head.set(headers::kServedBy, call.version);
@@ -149,6 +151,23 @@
   run.result.head.set(headers::kOffered, "1");
 }
 
+void LocalRunner::ReadNotice(const Call& call, const LocalRun& run) {
+  const auto text = [&](const std::string& name) -> std::string_view {
+    if (name.empty()) return {};
+    const auto value = run.result.head[name];
+    return {value.data(), value.size()};
+  };
+  const BackendNotice notice{.limit = ParseRate(text(m_headers.backend_limit)),
+                             .leaving = text(m_headers.backend_leaving) == "1"};
+  const std::string& instance = run.admission.instance;
+  if (!m_admission.OnNotice(call.service, call.version, instance, notice)) {
+    return;
+  }
+  spdlog::info("admit: event=notice instance={} limit={} leaving={}", instance,
+               notice.limit ? fmt::format("{}", *notice.limit) : "none",
+               notice.leaving);
+}
+
 void LocalRunner::Finish(const Call& call, LocalRun& run, bool complete) {
   if (!run.admission.admitted || run.finished) return;
   run.finished = true;
--- a/src/node/local_runner.h
+++ b/src/node/local_runner.h
@@ -91,6 +91,8 @@
                                          const Call& call, LocalRun& run);
   void SetRequestHeaders(const Call& call, const AdmissionResult& admission,
                          RequestHead* head) const;
+  // Records what the backend server says of itself in its response.
+  void ReadNotice(const Call& call, const LocalRun& run);
   void ReportOutcome(const Call& call, const LocalRun& run, bool complete);
 
   boost::asio::io_context& m_context;
--- a/src/node/test_mesh.cc
+++ b/src/node/test_mesh.cc
@@ -39,6 +39,8 @@
           .caller_service = "From",
           .call_id_separator = ".",
           .not_run = "Not-Run",
+          .backend_limit = "Limit",
+          .backend_leaving = "Leaving",
           .signature = "Signed"};
 }
 
--- /dev/null
+++ b/src/protocol/backend_notice.cc
@@ -0,0 +1,17 @@
+#include "kumquatmoor/protocol/backend_notice.h"
+
+#include <charconv>
+#include <cmath>
+
+namespace kumquatmoor {
+
+std::optional<double> ParseRate(std::string_view text) {
+  double rate = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, rate);
+  const bool complete = parsed.ec == std::errc() && parsed.ptr == end;
+  if (!complete || !std::isfinite(rate) || rate < 0) return std::nullopt;
+  return rate;
+}
+
+}  // namespace kumquatmoor
