Keep the limit that a backend server names, beside it

Class: a bound on all hosts together; a share for each host, by the count of hosts that it knows, would break with the next cut. Now the node beside the backend server, which all requests pass, admits that rate. A refusal has the time until the next token, and the caller's node tries another target. Callers' nodes remember the limit and bring it along, so that it holds through a restart of the node beside the backend server.

--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -87,6 +87,8 @@
   // The backend server takes no requests for some time: it is draining or gone,
   // or its version was recalled or lost its share.
   bool leaving = false;
+  // The limit that the backend server names is reached for the time `wait`.
+  bool limited = false;
   // The retry budget is used up, for requests of this kind.
   bool retry_denied = false;
   bool queued = false;  // The request waits for a slot, under `ticket`.
@@ -134,7 +136,14 @@
   // Records what the process `instance` of a backend server says in a response.
   // Returns true if this differs from its response before.
   bool OnNotice(const std::string& service, const std::string& version,
-                const std::string& instance, const BackendNotice& notice);
+                const std::string& instance, const BackendNotice& notice,
+                TimePoint now);
+  // The same, as another node remembers it of an earlier response. Has no
+  // effect once there was a response to this node, which may have restarted.
+  void OnRememberedNotice(const std::string& service,
+                          const std::string& version,
+                          const std::string& instance,
+                          const BackendNotice& notice, TimePoint now);
 
   // Admits, queues or refuses a request. Each admitted request must be
   // released.
@@ -168,7 +177,13 @@
     bool announced = false;  // False once the backend server is gone.
     bool recalled = false;
     bool closed = false;
-    BackendNotice notice;  // Of its last response.
+    BackendNotice notice;    // Of its last response.
+    bool responded = false;  // The notice is that of a response to this node.
+    // Set while the notice has a limit. Starts empty, as requests from before
+    // are unknown.
+    std::optional<TokenBucket> limit;
+    // The requests in the queue have no token of `limit`.
+    bool refuse_waiting = false;
     SlotQueue queue{{}};
     RunTimes run_times;
     std::map<uint64_t, AdmissionRequest> waiting;  // By ticket.
@@ -184,6 +199,8 @@
                            TimePoint now) const;
   // Whether a request may run now if there is no queue.
   bool HasFreeSlot(const AdmissionRequest& request, const Entry& entry) const;
+  static void SetNotice(const BackendNotice& notice, Entry* entry,
+                        TimePoint now);
   // Why the backend server takes no requests at all, queued ones included; ""
   // if it does.
   std::string_view UnavailableReason(const Entry& entry) const;
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -153,6 +153,11 @@
   bool ShouldRetry(const InboundRequest& inbound, const Attempt& attempt);
   // Updates the load figures of the target and logs the attempt.
   void RecordAttempt(const Pick& pick, const Attempt& attempt);
+  // Remembers what the backend server of a target says of itself in a response.
+  void RememberNotice(const std::string& member_id,
+                      const boost::beast::http::fields& response);
+  // Adds what is remembered of the target's backend server to a request.
+  void AddNotice(const std::string& member_id, RequestHead* head) const;
   std::string NewRequestId();
   void CloseIdleCallers();
   // Logs the numbers of suppressed log lines.
@@ -181,6 +186,13 @@
   std::unique_ptr<LocalRunner> m_runner;
   LogBudget m_log_budget;
   TargetLoads m_loads;
+  // What the backend servers of other hosts said in their last response, if it
+  // was anything. By member id.
+  struct RememberedNotice {
+    std::string instance;
+    BackendNotice notice;
+  };
+  std::map<std::string, RememberedNotice> m_notices;
   TypicalDeadlines m_typical_deadlines;
   std::mt19937_64 m_rng;
   // Connections of callers. Shared with the sessions, whose coroutine frames
--- a/include/kumquatmoor/protocol/headers.h
+++ b/include/kumquatmoor/protocol/headers.h
@@ -39,6 +39,16 @@
 inline constexpr char kObjectiveMs[] = "Kumquatmoor-Objective-Ms";
 // Request between nodes: see AttemptKind. Absent: a first attempt.
 inline constexpr char kAttemptKind[] = "Kumquatmoor-Attempt-Kind";
+// Request and response between nodes: the process of the backend server that
+// the headers about a backend server's notice are about.
+inline constexpr char kInstance[] = "Kumquatmoor-Instance";
+// Request between nodes: the limit that the backend server named in its last
+// response to the sender; see BackendNotice.
+inline constexpr char kBackendLimit[] = "Kumquatmoor-Backend-Limit";
+// Response between nodes: "1" if the request was refused because of the limit
+// that the backend server names. Retry-After has the time until the next one is
+// admitted.
+inline constexpr char kLimited[] = "Kumquatmoor-Limited";
 // Response between nodes: "1" if the request was refused because it is not a
 // first attempt and the retry budget is used up.
 inline constexpr char kRetryDenied[] = "Kumquatmoor-Retry-Denied";
--- a/include/kumquatmoor/state/limits.h
+++ b/include/kumquatmoor/state/limits.h
@@ -18,13 +18,17 @@
 
 struct TokenBucketOptions {
   double rate = 1;   // Tokens per second.
-  double burst = 1;  // Capacity; the bucket starts full.
+  double burst = 1;  // Capacity.
 };
 
 class TokenBucket {
  public:
+  // A full bucket.
   explicit TokenBucket(TokenBucketOptions options)
       : m_options(options), m_tokens(options.burst) {}
+  // A bucket that is empty at `now`.
+  TokenBucket(TokenBucketOptions options, TimePoint now)
+      : m_options(options), m_refilled(now) {}
 
   // Takes a token. Returns false if there is none.
   bool Take(TimePoint now) {
@@ -33,6 +37,21 @@
     m_tokens -= 1;
     return true;
   }
+  // Puts back a token that was not used.
+  void Return() { m_tokens = std::min(m_options.burst, m_tokens + 1); }
+  // Changes the limits and keeps the tokens, up to the new capacity.
+  void SetOptions(TokenBucketOptions options, TimePoint now) {
+    Refill(now);
+    m_options = options;
+    m_tokens = std::min(m_tokens, options.burst);
+  }
+  // The time until a token is available.
+  std::chrono::milliseconds WaitTime(TimePoint now) {
+    Refill(now);
+    const double missing = std::max(0.0, 1 - m_tokens);
+    return std::chrono::ceil<std::chrono::milliseconds>(
+        std::chrono::duration<double>(missing / m_options.rate));
+  }
 
  private:
   void Refill(TimePoint now) {
@@ -44,7 +63,7 @@
   }
 
   TokenBucketOptions m_options;
-  double m_tokens;
+  double m_tokens = 0;
   TimePoint m_refilled;
 };
 
--- a/include/kumquatmoor/state/picker.h
+++ b/include/kumquatmoor/state/picker.h
@@ -91,7 +91,12 @@
   // The target refuses all requests for now, such as while it drains.
   void OnRefused(const std::string& member_id, TimePoint now);
   // The target refused a request because its slots or a limit were used up.
-  void OnFull(const std::string& member_id, TimePoint now);
+  void OnFull(const std::string& member_id, TimePoint now) {
+    OnFull(member_id, now, m_options.full_backoff);
+  }
+  // The same, for a limit that admits the next request after `backoff`.
+  void OnFull(const std::string& member_id, TimePoint now,
+              std::chrono::milliseconds backoff);
   // The target refused a request of this kind because its retry budget is used
   // up.
   void OnRetryDenied(const std::string& member_id, AttemptKind kind,
@@ -110,7 +115,7 @@
                  TimePoint now) const;
   // Moving average of the latency, 0 if no request ran yet.
   double LatencyMs(const std::string& member_id) const;
-  // True for `full_backoff` after OnFull().
+  // True for the backoff time after OnFull().
   bool IsFull(const std::string& member_id, TimePoint now) const;
   // True for `retry_denied_backoff` after OnRetryDenied() for this kind.
   bool IsRetryDenied(const std::string& member_id, AttemptKind kind,
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -229,6 +229,7 @@
   std::chrono::milliseconds retry_after{0};  // 0: no Retry-After header.
   std::string load;           // "IN_FLIGHT/SLOTS" if sent to a node, or empty.
   bool offered = false;       // The request was sent to a backend server.
+  bool limited = false;       // The backend server's own limit is reached.
   bool retry_denied = false;  // The retry budget is used up.
   bool close = false;         // Close the connection after the reply.
 };
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -14,6 +14,12 @@
 // Burst of a row's rate limit: the requests that the rate allows in this time.
 constexpr double kBurstSeconds = 0.1;
 
+// Burst of the limit that a backend server names, likewise.
+constexpr double kBackendLimitBurstSeconds = 0.25;
+// A limit below this rate is raised to it, so that there is a response that can
+// withdraw the limit.
+constexpr double kMinBackendLimit = 0.25;
+
 constexpr std::string_view kDraining = "draining";
 constexpr std::string_view kRecalled = "version was recalled";
 constexpr std::string_view kDuplicate = "request id was seen before";
@@ -21,6 +27,8 @@
 constexpr std::string_view kAllSlotsTaken = "all slots are taken";
 constexpr std::string_view kNoSlotInTime = "no slot in time";
 constexpr std::string_view kRetryBudget = "the retry budget is used up";
+constexpr std::string_view kBackendLimit =
+    "the limit of the backend server is reached";
 constexpr std::string_view kNoSuchBackend = "no such backend server here";
 
 // The part of one target in a limit that `targets` share, rounded up.
@@ -41,7 +49,11 @@
     entry.queue.SetWaitingPerSlot(m_options.waiting_per_slot);
     entry.closed = m_closed.count({backend.service, backend.version}) > 0;
     if (!entry.retries) entry.retries.emplace(m_options.retries);
-    if (entry.backend.instance != backend.instance) entry.notice = {};
+    if (entry.backend.instance != backend.instance) {
+      entry.notice = {};
+      entry.responded = false;
+      entry.limit.reset();
+    }
     entry.backend = backend;
     entry.announced = true;
   }
@@ -145,6 +157,13 @@
     result.retry_denied = true;
     return result;
   }
+  if (entry.limit && !entry.limit->Take(now)) {
+    entry.retries->Return(request.kind);
+    result.reason = kBackendLimit;
+    result.limited = true;
+    result.wait = entry.limit->WaitTime(now);
+    return result;
+  }
   const uint64_t ticket = ++m_last_ticket;
   const QueueResult queue_result =
       entry.queue.Enter({.id = ticket,
@@ -156,6 +175,7 @@
   result.wait = queue_result.wait;
   if (queue_result.admission == QueueAdmission::kRefused) {
     entry.retries->Return(request.kind);
+    if (entry.limit) entry.limit->Return();
     result.reason = kNoSlotInTime;
     return result;
   }
@@ -170,17 +190,46 @@
 
 bool Admission::OnNotice(const std::string& service, const std::string& version,
                          const std::string& instance,
-                         const BackendNotice& notice) {
+                         const BackendNotice& notice, TimePoint now) {
   auto found = m_entries.find({service, version});
   if (found == m_entries.end()) return false;
   Entry& entry = found->second;
-  if (entry.backend.instance != instance || entry.notice == notice) {
-    return false;
-  }
-  entry.notice = notice;
+  if (entry.backend.instance != instance) return false;
+  entry.responded = true;
+  if (entry.notice == notice) return false;
+  SetNotice(notice, &entry, now);
   return true;
 }
 
+void Admission::OnRememberedNotice(const std::string& service,
+                                   const std::string& version,
+                                   const std::string& instance,
+                                   const BackendNotice& notice, TimePoint now) {
+  auto found = m_entries.find({service, version});
+  if (found == m_entries.end()) return;
+  Entry& entry = found->second;
+  if (entry.backend.instance != instance || entry.responded) return;
+  SetNotice(notice, &entry, now);
+}
+
+void Admission::SetNotice(const BackendNotice& notice, Entry* entry,
+                          TimePoint now) {
+  entry->notice = notice;
+  if (!notice.limit) {
+    entry->limit.reset();
+    return;
+  }
+  const double rate = std::max(kMinBackendLimit, *notice.limit);
+  const TokenBucketOptions options{
+      .rate = rate, .burst = std::max(1.0, rate * kBackendLimitBurstSeconds)};
+  if (entry->limit) {
+    entry->limit->SetOptions(options, now);
+  } else {
+    entry->limit.emplace(options, now);
+    entry->refuse_waiting = true;
+  }
+}
+
 void Admission::Release(const AdmissionRequest& request, bool handed_over,
                         std::chrono::milliseconds expected,
                         std::optional<std::chrono::milliseconds> run_time) {
@@ -202,15 +251,22 @@
     WaitDecision decision{.ticket = ticket,
                           .result = Describe(entry, route, now)};
     decision.result.reason = reason;
-    decision.result.leaving = reason != kNoSlotInTime;
-    decision.result.wait = entry.queue.LongestWait();
+    decision.result.limited = reason == kBackendLimit;
+    decision.result.leaving =
+        reason != kNoSlotInTime && !decision.result.limited;
+    decision.result.wait = decision.result.limited ? entry.limit->WaitTime(now)
+                                                   : entry.queue.LongestWait();
     if (!waiting.mapped().idempotent) {
       m_seen_ids.Erase(waiting.mapped().request_id);
     }
     decisions.push_back(std::move(decision));
   };
   for (auto& [key, entry] : m_entries) {
-    const std::string_view unavailable = UnavailableReason(entry);
+    std::string_view unavailable = UnavailableReason(entry);
+    if (unavailable.empty() && entry.refuse_waiting && entry.limit) {
+      unavailable = kBackendLimit;
+    }
+    entry.refuse_waiting = false;
     while (!unavailable.empty() && !entry.waiting.empty()) {
       const uint64_t ticket = entry.waiting.begin()->first;
       entry.queue.Remove(ticket);
--- a/src/node/admission_test.cc
+++ b/src/node/admission_test.cc
@@ -5,6 +5,7 @@
 namespace kumquatmoor {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 const TimePoint kNow = TimePoint() + seconds(100);
@@ -130,5 +131,92 @@
   CHECK(admission.Admit(MakeRequest("", true), kNow + seconds(3)).warm);
 }
 
+// The backend server's limit is 4 requests per second in the tests below.
+constexpr BackendNotice kLimitOfFour{.limit = 4};
+
+// Admits and releases requests, one per millisecond, and returns how many were
+// admitted.
+int CountAdmitted(Admission* admission, TimePoint begin, milliseconds length) {
+  int admitted = 0;
+  for (milliseconds at{0}; at < length; ++at) {
+    const auto result = admission->Admit(MakeRequest("", true), begin + at);
+    if (!result.admitted) continue;
+    ++admitted;
+    admission->Release(MakeRequest("", true), true);
+  }
+  return admitted;
+}
+
+TEST_CASE("A backend server's limit holds from its response to the next one") {
+  Admission admission({.waiting_per_slot = 16});
+  LocalBackend backend = MakeBackend(10);
+  backend.instance = "i-1";
+  admission.SetBackends({backend});
+  CHECK(admission.OnNotice("s", "v1", "i-1", kLimitOfFour, kNow));
+  CHECK_FALSE(admission.OnNotice("s", "v1", "i-1", kLimitOfFour, kNow));
+  const auto refused = admission.Admit(MakeRequest("", true), kNow);
+  CHECK(refused.limited);
+  CHECK_FALSE(refused.leaving);
+  CHECK(refused.wait == milliseconds(250));
+  CHECK(CountAdmitted(&admission, kNow, seconds(5)) == 19);
+  SECTION("a response without a limit withdraws it") {
+    CHECK(admission.OnNotice("s", "v1", "i-1", {}, kNow + seconds(5)));
+    CHECK(CountAdmitted(&admission, kNow + seconds(5), seconds(1)) == 1'000);
+  }
+  SECTION("a changed limit does not refill what was used up") {
+    admission.OnNotice("s", "v1", "i-1", {.limit = 5}, kNow + seconds(5));
+    CHECK(CountAdmitted(&admission, kNow + seconds(5), seconds(1)) <= 5);
+  }
+  SECTION("another process at the address has no limit") {
+    backend.instance = "i-2";
+    admission.SetBackends({backend});
+    CHECK_FALSE(
+        admission.OnNotice("s", "v1", "i-1", kLimitOfFour, kNow + seconds(5)));
+    CHECK(CountAdmitted(&admission, kNow + seconds(5), seconds(1)) == 1'000);
+  }
+}
+
+TEST_CASE("A limit of 0 lets a request through that can withdraw it") {
+  Admission admission;
+  admission.SetBackends({MakeBackend(10)});
+  admission.OnNotice("s", "v1", "", {.limit = 0}, kNow);
+  CHECK(CountAdmitted(&admission, kNow, seconds(9)) == 2);
+}
+
+// Guards against a queue that exceeds a limit which was named after its
+// requests were admitted to it.
+TEST_CASE("Requests that wait when a limit is named are refused") {
+  Admission admission({.waiting_per_slot = 16});
+  admission.SetBackends({MakeBackend(1)});
+  AdmissionRequest request = MakeRequest("", true);
+  request.deadline = kNow + seconds(60);
+  CHECK(admission.Admit(request, kNow).admitted);
+  const auto waiting = admission.Admit(request, kNow);
+  REQUIRE(waiting.queued);
+  admission.OnNotice("s", "v1", "", kLimitOfFour, kNow);
+  const auto decisions = admission.TakeDecisions(kNow);
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].ticket == waiting.ticket);
+  CHECK_FALSE(decisions[0].result.admitted);
+  CHECK(decisions[0].result.limited);
+  CHECK_FALSE(decisions[0].result.leaving);
+}
+
+// Guards against a node that forgets the limit with its restart and fills all
+// slots before the first response.
+TEST_CASE("A limit that other nodes remember holds until the first response") {
+  Admission admission;
+  LocalBackend backend = MakeBackend(10);
+  backend.instance = "i-1";
+  admission.SetBackends({backend});
+  admission.OnRememberedNotice("s", "v1", "i-0", kLimitOfFour, kNow);
+  CHECK(admission.Admit(MakeRequest("", true), kNow).admitted);
+  admission.OnRememberedNotice("s", "v1", "i-1", kLimitOfFour, kNow);
+  CHECK(admission.Admit(MakeRequest("", true), kNow).limited);
+  admission.OnNotice("s", "v1", "i-1", {}, kNow);
+  admission.OnRememberedNotice("s", "v1", "i-1", kLimitOfFour, kNow);
+  CHECK(admission.Admit(MakeRequest("", true), kNow).admitted);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/node/backend_notice_test.cc
+++ b/src/node/backend_notice_test.cc
@@ -124,7 +124,7 @@
 TEST_CASE_METHOD(
     NoticeFixture,
     "All nodes together keep the limit that a backend server names",
-    "[.backend-limit]") {
+    "[backend-limit]") {
   notice.limit = 5;
   std::function<void()> at_half;
   SECTION("without a disturbance") {}
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -30,6 +30,17 @@
   return fmt::format("{}/{}", admission.in_flight, admission.slots);
 }
 
+BackendNotice NoticeOf(const boost::beast::http::fields& head,
+                       const CallHeaders& names) {
+  const auto text = [&](const std::string& name) -> std::string_view {
+    if (name.empty()) return {};
+    const auto value = head[name];
+    return {value.data(), value.size()};
+  };
+  return {.limit = ParseRate(text(names.backend_limit)),
+          .leaving = text(names.backend_leaving) == "1"};
+}
+
 LocalRunner::LocalRunner(asio::io_context& context, const CallHeaders& headers,
                          AdmissionOptions options,
                          BoundedRing<Outcome>* outcomes, CallMetrics* metrics)
@@ -101,7 +112,7 @@
   for (const char* name :
        {headers::kService, headers::kVersion, headers::kIdempotent,
         headers::kPriority, headers::kObjectiveMs, headers::kRoute,
-        headers::kAttemptKind}) {
+        headers::kAttemptKind, headers::kInstance, headers::kBackendLimit}) {
     head->erase(name);
   }
   head->set(m_headers.request_id, call.request_id);
@@ -151,18 +162,17 @@
   run.result.head.set(headers::kOffered, "1");
 }
 
-void LocalRunner::ReadNotice(const Call& call, const LocalRun& run) {
-  const auto text = [&](const std::string& name) -> std::string_view {
-    if (name.empty()) return {};
-    const auto value = run.result.head[name];
-    return {value.data(), value.size()};
-  };
-  const BackendNotice notice{.limit = ParseRate(text(m_headers.backend_limit)),
-                             .leaving = text(m_headers.backend_leaving) == "1"};
+void LocalRunner::ReadNotice(const Call& call, LocalRun& run) {
+  const BackendNotice notice = NoticeOf(run.result.head, m_headers);
   const std::string& instance = run.admission.instance;
-  if (!m_admission.OnNotice(call.service, call.version, instance, notice)) {
+  if (notice != BackendNotice()) {
+    run.result.head.set(headers::kInstance, instance);
+  }
+  if (!m_admission.OnNotice(call.service, call.version, instance, notice,
+                            Clock::now())) {
     return;
   }
+  WakeWaiting();
   spdlog::info("admit: event=notice instance={} limit={} leaving={}", instance,
                notice.limit ? fmt::format("{}", *notice.limit) : "none",
                notice.leaving);
--- a/src/node/local_runner.h
+++ b/src/node/local_runner.h
@@ -45,6 +45,10 @@
 // The value of the load header: requests in flight and slots, as "3/10".
 std::string LoadText(const AdmissionResult& admission);
 
+// What a backend server says of itself in the head of a response.
+BackendNotice NoticeOf(const boost::beast::http::fields& head,
+                       const CallHeaders& names);
+
 class LocalRunner {
  public:
   LocalRunner(boost::asio::io_context& context, const CallHeaders& headers,
@@ -92,7 +96,7 @@
   void SetRequestHeaders(const Call& call, const AdmissionResult& admission,
                          RequestHead* head) const;
   // Records what the backend server says of itself in its response.
-  void ReadNotice(const Call& call, const LocalRun& run);
+  void ReadNotice(const Call& call, LocalRun& run);
   void ReportOutcome(const Call& call, const LocalRun& run, bool complete);
 
   boost::asio::io_context& m_context;
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -82,6 +82,7 @@
   std::optional<LocalRun> local;
   TimePoint started;          // Start of the current attempt.
   bool leaving = false;       // As in AdmissionResult.
+  bool limited = false;       // As in AdmissionResult.
   bool retry_denied = false;  // As in AdmissionResult.
   int64_t offers = 0;         // Backend servers that the request was sent to.
   int refusals = 0;           // Nodes that refused the request.
@@ -303,6 +304,30 @@
   return head;
 }
 
+void Proxy::RememberNotice(const std::string& member_id,
+                           const http::fields& response) {
+  const BackendNotice notice = NoticeOf(response, m_options.headers);
+  if (notice == BackendNotice()) {
+    m_notices.erase(member_id);
+    return;
+  }
+  m_notices[member_id] = {
+      .instance = std::string(Text(response[headers::kInstance])),
+      .notice = notice};
+}
+
+void Proxy::AddNotice(const std::string& member_id, RequestHead* head) const {
+  head->erase(headers::kInstance);
+  head->erase(headers::kBackendLimit);
+  const auto found = m_notices.find(member_id);
+  if (found == m_notices.end()) return;
+  const RememberedNotice& known = found->second;
+  head->set(headers::kInstance, known.instance);
+  if (known.notice.limit) {
+    head->set(headers::kBackendLimit, fmt::format("{}", *known.notice.limit));
+  }
+}
+
 asio::awaitable<void> Proxy::TryTarget(InboundRequest& inbound,
                                        const Pick& pick, Attempt& attempt) {
   const Call& call = attempt.call;
@@ -319,6 +344,7 @@
     // streamed keeps the slot until its end.
     if (!relay_pending) m_runner->Finish(call, run, run.result.fully_buffered);
     attempt.leaving = run.admission.leaving;
+    attempt.limited = run.admission.limited;
     attempt.retry_denied = run.admission.retry_denied;
     attempt.retry_after = run.admission.wait;
     std::swap(attempt.result, run.result);
@@ -329,6 +355,7 @@
   options.address = pick.target->data_address;
   options.zone = pick.target->zone;
   options.head = HeadForNode(inbound, call);
+  AddNotice(pick.target->member_id, &options.head);
   options.deadline = call.deadline;
   options.max_idle_age = call.MaxIdleAge();
   options.faults = m_faults;
@@ -344,9 +371,11 @@
   if (auto in_flight = ParseCount(Text(head[headers::kLoad]))) {
     m_loads.OnReport(pick.target->member_id, *in_flight, Clock::now());
   }
+  if (attempt.result.offered) RememberNotice(pick.target->member_id, head);
   if (attempt.result.verdict == Verdict::kNotRun) {
     attempt.result.reason = std::string(Text(head[headers::kReason]));
     attempt.leaving = head.count(http::field::retry_after) == 0;
+    attempt.limited = head.count(headers::kLimited) > 0;
     attempt.retry_denied = head.count(headers::kRetryDenied) > 0;
     attempt.retry_after = ParseRetryAfter(Text(head[http::field::retry_after]));
   }
@@ -374,6 +403,8 @@
     m_loads.OnRefused(target, now);
   } else if (attempt.retry_denied) {
     m_loads.OnRetryDenied(target, call.attempt_kind, now);
+  } else if (attempt.limited) {
+    m_loads.OnFull(target, now, std::min(attempt.retry_after, kMaxRetryAfter));
   } else if (result.verdict == Verdict::kNotRun) {
     m_loads.OnFull(target, now);
   }
@@ -403,6 +434,7 @@
                           attempt.call.request_id);
   attempt.result.head.erase(headers::kLoad);
   attempt.result.head.erase(headers::kOffered);
+  attempt.result.head.erase(headers::kInstance);
   // A drain that begins during the write must not close a connection that the
   // response keeps open.
   const bool close = m_draining;
@@ -461,6 +493,9 @@
   if (auto left = ParseCount(Text(head[headers::kObjectiveMs]))) {
     call.objective = call.started + milliseconds(*left);
   }
+  m_runner->GetAdmission().OnRememberedNotice(
+      call.service, call.version, std::string(Text(head[headers::kInstance])),
+      {.limit = ParseRate(Text(head[headers::kBackendLimit]))}, call.started);
   LocalRun run;
   co_await m_runner->Run(inbound, head, call, run);
   if (run.result.answered) {
@@ -486,6 +521,7 @@
   if (!run.admission.leaving) {
     answer.retry_after = std::max(run.admission.wait, kMinRetryAfter);
   }
+  answer.limited = run.admission.limited;
   answer.retry_denied = run.admission.retry_denied;
   if (run.admission.slots > 0) answer.load = LoadText(run.admission);
   if (answer.verdict != Verdict::kNotRun) {
--- a/src/state/picker.cc
+++ b/src/state/picker.cc
@@ -258,8 +258,9 @@
       std::max(entry.ejected_until, now + m_options.refusal_ejection_time);
 }
 
-void TargetLoads::OnFull(const std::string& member_id, TimePoint now) {
-  m_entries[member_id].full_until = now + m_options.full_backoff;
+void TargetLoads::OnFull(const std::string& member_id, TimePoint now,
+                         std::chrono::milliseconds backoff) {
+  m_entries[member_id].full_until = now + backoff;
 }
 
 void TargetLoads::OnRetryDenied(const std::string& member_id, AttemptKind kind,
--- a/src/transport/relay.cc
+++ b/src/transport/relay.cc
@@ -136,6 +136,7 @@
     response.set(reply.request_id_header, reply.request_id);
   }
   if (!reply.load.empty()) response.set(headers::kLoad, reply.load);
+  if (reply.limited) response.set(headers::kLimited, "1");
   if (reply.retry_denied) response.set(headers::kRetryDenied, "1");
   if (reply.offered) response.set(headers::kOffered, "1");
   if (reply.retry_after.count() > 0) {
