A backend server that says in a response that it leaves gets no more requests

Cause: only announcements were read. Now the node beside the backend server refuses from that response on and publishes it as draining; callers' nodes remember the response and bring it along, so that it holds when that node restarts before it has learned it again. It is kept for the process, not for its instance id, which a later process may have.

--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -138,13 +138,17 @@
   bool OnNotice(const std::string& service, const std::string& version,
                 const std::string& instance, const BackendNotice& notice,
                 TimePoint now);
-  // The same, as another node remembers it of an earlier response. Has no
-  // effect once there was a response to this node, which may have restarted.
+  // The same, as another node remembers it of an earlier response. A limit has
+  // no effect once there was a response to this node, which may have restarted.
   void OnRememberedNotice(const std::string& service,
                           const std::string& version,
                           const std::string& instance,
                           const BackendNotice& notice, TimePoint now);
 
+  // Returns nullptr if there is no such backend server.
+  const LocalBackend* FindBackend(const std::string& service,
+                                  const std::string& version) const;
+
   // Admits, queues or refuses a request. Each admitted request must be
   // released.
   AdmissionResult Admit(const AdmissionRequest& request, TimePoint now);
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -121,6 +121,9 @@
   // Marks a local backend server as draining. Returns false if this changes
   // nothing.
   bool Deregister(const Deregistration& deregistration);
+  // Marks a local backend server that said in a response that it leaves as
+  // draining, unless another process runs at its address by now.
+  void OnBackendLeaving(const LocalBackend& backend);
   // Publishes every local backend server as draining and stops accepting
   // callers.
   void StartDrain();
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -89,6 +89,9 @@
   // Counts bytes of control traffic that this host sends, to which messages to
   // other nodes yield the link.
   void ChargeLink(size_t bytes);
+  // Calls `handler` on the proxy's thread when a local backend server says in a
+  // response that it leaves. Call before the context runs.
+  void SetLeavingHandler(std::function<void(const LocalBackend&)> handler);
   // Refuses new requests for a version that has lost its share. Calls `closed`
   // once no request for the version is left.
   void CloseVersion(std::string service, std::string version,
--- a/include/kumquatmoor/protocol/backend_notice.h
+++ b/include/kumquatmoor/protocol/backend_notice.h
@@ -5,7 +5,8 @@
 //
 //   BackendNotice notice{.limit = ParseRate("5.9")};
 //
-// A notice holds until the next response, which may have another one or none.
+// A limit holds until the next response, which may have another one or none. A
+// process that leaves does not come back.
 // All functions are pure and safe to call from any thread.
 
 #include <optional>
--- a/include/kumquatmoor/protocol/headers.h
+++ b/include/kumquatmoor/protocol/headers.h
@@ -45,6 +45,9 @@
 // Request between nodes: the limit that the backend server named in its last
 // response to the sender; see BackendNotice.
 inline constexpr char kBackendLimit[] = "Kumquatmoor-Backend-Limit";
+// Request between nodes: "1" if the backend server has told the sender that it
+// leaves.
+inline constexpr char kBackendLeaving[] = "Kumquatmoor-Backend-Leaving";
 // Response between nodes: "1" if the request was refused because of the limit
 // that the backend server names. Retry-After has the time until the next one is
 // admitted.
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -49,7 +49,10 @@
     entry.queue.SetWaitingPerSlot(m_options.waiting_per_slot);
     entry.closed = m_closed.count({backend.service, backend.version}) > 0;
     if (!entry.retries) entry.retries.emplace(m_options.retries);
-    if (entry.backend.instance != backend.instance) {
+    // A process may have the instance id of an earlier one.
+    const bool same_process = entry.backend.instance == backend.instance &&
+                              entry.backend.announced == backend.announced;
+    if (!same_process) {
       entry.notice = {};
       entry.responded = false;
       entry.limit.reset();
@@ -82,7 +85,8 @@
 }
 
 std::string_view Admission::UnavailableReason(const Entry& entry) const {
-  if (m_draining || entry.backend.draining) return kDraining;
+  const bool leaving = entry.backend.draining || entry.notice.leaving;
+  if (m_draining || leaving) return kDraining;
   if (!entry.announced) return kNoSuchBackend;
   if (entry.recalled) return kRecalled;
   if (entry.closed) return kClosed;
@@ -196,9 +200,16 @@
   Entry& entry = found->second;
   if (entry.backend.instance != instance) return false;
   entry.responded = true;
-  if (entry.notice == notice) return false;
+  const BackendNotice before = entry.notice;
   SetNotice(notice, &entry, now);
-  return true;
+  return entry.notice != before;
+}
+
+const LocalBackend* Admission::FindBackend(const std::string& service,
+                                           const std::string& version) const {
+  const auto found = m_entries.find({service, version});
+  if (found == m_entries.end() || !found->second.announced) return nullptr;
+  return &found->second.backend;
 }
 
 void Admission::OnRememberedNotice(const std::string& service,
@@ -208,13 +219,18 @@
   auto found = m_entries.find({service, version});
   if (found == m_entries.end()) return;
   Entry& entry = found->second;
-  if (entry.backend.instance != instance || entry.responded) return;
-  SetNotice(notice, &entry, now);
+  if (entry.backend.instance != instance) return;
+  if (entry.responded) {
+    entry.notice.leaving = entry.notice.leaving || notice.leaving;
+  } else {
+    SetNotice(notice, &entry, now);
+  }
 }
 
 void Admission::SetNotice(const BackendNotice& notice, Entry* entry,
                           TimePoint now) {
-  entry->notice = notice;
+  entry->notice = {.limit = notice.limit,
+                   .leaving = notice.leaving || entry->notice.leaving};
   if (!notice.limit) {
     entry->limit.reset();
     return;
--- a/src/node/admission_test.cc
+++ b/src/node/admission_test.cc
@@ -218,5 +218,33 @@
   CHECK(admission.Admit(MakeRequest("", true), kNow).admitted);
 }
 
+TEST_CASE("A process that says that it leaves gets no more requests") {
+  Admission admission({.waiting_per_slot = 16});
+  LocalBackend backend = MakeBackend(1);
+  backend.instance = "i-1";
+  admission.SetBackends({backend});
+  AdmissionRequest request = MakeRequest("", true);
+  request.deadline = kNow + seconds(60);
+  CHECK(admission.Admit(request, kNow).admitted);
+  REQUIRE(admission.Admit(request, kNow).queued);
+  SECTION("in a response") {
+    CHECK(admission.OnNotice("s", "v1", "i-1", {.leaving = true}, kNow));
+  }
+  SECTION("in a response to another node") {
+    admission.OnNotice("s", "v1", "i-1", {}, kNow);
+    admission.OnRememberedNotice("s", "v1", "i-1", {.leaving = true}, kNow);
+  }
+  // A response that is read later may be an earlier one.
+  admission.OnNotice("s", "v1", "i-1", {}, kNow);
+  const auto decisions = admission.TakeDecisions(kNow);
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].result.leaving);
+  CHECK(admission.Admit(request, kNow).leaving);
+  // The next process may have the same instance id.
+  backend.announced = kNow + seconds(1);
+  admission.SetBackends({backend});
+  CHECK_FALSE(admission.Admit(request, kNow).leaving);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/node/backend_notice_test.cc
+++ b/src/node/backend_notice_test.cc
@@ -145,7 +145,7 @@
 // requests, as it has not announced so yet.
 TEST_CASE_METHOD(NoticeFixture,
                  "A backend server that says that it leaves gets no requests",
-                 "[.backend-leaving]") {
+                 "[backend-leaving]") {
   notice.leaving = true;
   std::function<void()> at_half;
   SECTION("without a disturbance") {}
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -395,6 +395,17 @@
   return true;
 }
 
+void ControlLoop::OnBackendLeaving(const LocalBackend& backend) {
+  for (const auto& known : m_registry.Backends()) {
+    if (known.instance != backend.instance || known.draining ||
+        known.announced != backend.announced) {
+      continue;
+    }
+    Deregister({.instance = known.instance,
+                .started_ms = m_registry.StartTimeMs(known.instance)});
+  }
+}
+
 void ControlLoop::PublishBackends() {
   m_proxy->SetBackends(m_registry.Backends());
   std::vector<Endpoint> endpoints = m_registry.Endpoints();
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -112,7 +112,8 @@
   for (const char* name :
        {headers::kService, headers::kVersion, headers::kIdempotent,
         headers::kPriority, headers::kObjectiveMs, headers::kRoute,
-        headers::kAttemptKind, headers::kInstance, headers::kBackendLimit}) {
+        headers::kAttemptKind, headers::kInstance, headers::kBackendLimit,
+        headers::kBackendLeaving}) {
     head->erase(name);
   }
   head->set(m_headers.request_id, call.request_id);
@@ -176,6 +177,11 @@
   spdlog::info("admit: event=notice instance={} limit={} leaving={}", instance,
                notice.limit ? fmt::format("{}", *notice.limit) : "none",
                notice.leaving);
+  const LocalBackend* backend =
+      m_admission.FindBackend(call.service, call.version);
+  if (notice.leaving && m_on_leaving && backend != nullptr) {
+    m_on_leaving(*backend);
+  }
 }
 
 void LocalRunner::Finish(const Call& call, LocalRun& run, bool complete) {
--- a/src/node/local_runner.h
+++ b/src/node/local_runner.h
@@ -16,10 +16,12 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "kumquatmoor/node/admission.h"
@@ -73,6 +75,11 @@
   // runs a retry.
   bool IsCallOfRetry(const std::string& request_id) const;
 
+  // Calls `handler` when a backend server says that it leaves.
+  void SetLeavingHandler(std::function<void(const LocalBackend&)> handler) {
+    m_on_leaving = std::move(handler);
+  }
+
   // Aborts every request that waits or runs, at the end of the drain timeout.
   void AbortAll();
 
@@ -105,6 +112,7 @@
   UpstreamPool m_pool;
   BoundedRing<Outcome>* m_outcomes;
   CallMetrics* m_metrics;
+  std::function<void(const LocalBackend&)> m_on_leaving;
   // Ids of retries that were sent to a backend server.
   RecentIds m_retried_runs{kMaxRetriedRuns};
   std::map<uint64_t, std::shared_ptr<Waiter>> m_waiters;  // By ticket.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -110,7 +110,12 @@
               MakeBufferedSession({}, [this](HttpRequest& request,
                                              asio::ip::tcp::socket& socket) {
                 return HandleAdmin(request, socket);
-              })) {}
+              })) {
+  m_proxy.SetLeavingHandler([this](const LocalBackend& backend) {
+    m_loop.Post(
+        [backend](ControlLoop& loop) { loop.OnBackendLeaving(backend); });
+  });
+}
 
 Node::~Node() { Stop(); }
 
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -111,6 +111,11 @@
   asio::post(m_context, [this, bytes] { m_pacer.Charge(bytes); });
 }
 
+void Proxy::SetLeavingHandler(
+    std::function<void(const LocalBackend&)> handler) {
+  m_runner->SetLeavingHandler(std::move(handler));
+}
+
 void Proxy::CloseVersion(std::string service, std::string version,
                          std::function<void()> closed) {
   asio::post(m_context, [this, service = std::move(service),
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -308,7 +308,11 @@
                            const http::fields& response) {
   const BackendNotice notice = NoticeOf(response, m_options.headers);
   if (notice == BackendNotice()) {
-    m_notices.erase(member_id);
+    // A response may be older than the one that said that the process leaves.
+    const auto found = m_notices.find(member_id);
+    if (found != m_notices.end() && !found->second.notice.leaving) {
+      m_notices.erase(found);
+    }
     return;
   }
   m_notices[member_id] = {
@@ -319,6 +323,7 @@
 void Proxy::AddNotice(const std::string& member_id, RequestHead* head) const {
   head->erase(headers::kInstance);
   head->erase(headers::kBackendLimit);
+  head->erase(headers::kBackendLeaving);
   const auto found = m_notices.find(member_id);
   if (found == m_notices.end()) return;
   const RememberedNotice& known = found->second;
@@ -326,6 +331,7 @@
   if (known.notice.limit) {
     head->set(headers::kBackendLimit, fmt::format("{}", *known.notice.limit));
   }
+  if (known.notice.leaving) head->set(headers::kBackendLeaving, "1");
 }
 
 asio::awaitable<void> Proxy::TryTarget(InboundRequest& inbound,
@@ -495,7 +501,9 @@
   }
   m_runner->GetAdmission().OnRememberedNotice(
       call.service, call.version, std::string(Text(head[headers::kInstance])),
-      {.limit = ParseRate(Text(head[headers::kBackendLimit]))}, call.started);
+      {.limit = ParseRate(Text(head[headers::kBackendLimit])),
+       .leaving = head[headers::kBackendLeaving] == "1"},
+      call.started);
   LocalRun run;
   co_await m_runner->Run(inbound, head, call, run);
   if (run.result.answered) {
