Bound the bytes that are buffered without being parsed

Cause: chunk extensions and trailers have no limit of their own. Connections to nodes, backend servers and callers now buffer 256 KiB beyond what is parsed, callers' also the largest head. Test: 'A response without end is cut off and frees its slot'.

--- a/include/kumquatmoor/transport/upstream_pool.h
+++ b/include/kumquatmoor/transport/upstream_pool.h
@@ -26,13 +26,18 @@
 
 namespace kumquatmoor {
 
+// Maximum number of bytes of a connection that are buffered without being
+// parsed. Bounds the parts of a message that have no limit of their own, such as
+// chunk extensions and trailers. Exceeds the largest head.
+inline constexpr size_t kMaxUnparsedBytes = 262'144;
+
 struct UpstreamConnection {
   UpstreamConnection(boost::asio::io_context& context, std::string address)
       : address(std::move(address)), stream(context) {}
 
   std::string address;
   boost::beast::tcp_stream stream;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
   std::chrono::steady_clock::time_point idle_since;
   // Time after which the peer closes an idle connection, as announced in its
   // Keep-Alive header; one minute if the peer sends none.
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -246,7 +246,7 @@
   const std::unique_ptr<CallerConnection, decltype(unregister)> registration(
       &caller, unregister);
   m_callers->insert(&caller);
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxUnparsedBytes + m_bounds.max_header_bytes);
   bool keep_open = true;
   while (keep_open) {
     CallerBounds bounds = m_bounds;
@@ -273,7 +273,7 @@
 
 asio::awaitable<void> Proxy::DataSession(asio::ip::tcp::socket socket) {
   beast::tcp_stream stream(std::move(socket));
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxUnparsedBytes);
   bool keep_open = true;
   while (keep_open) {
     InboundRequest inbound(stream, buffer);
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -4,8 +4,10 @@
 #include "kumquatmoor/node/proxy.h"
 
 #include <array>
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -44,6 +46,9 @@
 struct Reply {
   std::string bytes;
   milliseconds delay{0};
+  // Written after `bytes`, again and again until the proxy closes the
+  // connection. "" writes nothing.
+  std::string endless = {};
 };
 
 std::string Bytes(const std::string& status, const std::string& headers,
@@ -67,6 +72,10 @@
   // no request is in progress.
   std::vector<RequestHead> seen;
   uint32_t slots = 1;  // Of the backend server.
+  // Endless replies that the proxy ended by closing the connection, and the
+  // bytes written in the last one. Updated on the proxy's thread.
+  std::atomic<int> endless_closed = 0;
+  std::atomic<size_t> endless_bytes = 0;
 
   ~ProxyFixture() {
     m_context.stop();
@@ -146,9 +155,22 @@
       co_await timer.async_wait(asio::use_awaitable);
       co_await asio::async_write(stream, asio::buffer(reply.bytes),
                                  asio::use_awaitable);
+      if (!reply.endless.empty()) co_await WriteEndless(stream, reply.endless);
     }
   }
 
+  asio::awaitable<void> WriteEndless(beast::tcp_stream& stream,
+                                     const std::string& bytes) {
+    endless_bytes = 0;
+    beast::error_code error;
+    while (!error) {
+      endless_bytes += co_await asio::async_write(
+          stream, asio::buffer(bytes),
+          asio::redirect_error(asio::use_awaitable, error));
+    }
+    ++endless_closed;
+  }
+
   asio::io_context m_context{1};
   BoundedRing<Outcome> m_outcomes{1'024};
   std::optional<Proxy> m_proxy;
@@ -174,6 +196,22 @@
     return Receive();
   }
 
+  // The status of the response, or 0 if it is not complete.
+  unsigned CallForStatus(const std::string& target, const std::string& id) {
+    if (!Send(target, id)) return 0;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    std::array<char, 65'536> chunk{};
+    beast::error_code error;
+    while (!error && !parser.is_done()) {
+      parser.get().body().data = chunk.data();
+      parser.get().body().size = chunk.size();
+      http::read(m_stream, m_buffer, parser, error);
+      if (error == http::error::need_buffer) error = {};
+    }
+    return error ? 0 : parser.get().result_int();
+  }
+
   bool Send(const std::string& target, const std::string& id,
             const std::string& host = "h") {
     http::request<http::string_body> request(http::verb::get, target, 11);
@@ -431,6 +469,80 @@
   CHECK(second->result_int() == 503);
 }
 
+// Guards against bytes without end from a backend server: they must not take
+// the node's memory, or its slot beyond the deadline, or look like a response.
+TEST_CASE_METHOD(ProxyFixture,
+                 "A response without end is cut off and frees its slot",
+                 "[endless]") {
+  // What the sockets of both sides may hold, and some reads.
+  constexpr size_t kMaxHeadBytes = 16U << 20U;
+  constexpr int kLeftMs = 1'000;
+  const std::string signed_head = "HTTP/1.1 200 OK\r\nSigned: yes\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  std::string fields;
+  for (int i = 0; i < 1'000; ++i) {
+    fields += "A: b\r\n";
+  }
+  const std::string letters(16'384, 'x');
+  struct Case {
+    const char* name;
+    std::string bytes;
+    std::string endless;
+    bool in_head;  // Known to be no response without waiting for the deadline.
+  };
+  const Case cases[] = {
+      {"no line end", "", letters, true},
+      {"header fields", signed_head, fields, true},
+      {"a chunk extension", signed_head + chunked + "4;", letters, true},
+      {"trailer fields", signed_head + chunked + "0\r\n", fields, true},
+  };
+  Start();
+  int id = 0;
+  for (const auto& c : cases) {
+    INFO(c.name);
+    script = [&c](const RequestHead&) {
+      return Reply{.bytes = c.bytes, .endless = c.endless};
+    };
+    const int closed_before = endless_closed;
+    const auto start = std::chrono::steady_clock::now();
+    const auto status = CallerClient(kLeftMs).CallForStatus(
+        "/write/", "endless" + std::to_string(id++));
+    const auto elapsed = std::chrono::steady_clock::now() - start;
+    // 0: the connection ended before the end of the response.
+    CHECK((status == 0 || status == 502 || status == 504));
+    CHECK(elapsed < milliseconds(c.in_head ? kLeftMs / 2 : kLeftMs + 500));
+    std::this_thread::sleep_for(milliseconds(50));
+    CHECK(endless_closed == closed_before + 1);
+    if (c.in_head) CHECK(endless_bytes <= kMaxHeadBytes);
+    // The slot, of which there is one, is free.
+    script = [](const RequestHead& head) {
+      return Reply{.bytes = Signed(std::string(head["Id"]), "ok")};
+    };
+    const auto next =
+        CallerClient().Call("/write/", "next" + std::to_string(id));
+    REQUIRE(next);
+    CHECK(next->result_int() == 200);
+  }
+}
+
+TEST_CASE_METHOD(ProxyFixture,
+                 "Bytes without end after a response belong to no request",
+                 "[endless]") {
+  const std::string letters(16'384, 'x');
+  script = [&](const RequestHead& head) {
+    return Reply{.bytes = Signed(std::string(head["Id"]), "ok"),
+                 .endless = letters};
+  };
+  Start();
+  CallerClient caller;
+  for (int i = 0; i < 5; ++i) {
+    const auto response = caller.Call("/write/", "r" + std::to_string(i));
+    REQUIRE(response);
+    CHECK(response->result_int() == 200);
+    CHECK(response->body() == "ok");
+  }
+}
+
 // A host's outgoing link: a FIFO queue that sends `rate` bytes per second.
 // Reads what the proxy writes to its connections and computes how long a packet
 // that entered the queue at the worst moment would wait.
