A response whose bytes never pause ends at the deadline

What callers would see: a body without end from a backend server held its slot, and the caller, for 13 and 38 s with a deadline of 1 s (and ended only at the largest body that the parser takes, 1 GiB). Cause: the timeout of a Beast stream does not end a read that never has to wait. Reads of a body now check the deadline themselves, and the relay to a caller has one too. Test: 'A response without end is cut off and frees its slot', cases of a body.

--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -201,7 +201,7 @@
   bool close = false;  // Close the caller's connection after the response.
   // Paces the body if the caller is another node. May be null.
   LinkPacer* pacer = nullptr;
-  // A paced response whose turn has not come by then is cut short.
+  // A response that is not complete by then is cut short.
   Deadline deadline = Deadline::max();
 };
 
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -445,8 +445,9 @@
   // response keeps open.
   const bool close = m_draining;
   UpstreamPool& pool = attempt.local ? m_runner->Pool() : m_pool;
-  const bool complete =
-      co_await RelayResponse(inbound, attempt.result, pool, {.close = close});
+  const bool complete = co_await RelayResponse(
+      inbound, attempt.result, pool,
+      {.close = close, .deadline = attempt.call.deadline});
   if (attempt.local && !attempt.local->finished) {
     attempt.local->result.answered = true;
     attempt.local->result.verdict = verdict;
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -480,8 +480,10 @@
   const std::string signed_head = "HTTP/1.1 200 OK\r\nSigned: yes\r\n";
   const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
   std::string fields;
+  std::string chunks;
   for (int i = 0; i < 1'000; ++i) {
     fields += "A: b\r\n";
+    chunks += "4\r\nabcd\r\n";
   }
   const std::string letters(16'384, 'x');
   struct Case {
@@ -495,6 +497,9 @@
       {"header fields", signed_head, fields, true},
       {"a chunk extension", signed_head + chunked + "4;", letters, true},
       {"trailer fields", signed_head + chunked + "0\r\n", fields, true},
+      {"a chunked body", signed_head + chunked, chunks, false},
+      {"a body until the connection ends", signed_head + "\r\n", letters,
+       false},
   };
   Start();
   int id = 0;
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -169,12 +169,17 @@
   co_return Error();
 }
 
-// Reads the body until its end or until the buffer is full.
-asio::awaitable<Error> BufferResponseBody(ForwardResult& result) {
+// Reads the body until its end or until the buffer is full. Checks the deadline
+// itself: the timeout of the stream does not end reads that never wait.
+asio::awaitable<Error> BufferResponseBody(ForwardResult& result,
+                                          Deadline deadline) {
   auto& parser = *result.parser;
   std::array<char, 16'384> chunk{};
   while (!parser.is_done() &&
          result.buffered_body.size() < kMaxBufferedResponseBytes) {
+    if (std::chrono::steady_clock::now() >= deadline) {
+      co_return beast::error::timeout;
+    }
     parser.get().body().data = chunk.data();
     parser.get().body().size = chunk.size();
     Error error;
@@ -191,7 +196,7 @@
 
 // Reads the head of a response and the buffered part of its body. A response to
 // a HEAD request has no body.
-asio::awaitable<Error> ReadResponse(ForwardResult& result,
+asio::awaitable<Error> ReadResponse(ForwardResult& result, Deadline deadline,
                                     bool is_head_request) {
   result.parser = std::make_unique<http::response_parser<http::buffer_body>>();
   result.parser->header_limit(kMaxResponseHeaderBytes);
@@ -202,7 +207,7 @@
                                    result.connection->buffer, *result.parser,
                                    Into(error));
   if (error) co_return error;
-  co_return co_await BufferResponseBody(result);
+  co_return co_await BufferResponseBody(result, deadline);
 }
 
 // Returns true if the response echoes the id of another request. A response
@@ -342,7 +347,8 @@
                                             const std::string& request_id,
                                             bool is_head_request) {
   for (int skipped = 0;; ++skipped) {
-    const Error error = co_await ReadResponse(result, is_head_request);
+    const Error error =
+        co_await ReadResponse(result, options.deadline, is_head_request);
     if (error) co_return error;
     const auto& response = result.parser->get();
     if (!IsForOtherRequest(response, options.headers->request_id, request_id)) {
--- a/src/transport/relay.cc
+++ b/src/transport/relay.cc
@@ -83,6 +83,8 @@
       chunk.clear();
       continue;
     }
+    // The timeout of the stream does not end reads that never wait.
+    if (std::chrono::steady_clock::now() >= options.deadline) co_return false;
     chunk.resize(kMaxBufferedRequestBytes);
     parser.get().body().data = chunk.data();
     parser.get().body().size = chunk.size();
