Interim responses of a backend server are not the response

What callers would see: a 100 Continue that a backend server sends was relayed as the response, without end if it was sent without end; the real response was lost. Now interim responses are discarded, at most three with late responses; more are no response. Tests: 'A response without end is cut off and frees its slot', case of interim responses, which failed before; 'Each kind of backend response maps to a status for the caller', an interim response first.

--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -308,6 +308,8 @@
        stale_then_valid, 200, 1},
       {"a truncated answer", "/write/",
        "HTTP/1.1 200 OK\r\nSigned: y\r\nContent-Length: 9\r\n\r\nx", 504, 1},
+      {"an interim response comes first", "/write/",
+       "HTTP/1.1 100 Continue\r\n\r\n" + Signed("r1", "ok"), 200, 1},
       {"a refusal promises that nothing ran", "/write/", full, 503, 1},
       {"a refusal without the promise may have run", "/write/",
        Bytes("503 Broken", id + "Signed: yes\r\n", ""), 502, 1},
@@ -481,9 +483,11 @@
   const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
   std::string fields;
   std::string chunks;
+  std::string interim;
   for (int i = 0; i < 1'000; ++i) {
     fields += "A: b\r\n";
     chunks += "4\r\nabcd\r\n";
+    interim += "HTTP/1.1 100 Continue\r\n\r\n";
   }
   const std::string letters(16'384, 'x');
   struct Case {
@@ -495,6 +499,7 @@
   const Case cases[] = {
       {"no line end", "", letters, true},
       {"header fields", signed_head, fields, true},
+      {"interim responses", "", interim, true},
       {"a chunk extension", signed_head + chunked + "4;", letters, true},
       {"trailer fields", signed_head + chunked + "0\r\n", fields, true},
       {"a chunked body", signed_head + chunked, chunks, false},
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -42,8 +42,8 @@
 constexpr milliseconds kFaultPollInterval{20};
 constexpr uint32_t kMaxResponseHeaderBytes = 65'536;
 constexpr uint64_t kMaxResponseBodyBytes = 1ULL << 30U;
-// Maximum number of late responses to earlier requests that are discarded
-// before the response to a request.
+// Maximum number of late responses to earlier requests, and of interim
+// responses, that are discarded before the response to a request.
 constexpr int kMaxSkippedResponses = 3;
 // TCP_USER_TIMEOUT: a peer that does not acknowledge sent bytes for this time
 // counts as lost, because a host that lost power sends no reset. The value
@@ -55,6 +55,7 @@
 constexpr int kKeepAliveIdleS = 1;
 constexpr int kKeepAliveIntervalS = 1;
 constexpr int kKeepAliveProbes = 2;
+constexpr unsigned kInterimStatusClass = 1;
 constexpr unsigned kSuccessStatusClass = 2;
 
 // A completion token that stores the error instead of throwing it.
@@ -340,8 +341,9 @@
   std::shared_ptr<ActiveStreams> m_streams;
 };
 
-// Reads responses until one belongs to the request. A late response to an
-// earlier request may arrive first on a connection that is reused.
+// Reads responses until one belongs to the request and is final. A late
+// response to an earlier request may arrive first on a connection that is
+// reused, and interim responses (1xx) may arrive at any time.
 asio::awaitable<Error> ReadMatchingResponse(ForwardResult& result,
                                             const ForwardOptions& options,
                                             const std::string& request_id,
@@ -351,7 +353,9 @@
         co_await ReadResponse(result, options.deadline, is_head_request);
     if (error) co_return error;
     const auto& response = result.parser->get();
-    if (!IsForOtherRequest(response, options.headers->request_id, request_id)) {
+    const bool interim = response.result_int() / 100 == kInterimStatusClass;
+    if (!interim &&
+        !IsForOtherRequest(response, options.headers->request_id, request_id)) {
       co_return Error();
     }
     const bool more = result.fully_buffered && response.keep_alive();
