Remember the deregistration of a backend server that is not known yet

Cause: the deregistration reached a node, just started, before any announcement; it was acknowledged and forgotten, and a late announcement made the backend server available again. Now it is remembered, in the member record too, if it names the start of the process; without a start time a later process of the same instance could not be told apart, and would stay out.

--- a/include/kumquatmoor/node/backend_registry.h
+++ b/include/kumquatmoor/node/backend_registry.h
@@ -66,8 +66,10 @@
 class BackendRegistry {
  public:
   AnnounceOutcome Announce(const Announcement& announcement, TimePoint now);
-  // Marks the backend server as draining. Returns false if nothing changed,
-  // which includes a deregistration by an earlier process of the instance.
+  // Marks the backend server as draining. Returns false if no backend server
+  // changed, which includes a deregistration by an earlier process of the
+  // instance. A deregistration with a start time is remembered also for an
+  // unknown instance, as its announcements may still arrive.
   bool Deregister(const Deregistration& deregistration);
   // Records that the process leaves. It may have deregistered with an earlier
   // incarnation of this node, so that a late announcement of the process would
--- a/src/node/backend_registry.cc
+++ b/src/node/backend_registry.cc
@@ -87,6 +87,11 @@
     entry.deregistered = true;
     return true;
   }
+  // Without a start time, a later process of the instance could not be told
+  // from the one that left.
+  if (deregistration.started_ms != 0) {
+    NoteLeaving(deregistration.instance, deregistration.started_ms);
+  }
   return false;
 }
 
--- a/src/node/backend_registry_test.cc
+++ b/src/node/backend_registry_test.cc
@@ -17,7 +17,7 @@
 // Guards against a late announcement that makes a backend server available
 // again, which deregistered with a node that had restarted and did not know it.
 TEST_CASE("A deregistration of an unknown backend server is remembered",
-          "[.deregister]") {
+          "[deregister]") {
   BackendRegistry registry;
   registry.Deregister({.instance = "i-1", .started_ms = 1'000});
   registry.Announce(AnnouncementOf(1'000, 23), TimePoint());
@@ -29,5 +29,15 @@
   CHECK_FALSE(registry.Backends().front().draining);
 }
 
+// A start time that is missing could be that of any process of the instance.
+TEST_CASE("A deregistration without a start time concerns no later process",
+          "[deregister]") {
+  BackendRegistry registry;
+  registry.Deregister({.instance = "i-1"});
+  registry.Announce(AnnouncementOf(2'000, 1), TimePoint());
+  REQUIRE(registry.Backends().size() == 1);
+  CHECK_FALSE(registry.Backends().front().draining);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -387,9 +387,13 @@
   spdlog::info("announce: event={} instance={} sequence={}",
                changed ? "withdrawn" : "withdrawal_ignored",
                deregistration.instance, deregistration.sequence);
+  const int64_t started_ms =
+      changed ? m_registry.StartTimeMs(deregistration.instance)
+              : deregistration.started_ms;
+  if (changed || started_ms != 0) {
+    NoteLeaving(deregistration.instance, started_ms);
+  }
   if (!changed) return false;
-  NoteLeaving(deregistration.instance,
-              m_registry.StartTimeMs(deregistration.instance));
   PublishBackends();
   if (m_ready) Send(m_replica.Tick(Clock::now()));
   return true;
