--- a/include/kumquatmoor/transport/upstream_pool.h
+++ b/include/kumquatmoor/transport/upstream_pool.h
@@ -27,8 +27,8 @@
 namespace kumquatmoor {
 
 // Maximum number of bytes of a connection that are buffered without being
-// parsed. Bounds the parts of a message that have no limit of their own, such as
-// chunk extensions and trailers. Exceeds the largest head.
+// parsed. Bounds the parts of a message that have no limit of their own, such
+// as chunk extensions and trailers. Exceeds the largest head.
 inline constexpr size_t kMaxUnparsedBytes = 262'144;
 
 struct UpstreamConnection {
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -155,7 +155,9 @@
       co_await timer.async_wait(asio::use_awaitable);
       co_await asio::async_write(stream, asio::buffer(reply.bytes),
                                  asio::use_awaitable);
-      if (!reply.endless.empty()) co_await WriteEndless(stream, reply.endless);
+      if (!reply.endless.empty()) {
+        co_await WriteEndless(stream, reply.endless);
+      }
     }
   }
 
