--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -140,6 +140,7 @@
                 TimePoint now);
   // The same, as another node remembers it of an earlier response. A limit has
   // no effect once there was a response to this node, which may have restarted.
+  // Other nodes may remember nothing, which withdraws no limit.
   void OnRememberedNotice(const std::string& service,
                           const std::string& version,
                           const std::string& instance,
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -220,11 +220,8 @@
   if (found == m_entries.end()) return;
   Entry& entry = found->second;
   if (entry.backend.instance != instance) return;
-  if (entry.responded) {
-    entry.notice.leaving = entry.notice.leaving || notice.leaving;
-  } else {
-    SetNotice(notice, &entry, now);
-  }
+  if (notice.leaving) entry.notice.leaving = true;
+  if (notice.limit && !entry.responded) SetNotice(notice, &entry, now);
 }
 
 void Admission::SetNotice(const BackendNotice& notice, Entry* entry,
--- a/src/node/admission_test.cc
+++ b/src/node/admission_test.cc
@@ -213,6 +213,8 @@
   CHECK(admission.Admit(MakeRequest("", true), kNow).admitted);
   admission.OnRememberedNotice("s", "v1", "i-1", kLimitOfFour, kNow);
   CHECK(admission.Admit(MakeRequest("", true), kNow).limited);
+  admission.OnRememberedNotice("s", "v1", "i-1", {}, kNow);
+  CHECK(admission.Admit(MakeRequest("", true), kNow).limited);
   admission.OnNotice("s", "v1", "i-1", {}, kNow);
   admission.OnRememberedNotice("s", "v1", "i-1", kLimitOfFour, kNow);
   CHECK(admission.Admit(MakeRequest("", true), kNow).admitted);
