The retry budget's old check again; known red: a limit that is no number

Cause: a value that cannot be read counts as no limit, which withdraws the one before. Evidence: 'A limit that is no number withdraws no limit', red.

--- a/src/node/backend_notice_test.cc
+++ b/src/node/backend_notice_test.cc
@@ -86,6 +86,8 @@
   milliseconds interval{10};  // Between requests.
   milliseconds notice_after{1'000};
   BackendNotice notice;  // Of the subject, after `notice_after`.
+  // From then on the limit is no number.
+  milliseconds unreadable_after{60'000};
   int sent = 0;
   int served = 0;
 
@@ -113,6 +115,9 @@
     HttpResponse response = TestMesh::Response(request, 200);
     if (host == kSubject && Clock::now() >= m_start + notice_after) {
       if (notice.limit) response.set("Limit", std::to_string(*notice.limit));
+      if (Clock::now() >= m_start + unreadable_after) {
+        response.set("Limit", "5,0");
+      }
       if (notice.leaving) response.set("Leaving", "1");
     }
     co_return response;
@@ -159,5 +164,14 @@
   CHECK(served >= sent * 97 / 100);
 }
 
+// Guards against a limit that an unreadable one withdraws.
+TEST_CASE_METHOD(NoticeFixture, "A limit that is no number withdraws no limit",
+                 "[.unreadable-limit]") {
+  notice.limit = 5;
+  unreadable_after = milliseconds(2'000);
+  SendRequests(milliseconds(9'000));
+  CHECK(MostArrivals() <= 35);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/state/retry_guard_test.cc
+++ b/src/state/retry_guard_test.cc
@@ -17,6 +17,18 @@
 
 const TimePoint kStart = TimePoint() + seconds(100);
 
+TEST_CASE("The retry budget limits retries to its ratio of first attempts") {
+  RetryGuard guard({.ratio = 0.2});  // 0.1 for retries.
+  int retries = 0;
+  TimePoint now = kStart;
+  for (int i = 0; i < 10'000; ++i, now += milliseconds(1)) {
+    guard.Take(kFirst, now);
+    while (guard.Take(kRetry, now)) ++retries;
+  }
+  CHECK(retries <= 10'000 * 0.1 + 10);
+  CHECK(retries >= 10'000 * 0.1 - 10);
+}
+
 TEST_CASE("Retries and calls of retries use up half of the ratio each") {
   RetryGuard guard({.ratio = 0.2});
   int retries = 0;
