--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -16,8 +16,8 @@
 
 // Burst of the limit that a backend server names, likewise.
 constexpr double kBackendLimitBurstSeconds = 0.25;
-// A limit below this rate is raised to it, so that there is a response that can
-// withdraw the limit.
+// Requests per second. A limit below this rate is raised to it, so that there
+// is a response that can withdraw the limit.
 constexpr double kMinBackendLimit = 0.25;
 
 constexpr std::string_view kDraining = "draining";
--- a/src/state/retry_guard.cc
+++ b/src/state/retry_guard.cc
@@ -2,9 +2,8 @@
 // retries are taken. As with a token bucket, what is taken in any period is at
 // most what was added in it plus the maximum balance.
 //
-// The maximum balance follows the rate of first attempts. With a larger one, a
-// fault of some seconds would meet many retries at first and then few, and a
-// version that gets its traffic later than another one would seem to fail more.
+// The maximum balance follows the rate of first attempts, so that a calm period
+// does not pay for a burst of retries after it.
 
 #include "kumquatmoor/state/retry_guard.h"
 
