--- /dev/null
+++ b/src/transport/http_call_test.cc
@@ -0,0 +1,113 @@
+// HttpCall against a server that sends its response in pieces over loopback.
+
+#include "kumquatmoor/transport/http_call.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "kumquatmoor/transport/http_server.h"
+
+namespace kumquatmoor {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr char kAddress[] = "127.40.0.1:8300";
+constexpr milliseconds kTimeout{200};
+
+// How the server sends the body of its response.
+struct SlowBody {
+  int pieces = 1;
+  int sent = 1;  // It stops after this many pieces.
+  milliseconds pause{0};
+  size_t piece_bytes = 1'000;
+};
+
+asio::awaitable<void> SendSlowly(tcp::socket socket, SlowBody body) {
+  std::string request;
+  co_await asio::async_read_until(socket, asio::dynamic_buffer(request),
+                                  "\r\n\r\n", asio::use_awaitable);
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Length: " +
+      std::to_string(static_cast<size_t>(body.pieces) * body.piece_bytes) +
+      "\r\n\r\n";
+  co_await asio::async_write(socket, asio::buffer(head), asio::use_awaitable);
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  const std::string piece(body.piece_bytes, 'x');
+  for (int i = 0; i < body.sent; ++i) {
+    timer.expires_after(body.pause);
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(piece),
+                               asio::use_awaitable);
+  }
+  char byte = 0;
+  co_await socket.async_read_some(asio::buffer(&byte, 1), asio::use_awaitable);
+}
+
+// Serves on a thread of its own, since HttpCall blocks.
+class SlowServer {
+ public:
+  explicit SlowServer(SlowBody body)
+      : m_server(m_context, {.address = kAddress}, [body](tcp::socket socket) {
+          return SendSlowly(std::move(socket), body);
+        }) {
+    REQUIRE_FALSE(m_server.Start());
+    m_thread = std::thread([this] { m_context.run(); });
+  }
+  ~SlowServer() {
+    m_context.stop();
+    m_thread.join();
+  }
+
+ private:
+  asio::io_context m_context{1};
+  HttpServer m_server;
+  std::thread m_thread;
+};
+
+struct TimedCall {
+  bool complete = false;
+  milliseconds elapsed{0};
+};
+
+TimedCall CallServer(HttpCallOptions options) {
+  options.address = kAddress;
+  options.method = "GET";
+  options.timeout = kTimeout;
+  const auto started = std::chrono::steady_clock::now();
+  const auto outcome = Attempt([&] { return HttpCall(options); });
+  TimedCall call;
+  call.elapsed = std::chrono::duration_cast<milliseconds>(
+      std::chrono::steady_clock::now() - started);
+  call.complete = std::holds_alternative<HttpCallResponse>(outcome);
+  return call;
+}
+
+// Guards against a configuration that no node can read over a slow link, since
+// its transfer takes longer than the timeout (incident inc26-config).
+TEST_CASE("A response that arrives steadily is read to its end",
+          "[.large-response]") {
+  const SlowServer server({.pieces = 12, .sent = 12, .pause = kTimeout / 4});
+  const TimedCall call = CallServer({});
+  CHECK(call.complete);
+  CHECK(call.elapsed > 2 * kTimeout);
+}
+
+TEST_CASE("A response whose bytes stop ends after the timeout") {
+  const SlowServer server({.pieces = 12, .sent = 2, .pause = kTimeout / 4});
+  const TimedCall call = CallServer({});
+  CHECK_FALSE(call.complete);
+  CHECK(call.elapsed < 4 * kTimeout);
+}
+
+}  // namespace
+}  // namespace kumquatmoor
