Let the timeout of a synchronisation grow with the configuration

Cause: a synchronisation had to end within 600 ms, whatever it carried. Why it works: the digest on each datagram names the size of the sender's batch. A node that is behind allows 0.6 s and the time that the size takes at 4 Mbit/s, at most 3 s. Connecting is bounded by 0.6 s as before, so a lost peer costs no more. A node that joins allows for 4,000 routes.

--- a/include/kumquatmoor/coordination/control_client.h
+++ b/include/kumquatmoor/coordination/control_client.h
@@ -13,6 +13,7 @@
 // outlive the client. Thread-safe.
 
 #include <chrono>
+#include <cstdint>
 #include <span>
 #include <string>
 #include <vector>
@@ -26,12 +27,16 @@
 struct ControlPeer {
   std::string address;  // "IP:PORT".
   std::string zone;     // For fault injection; "" if not known.
+  // Expected size of the reply to Sync, for which its timeout allows.
+  uint64_t expected_bytes = 0;
 };
 
 class ControlClient {
  public:
   explicit ControlClient(const FaultPlan* faults) : m_faults(faults) {}
 
+  // A peer that cannot be reached fails the call within 600 ms. The timeout of
+  // the whole call grows with the expected size of the reply.
   Result<SyncReply> Sync(const ControlPeer& peer, const SyncRequest& request);
   Result<OfferReply> Offer(const ControlPeer& peer, const Batch& batch);
   Result<RecallReply> RecallVersion(const ControlPeer& peer,
--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -10,7 +10,7 @@
 //   if (auto peer = replica.PopSyncPeer()) StartSync(*peer);
 //
 // The protocol has three parts. Dissemination: each node pushes an update that
-// is // is new to it once, a batch twice, to a few random members.-entropy:
+// is new to it once, a batch twice, to a few random members. Anti-entropy:
 // probes carry a digest of the whole state, and a node whose digest differs
 // from the one that it received synchronises with the sender. Failure detection
 // is SWIM: direct probe, indirect probes, suspicion, refutation by a higher
@@ -74,6 +74,7 @@
   std::string id;
   std::string zone;
   std::string address;
+  uint64_t expected_bytes = 0;  // Size of the newer batch, 0 if there is none.
 };
 
 // The probes of this node that ended since the last TakeProbeDelays().
@@ -223,6 +224,7 @@
   std::mt19937_64 m_rng;
   std::shared_ptr<const Batch> m_batch;
   uint64_t m_batch_digest = 0;
+  uint64_t m_batch_bytes = 0;
   MarkSet m_marks;
   MemberList m_members;
   std::deque<Update> m_outbox;  // Updates that the next tick pushes.
@@ -241,6 +243,7 @@
   // When a digest with a newer batch was first received; empty if the current
   // batch is the newest known.
   std::optional<TimePoint> m_behind_since;
+  uint64_t m_newer_batch_bytes = 0;  // Size of that batch, 0 if there is none.
   std::optional<std::string> m_sync_peer;
   uint64_t m_change_count = 0;
   std::set<std::string> m_changed_services;
--- a/src/coordination/control_client.cc
+++ b/src/coordination/control_client.cc
@@ -2,6 +2,7 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <utility>
@@ -16,19 +17,33 @@
 // A synchronisation with an unreachable member must not delay the next one for
 // long, because a configuration must reach every node within 2 s.
 constexpr milliseconds kSyncTimeout{600};
+// Rate, in bytes per second before compression, at which a reply arrives at
+// least. Less than half of what the slowest links of the deployments carry.
+constexpr uint64_t kMinTransferRate = 500'000;
+constexpr milliseconds kMaxSyncTimeout{3'000};
 constexpr milliseconds kCallTimeout{2'000};
 constexpr milliseconds kZoneReportTimeout{1'000};
 // Limit for a received message. The complete member list of the largest mesh
 // takes a few megabytes.
 constexpr int kMaxMessageBytes = 32 << 20;
 
-std::unique_ptr<Control::Stub> MakeStub(const std::string& address) {
+std::shared_ptr<grpc::Channel> MakeChannel(const std::string& address) {
   grpc::ChannelArguments arguments;
   arguments.SetMaxReceiveMessageSize(kMaxMessageBytes);
   // Prevents this channel from sharing the connection of another one.
   arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-  return Control::NewStub(grpc::CreateCustomChannel(
-      address, grpc::InsecureChannelCredentials(), arguments));
+  return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(),
+                                   arguments);
+}
+
+std::unique_ptr<Control::Stub> MakeStub(const std::string& address) {
+  return Control::NewStub(MakeChannel(address));
+}
+
+milliseconds SyncTimeout(uint64_t expected_bytes) {
+  const milliseconds transfer(std::min(expected_bytes, kMinTransferRate * 60) *
+                              1'000 / kMinTransferRate);
+  return std::min(kMaxSyncTimeout, kSyncTimeout + transfer);
 }
 
 void SetTimeout(grpc::ClientContext* context, milliseconds timeout) {
@@ -44,10 +59,16 @@
   if (faults != nullptr && faults->IsCut(peer.address, peer.zone)) {
     return Fail(FailureCode::kUnavailable, peer.address + ": cut off");
   }
+  const auto channel = MakeChannel(peer.address);
+  const auto connected_by =
+      std::chrono::system_clock::now() + std::min(timeout, kSyncTimeout);
+  if (!channel->WaitForConnected(connected_by)) {
+    return Fail(FailureCode::kUnavailable, peer.address + ": no connection");
+  }
   grpc::ClientContext context;
   SetTimeout(&context, timeout);
   Reply reply;
-  const auto stub = MakeStub(peer.address);
+  const auto stub = Control::NewStub(channel);
   const grpc::Status status = ((*stub).*method)(&context, request, &reply);
   if (status.ok()) return reply;
   const bool unavailable =
@@ -70,7 +91,8 @@
 
 Result<SyncReply> ControlClient::Sync(const ControlPeer& peer,
                                       const SyncRequest& request) {
-  return Call<SyncReply, SyncRequest>(m_faults, peer, request, kSyncTimeout,
+  return Call<SyncReply, SyncRequest>(m_faults, peer, request,
+                                      SyncTimeout(peer.expected_bytes),
                                       &Control::Stub::Sync);
 }
 
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -60,6 +60,7 @@
   digest.set_batch_digest(m_batch_digest);
   digest.set_members_hash(m_members.Hash());
   digest.set_marks_hash(m_marks.Hash());
+  digest.set_batch_bytes(m_batch_bytes);
   return digest;
 }
 
@@ -213,6 +214,7 @@
   const Digest own = MakeDigest();
   if (received.revision() > own.revision()) {
     if (!m_behind_since) m_behind_since = now;
+    m_newer_batch_bytes = received.batch_bytes();
     ScheduleSync(datagram.from());
     return;
   }
@@ -308,7 +310,9 @@
                             rumour.delta().removed().end());
   m_batch = std::make_shared<const Batch>(std::move(batch));
   m_behind_since.reset();
+  m_newer_batch_bytes = 0;
   m_batch_digest = BatchDigest(*m_batch);
+  m_batch_bytes = m_batch->ByteSizeLong();
   m_marks.Prune(*m_batch);
   ++m_change_count;
   QueueUpdate(std::move(rumour), kBatchKey);
--- a/src/coordination/replica_sync.cc
+++ b/src/coordination/replica_sync.cc
@@ -30,7 +30,8 @@
   if (member == nullptr || member->status() != ALIVE) return std::nullopt;
   return SyncPeer{.id = member->id(),
                   .zone = member->zone(),
-                  .address = member->control_address()};
+                  .address = member->control_address(),
+                  .expected_bytes = m_newer_batch_bytes};
 }
 
 SyncRequest Replica::MakeSyncRequest(bool joining) const {
--- a/src/node/sync_worker.cc
+++ b/src/node/sync_worker.cc
@@ -13,6 +13,9 @@
 
 constexpr milliseconds kPollInterval{200};
 constexpr milliseconds kSeedCheckInterval{2'000};
+// A node that joins does not know how large the configuration is. This is the
+// size of one with 4,000 routes.
+constexpr uint64_t kExpectedBytesOfJoin = 512'000;
 
 }  // namespace
 
@@ -56,7 +59,12 @@
   auto next_seed_check = std::chrono::steady_clock::now();
   while (!m_stopping) {
     const auto peer = m_syncs->PopFor(kPollInterval);
-    if (peer) SyncWith({.address = peer->address, .zone = peer->zone}, false);
+    if (peer) {
+      SyncWith({.address = peer->address,
+                .zone = peer->zone,
+                .expected_bytes = peer->expected_bytes},
+               false);
+    }
     if (std::chrono::steady_clock::now() < next_seed_check) continue;
     next_seed_check = std::chrono::steady_clock::now() + kSeedCheckInterval;
     SyncWithUnknownSeed();
@@ -146,8 +154,10 @@
     return loop.GetReplica().MakeSyncRequest(joining);
   });
   if (!request) return false;
+  ControlPeer sized = peer;
+  if (joining) sized.expected_bytes = kExpectedBytesOfJoin;
   const auto started = std::chrono::steady_clock::now();
-  auto outcome = Attempt([&] { return m_client->Sync(peer, *request); });
+  auto outcome = Attempt([&] { return m_client->Sync(sized, *request); });
   const auto elapsed = std::chrono::duration_cast<milliseconds>(
       std::chrono::steady_clock::now() - started);
   if (auto* failure = std::get_if<Failure>(&outcome)) {
