--- a/src/node/test_mesh.cc
+++ b/src/node/test_mesh.cc
@@ -3,7 +3,9 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -109,11 +111,41 @@
   if (const auto error = host.proxy->Start()) {
     throw std::runtime_error(error.message());
   }
-  host.proxy->SetBackends({{.service = host.options.service,
-                            .version = kVersion,
-                            .instance = "i-" + host.name,
-                            .address = host.backend_address,
-                            .slots = host.options.slots}});
+  Announce(host);
+}
+
+void TestMesh::Announce(Host& host) {
+  host.proxy->SetBackends(
+      {{.service = host.options.service,
+        .version = kVersion,
+        .instance = fmt::format("i-{}-{}", host.name, host.crashes),
+        .address = host.backend_address,
+        .slots = host.options.slots}});
+}
+
+void TestMesh::CrashBackend(size_t host, std::chrono::milliseconds down_time) {
+  Host& crashed = *m_hosts[host];
+  if (crashed.is_down) return;
+  crashed.is_down = true;
+  ++crashed.crashes;
+  crashed.backend->StopAccepting();
+  for (auto* socket : crashed.running) {
+    beast::error_code ignored;
+    socket->close(ignored);
+  }
+  asio::co_spawn(m_context, RestartBackend(crashed, down_time), asio::detached);
+}
+
+asio::awaitable<void> TestMesh::RestartBackend(
+    Host& host, std::chrono::milliseconds down_time) {
+  asio::steady_timer timer(m_context);
+  timer.expires_after(down_time);
+  co_await timer.async_wait(asio::use_awaitable);
+  if (const auto error = host.backend->Start()) {
+    throw std::runtime_error(error.message());
+  }
+  host.is_down = false;
+  Announce(host);
 }
 
 void TestMesh::Start() {
@@ -121,10 +153,10 @@
     Host& host = *m_hosts[i];
     host.backend = std::make_unique<HttpServer>(
         m_context, HttpServerOptions{.address = host.backend_address},
-        MakeBufferedSession({}, [this, i](HttpRequest& request,
-                                          asio::ip::tcp::socket& /*socket*/) {
-          return RunScript(i, request);
-        }));
+        MakeBufferedSession(
+            {}, [this, i](HttpRequest& request, asio::ip::tcp::socket& socket) {
+              return RunScript(i, request, socket);
+            }));
     if (const auto error = host.backend->Start()) {
       throw std::runtime_error(error.message());
     }
@@ -158,14 +190,23 @@
   if (failure) std::rethrow_exception(failure);
 }
 
-asio::awaitable<HttpResponse> TestMesh::RunScript(size_t host,
-                                                  const HttpRequest& request) {
-  const std::string& service = m_hosts[host]->options.service;
+asio::awaitable<HttpResponse> TestMesh::RunScript(
+    size_t host, const HttpRequest& request, asio::ip::tcp::socket& socket) {
+  Host& backend = *m_hosts[host];
+  // A connection that was idle during the crash.
+  if (backend.is_down) throw std::runtime_error("the backend server is down");
+  const std::string& service = backend.options.service;
   m_arrivals.push_back({.host = host,
                         .service = service,
+                        .target = std::string(request.target()),
                         .id = std::string(request["Id"]),
                         .at = Clock::now()});
-  return m_scripts.at(service)(host, request);
+  backend.running.insert(&socket);
+  const uint32_t crashes = backend.crashes;
+  HttpResponse response = co_await m_scripts.at(service)(host, request);
+  backend.running.erase(&socket);
+  if (backend.crashes != crashes) throw std::runtime_error("crashed");
+  co_return response;
 }
 
 HttpResponse TestMesh::Response(const HttpRequest& request, unsigned status) {
--- a/src/node/test_mesh.h
+++ b/src/node/test_mesh.h
@@ -24,6 +24,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,10 +46,12 @@
   struct Arrival {
     size_t host = 0;
     std::string service;
+    std::string target;
     std::string id;
     TimePoint at;
   };
-  // Returns a backend server's response to a request.
+  // Returns a backend server's response to a request. It is not sent if the
+  // backend server crashes meanwhile.
   using Script = std::function<boost::asio::awaitable<HttpResponse>(
       size_t host, const HttpRequest& request)>;
   struct CallOptions {
@@ -72,6 +75,9 @@
   // Replaces the node of a host by a new one with other addresses, which knows
   // nothing of the earlier one. The backend server continues to run.
   void RestartNode(size_t host);
+  // Ends the backend server of a host: all its connections end, and it accepts
+  // none for `down_time`. It returns as another instance.
+  void CrashBackend(size_t host, std::chrono::milliseconds down_time);
   // Runs the mesh until `main` ends.
   void Run(std::function<boost::asio::awaitable<void>()> main);
   // Calls a host's proxy. The status of the response is 0 if there is none.
@@ -92,6 +98,10 @@
     std::string backend_address;
     std::unique_ptr<Proxy> proxy;
     std::unique_ptr<HttpServer> backend;
+    bool is_down = false;  // The backend server has crashed.
+    uint32_t crashes = 0;
+    // Connections on which the backend server runs a request.
+    std::set<boost::asio::ip::tcp::socket*> running;
   };
   struct Connection {
     boost::beast::tcp_stream stream;
@@ -102,8 +112,13 @@
   void StartNode(Host& host);
   void PublishRoutes();
   std::shared_ptr<const RouteTable> Routes() const;
-  boost::asio::awaitable<HttpResponse> RunScript(size_t host,
-                                                 const HttpRequest& request);
+  // Passes the backend server's current instance to its node.
+  static void Announce(Host& host);
+  boost::asio::awaitable<void> RestartBackend(
+      Host& host, std::chrono::milliseconds down_time);
+  boost::asio::awaitable<HttpResponse> RunScript(
+      size_t host, const HttpRequest& request,
+      boost::asio::ip::tcp::socket& socket);
 
   boost::asio::io_context m_context{1};
   BoundedRing<Outcome> m_outcomes{65'536};
