Recognise requests that crash backend servers, and stop sending them

Cause: each attempt of a client has a new id, and nothing compared what was sent or noticed that a backend server had ended. Ruled out: our retries alone (crashes go on where each attempt is kind=first). Why it works: the node beside a backend server knows what ran when the process ended: all its connections end together and a new one is refused. What ran is suspected by a hash of host, method, target, caller and body; of several, only those with most crashes are counted on. Crash records are a join semilattice in the gossip and in each synchronisation, so they hold through restarts. After three crashed instances the first node refuses the request, and the node beside the backend server is the guard. From the second crash on a suspect runs alone at one target that all nodes choose alike, and is not retried. A response clears a request, so one that is popular stays served; versions count apart.

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -1,7 +1,8 @@
 #ifndef KUMQUATMOOR_COORDINATION_REPLICA_H_
 #define KUMQUATMOOR_COORDINATION_REPLICA_H_
 
-// Replica: one node's copy of the replicated state (member list, batch, marks)
+// Replica: one node's copy of the replicated state (member list, batch, marks,
+// crash records)
 // and the gossip protocol that keeps the copies of all nodes equal.
 //
 //   Replica replica({.id = "node-1", .zone = "a", ...}, now);
@@ -37,6 +38,7 @@
 
 #include "control.pb.h"
 #include "kumquatmoor/coordination/member_list.h"
+#include "kumquatmoor/state/crash_suspects.h"
 #include "kumquatmoor/state/limits.h"
 #include "kumquatmoor/state/marks.h"
 
@@ -110,6 +112,14 @@
   // changed or if the mark is obsolete: a later move has replaced its move, or
   // the service was removed.
   bool JoinMark(const MoveMark& mark);
+  // Adds a crash of a local backend server, a response to a suspected request,
+  // or an operator's decision to clear one, and pushes the changed records.
+  void AddCrash(const BackendCrash& crash, int64_t unix_ms);
+  void AddResponse(const std::string& key, std::string_view service,
+                   std::string_view version);
+  // Returns false if there is no such record.
+  bool ClearCrashes(const std::string& key);
+  void DropExpiredCrashes(int64_t unix_ms);
   // Replaces the endpoints in this node's record.
   void SetEndpoints(std::span<const Endpoint> endpoints, TimePoint now);
   // Adds to this node's record an instance of a backend server that is leaving:
@@ -142,6 +152,7 @@
   const Batch& CurrentBatch() const { return *m_batch; }
   std::shared_ptr<const Batch> SharedBatch() const { return m_batch; }
   const MarkSet& Marks() const { return m_marks; }
+  const CrashSuspects& Crashes() const { return m_crashes; }
   const MemberList& Members() const { return m_members; }
   MemberRecord Self() const;
   std::vector<MemberRecord> LiveMembers() const;
@@ -215,6 +226,8 @@
   void Refute(const MemberRecord& claim, TimePoint now);
   void Suspect(const std::string& id, TimePoint now);
   void QueueUpdate(Rumour rumour, std::string key);
+  void JoinCrashRecord(const CrashRecord& record);
+  void QueueCrashRecords(std::vector<CrashRecord> records);
   void QueueMemberUpdate(const std::string& id);
   void ScheduleSync(const std::string& id);
   void AddChangedServices(const MemberRecord& member);
@@ -226,6 +239,7 @@
   uint64_t m_batch_digest = 0;
   uint64_t m_batch_bytes = 0;
   MarkSet m_marks;
+  CrashSuspects m_crashes;
   MemberList m_members;
   std::deque<Update> m_outbox;  // Updates that the next tick pushes.
   std::deque<Update> m_recent;  // Recently pushed updates, newest first.
--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -91,6 +91,9 @@
   bool limited = false;
   // The retry budget is used up, for requests of this kind.
   bool retry_denied = false;
+  // The request crashes backend servers or, if `wait` is not 0, another one
+  // that may do so runs. Decided by LocalRunner.
+  bool blocked = false;
   bool queued = false;  // The request waits for a slot, under `ticket`.
   uint64_t ticket = 0;
   std::chrono::milliseconds wait{0};  // Estimated time until a slot is free.
@@ -147,6 +150,9 @@
                           const BackendNotice& notice, TimePoint now);
 
   // Returns nullptr if there is no such backend server.
+  // True if the backend server takes no new requests, or is not known, so that
+  // its end is no surprise.
+  bool IsLeaving(const std::string& service, const std::string& version) const;
   const LocalBackend* FindBackend(const std::string& service,
                                   const std::string& version) const;
 
--- a/include/kumquatmoor/node/call_metrics.h
+++ b/include/kumquatmoor/node/call_metrics.h
@@ -34,6 +34,10 @@
   void OnLocalRun(AttemptKind kind) {
     ++m_local_runs[static_cast<size_t>(kind)];
   }
+  // Counts a crash of a local backend server.
+  void OnCrash() { ++m_crashes; }
+  // Counts a request that was refused because it crashes backend servers.
+  void OnBlocked() { ++m_blocked; }
   // Counts an outcome that was dropped because the ring to the control thread
   // was full.
   void OnLostOutcome() { ++m_lost_outcomes; }
@@ -52,6 +56,8 @@
   uint64_t m_refusals = 0;
   Runs m_local_runs{};
   uint64_t m_lost_outcomes = 0;
+  uint64_t m_crashes = 0;
+  uint64_t m_blocked = 0;
   boost::histogram::histogram<std::tuple<Axis>> m_latency;
   double m_latency_sum_ms = 0;
 };
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -124,6 +124,14 @@
   // Marks a local backend server that said in a response that it leaves as
   // draining, unless another process runs at its address by now.
   void OnBackendLeaving(const LocalBackend& backend);
+  // Replicates a crash of a local backend server, or its response to a request
+  // that is known from a crash.
+  void OnBackendCrash(const BackendCrash& crash);
+  void OnSuspectResponse(const std::string& key, const std::string& service,
+                         const std::string& version);
+  // Forgets the crashes of a request in the whole mesh. Returns false if there
+  // is no such record.
+  bool ClearCrashes(const std::string& key);
   // Publishes every local backend server as draining and stops accepting
   // callers.
   void StartDrain();
@@ -150,6 +158,9 @@
   void PublishNewBatch();
   void PublishRoutes();
   void PublishBackends();
+  // Passes changed crash records to the proxy and logs requests that are newly
+  // blocked or no longer blocked.
+  void PublishCrashes();
   std::vector<std::string> OwnZoneIds() const;
   void UpdateAckTree(TimePoint now);
   void UpdateMoves(TimePoint now);
@@ -193,6 +204,8 @@
   bool m_draining = false;
   std::shared_ptr<const RouteTable> m_published;
   uint64_t m_published_change = 0;
+  uint64_t m_published_crashes = 0;  // Hash of the crash records.
+  std::set<std::string> m_blocked;   // Keys of the blocked requests.
   std::set<std::string> m_published_unreachable;
   uint64_t m_ack_tree_version = 0;  // AliveVersion() that the tree is built on.
   uint64_t m_published_revision = 0;
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -37,6 +37,7 @@
 #include "kumquatmoor/node/call_metrics.h"
 #include "kumquatmoor/node/log_budget.h"
 #include "kumquatmoor/protocol/verdict.h"
+#include "kumquatmoor/state/crash_suspects.h"
 #include "kumquatmoor/state/outcome_counters.h"
 #include "kumquatmoor/state/picker.h"
 #include "kumquatmoor/state/routes.h"
@@ -92,6 +93,16 @@
   // Calls `handler` on the proxy's thread when a local backend server says in a
   // response that it leaves. Call before the context runs.
   void SetLeavingHandler(std::function<void(const LocalBackend&)> handler);
+  // Replaces what is known of requests that crash backend servers.
+  void SetCrashes(std::shared_ptr<const CrashSuspects> crashes);
+  // Calls `on_crash` on the proxy's thread when a local backend server has
+  // crashed, and `on_response` when one responded to a request that is known
+  // from a crash. Call before the context runs.
+  void SetCrashHandlers(
+      std::function<void(const BackendCrash&)> on_crash,
+      std::function<void(const std::string& key, const std::string& service,
+                         const std::string& version)>
+          on_response);
   // Refuses new requests for a version that has lost its share. Calls `closed`
   // once no request for the version is left.
   void CloseVersion(std::string service, std::string version,
@@ -152,6 +163,11 @@
                           const Call& call) const;
   Pick PickFor(const Call& call, AttemptKind kind,
                const std::set<std::string>& tried);
+  // The key of a caller's request. A body that is streamed counts by its
+  // buffered beginning and its length.
+  std::string KeyOf(const InboundRequest& inbound, const Call& call) const;
+  // True if every version of the request's service must not run it.
+  bool IsBlockedEverywhere(const Call& call) const;
   // Whether another target may be tried.
   bool ShouldRetry(const InboundRequest& inbound, const Attempt& attempt);
   // Updates the load figures of the target and logs the attempt.
@@ -183,6 +199,8 @@
   UpstreamPool m_pool;  // Connections to other nodes.
   LinkPacer m_pacer;    // Of messages to other nodes.
   std::shared_ptr<const RouteTable> m_routes;
+  std::shared_ptr<const CrashSuspects> m_crashes =
+      std::make_shared<const CrashSuspects>();
   CallerBounds m_bounds;
   CallMetrics m_metrics;
   CallMetrics::Runs m_logged_runs{};  // As of the last LogRetries().
--- a/include/kumquatmoor/protocol/headers.h
+++ b/include/kumquatmoor/protocol/headers.h
@@ -55,6 +55,18 @@
 // Response between nodes: "1" if the request was refused because it is not a
 // first attempt and the retry budget is used up.
 inline constexpr char kRetryDenied[] = "Kumquatmoor-Retry-Denied";
+// Request between nodes: the key that identifies repetitions of a request; see
+// RequestKey().
+inline constexpr char kRequestKey[] = "Kumquatmoor-Request-Key";
+// Request between nodes: backend servers that have crashed while they ran the
+// request, as far as the sender knows. Absent: none.
+inline constexpr char kKnownCrashes[] = "Kumquatmoor-Known-Crashes";
+// Response between nodes: "1" if the backend server crashed while it ran the
+// request.
+inline constexpr char kCrashed[] = "Kumquatmoor-Crashed";
+// Response between nodes: "1" if the request was refused because it crashes
+// backend servers or, with Retry-After, because another suspected one runs.
+inline constexpr char kBlocked[] = "Kumquatmoor-Blocked";
 // Response between nodes: "1" if the request was sent to a backend server.
 inline constexpr char kOffered[] = "Kumquatmoor-Offered";
 
--- a/include/kumquatmoor/state/picker.h
+++ b/include/kumquatmoor/state/picker.h
@@ -153,6 +153,11 @@
   // Member ids of targets to skip, as earlier attempts were sent to them. Not
   // owned.
   const std::set<std::string>* tried = nullptr;
+  // Versions that must not run the request. Not owned.
+  const std::set<std::string>* blocked_versions = nullptr;
+  // If not empty, all nodes choose the same target for the same key, so that
+  // its node can run such requests one after another.
+  std::string_view pinned_key;
 };
 
 struct Pick {
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -171,7 +171,9 @@
   // The caller closed its connection, or its body could not be read.
   bool caller_gone = false;
   bool timed_out = false;  // The connect timeout or the deadline passed.
-  bool offered = false;    // The request was sent to a backend server.
+  // The peer ended the connection after the request was sent.
+  bool connection_lost = false;
+  bool offered = false;  // The request was sent to a backend server.
 
   // The members below are meaningful only if `answered` is true.
   boost::beast::http::response_header<> head;
@@ -231,6 +233,8 @@
   bool offered = false;       // The request was sent to a backend server.
   bool limited = false;       // The backend server's own limit is reached.
   bool retry_denied = false;  // The retry budget is used up.
+  bool crashed = false;       // The backend server crashed.
+  bool blocked = false;       // The request crashes backend servers.
   bool close = false;         // Close the connection after the reply.
 };
 
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -61,6 +61,7 @@
   digest.set_members_hash(m_members.Hash());
   digest.set_marks_hash(m_marks.Hash());
   digest.set_batch_bytes(m_batch_bytes);
+  digest.set_crashes_hash(m_crashes.Hash());
   return digest;
 }
 
@@ -225,7 +226,8 @@
   }
   if (datagram.kind() == Datagram::PUSH) return;
   if (received.members_hash() == own.members_hash() &&
-      received.marks_hash() == own.marks_hash()) {
+      received.marks_hash() == own.marks_hash() &&
+      received.crashes_hash() == own.crashes_hash()) {
     m_digest_mismatches = 0;
     return;
   }
@@ -246,6 +248,9 @@
     case Rumour::kMark:
       JoinMark(rumour.mark());
       break;
+    case Rumour::kCrash:
+      JoinCrashRecord(rumour.crash());
+      break;
     default:
       break;
   }
@@ -335,6 +340,39 @@
   return true;
 }
 
+void Replica::AddCrash(const BackendCrash& crash, int64_t unix_ms) {
+  QueueCrashRecords(m_crashes.AddCrash(crash, unix_ms));
+}
+
+void Replica::AddResponse(const std::string& key, std::string_view service,
+                          std::string_view version) {
+  QueueCrashRecords(m_crashes.AddResponse(key, service, version));
+}
+
+bool Replica::ClearCrashes(const std::string& key) {
+  if (!m_crashes.Contains(key)) return false;
+  QueueCrashRecords(m_crashes.Clear(key));
+  return true;
+}
+
+void Replica::DropExpiredCrashes(int64_t unix_ms) {
+  m_crashes.DropExpired(unix_ms);
+}
+
+void Replica::JoinCrashRecord(const CrashRecord& record) {
+  if (!m_crashes.Join(record)) return;
+  QueueCrashRecords({m_crashes.RecordOf(record.key())});
+}
+
+void Replica::QueueCrashRecords(std::vector<CrashRecord> records) {
+  for (auto& record : records) {
+    const std::string key = "crash/" + record.key();
+    Rumour rumour;
+    *rumour.mutable_crash() = std::move(record);
+    QueueUpdate(std::move(rumour), key);
+  }
+}
+
 void Replica::SetEndpoints(std::span<const Endpoint> endpoints, TimePoint now) {
   MemberRecord self = Self();
   AddChangedServices(self);
--- a/src/coordination/replica_probe.cc
+++ b/src/coordination/replica_probe.cc
@@ -174,7 +174,8 @@
   }
   const Digest own = MakeDigest();
   if (own.members_hash() != datagram.digest().members_hash() ||
-      own.marks_hash() != datagram.digest().marks_hash()) {
+      own.marks_hash() != datagram.digest().marks_hash() ||
+      own.crashes_hash() != datagram.digest().crashes_hash()) {
     AddRecentUpdates(&ack);
   }
   out->push_back(AddressedTo(*sender, std::move(ack)));
--- a/src/coordination/replica_sync.cc
+++ b/src/coordination/replica_sync.cc
@@ -44,6 +44,7 @@
     request.add_bucket_hashes(hash);
   }
   *request.add_members() = Self();
+  request.set_crashes_hash(m_crashes.Hash());
   return request;
 }
 
@@ -51,7 +52,14 @@
                                      TimePoint now) {
   for (const auto& member : request.members()) MergeMember(member, now);
   for (const auto& mark : request.marks()) JoinMark(mark);
+  for (const auto& record : request.crashes()) JoinCrashRecord(record);
   SyncReply reply;
+  reply.set_crashes_hash(m_crashes.Hash());
+  if (request.crashes_hash() != m_crashes.Hash()) {
+    for (auto& record : m_crashes.All()) {
+      *reply.add_crashes() = std::move(record);
+    }
+  }
   if (m_batch->revision() > request.have_revision()) {
     *reply.mutable_batch() = *m_batch;
   }
@@ -79,6 +87,11 @@
     peer_marks.Join(mark);
     JoinMark(mark);
   }
+  CrashSuspects peer_crashes;
+  for (const auto& record : reply.crashes()) {
+    peer_crashes.Join(record);
+    JoinCrashRecord(record);
+  }
   std::map<std::string, std::string> peer_members;
   for (const auto& member : reply.members()) {
     peer_members[member.id()] = member.SerializeAsString();
@@ -96,7 +109,15 @@
   for (auto& mark : m_marks.All()) {
     if (peer_marks.Join(mark)) *offer.add_marks() = std::move(mark);
   }
-  if (offer.members().empty() && offer.marks().empty()) return std::nullopt;
+  if (reply.crashes_hash() != m_crashes.Hash()) {
+    for (auto& record : m_crashes.All()) {
+      if (peer_crashes.Join(record)) *offer.add_crashes() = std::move(record);
+    }
+  }
+  if (offer.members().empty() && offer.marks().empty() &&
+      offer.crashes().empty()) {
+    return std::nullopt;
+  }
   return offer;
 }
 
--- a/src/coordination/replica_test.cc
+++ b/src/coordination/replica_test.cc
@@ -31,6 +31,7 @@
  public:
   static constexpr int kNodes = 9;
   static constexpr milliseconds kStep{50};
+  static constexpr int64_t kUnixMs = 1'000'000'000;  // Of all crashes.
 
   explicit Mesh(uint64_t seed, int nodes = kNodes) : m_rng(seed) {
     for (int i = 0; i < nodes; ++i) Start(i);
@@ -132,6 +133,7 @@
       REQUIRE(node->CurrentBatch().revision() == m_latest.revision());
       REQUIRE(BatchDigest(node->CurrentBatch()) == BatchDigest(m_latest));
       REQUIRE(node->Marks().Hash() == first.Marks().Hash());
+      REQUIRE(node->Crashes().Hash() == first.Crashes().Hash());
       REQUIRE(node->Members().Hash() == first.Members().Hash());
       REQUIRE(node->LiveMembers().size() == m_nodes.size());
     }
@@ -142,6 +144,23 @@
     }
   }
 
+  // A backend server of a random node crashes while it runs the request.
+  void Crash(const std::string& key) {
+    const BackendCrash crash{.service = "s0",
+                             .version = "v0",
+                             .instance = std::to_string(m_rng()),
+                             .keys = {key}};
+    RandomNode().AddCrash(crash, kUnixMs);
+  }
+  // Fraction of the nodes that know that the request must not run.
+  double FractionThatBlocks(const std::string& key) const {
+    const auto blocks = [&](const auto& item) {
+      return item.second->Crashes().StandingOf(key, "s0", "v0").blocked;
+    };
+    const auto count = std::count_if(m_nodes.begin(), m_nodes.end(), blocks);
+    return static_cast<double>(count) / static_cast<double>(m_nodes.size());
+  }
+
   TimePoint Now() const { return m_now; }
   std::mt19937_64& Rng() { return m_rng; }
   const Replica& Node(int i) const { return *m_nodes.at(Id(i)); }
@@ -305,7 +324,7 @@
 };
 
 void RandomOperation(Mesh* mesh) {
-  switch (mesh->Rng()() % 13) {
+  switch (mesh->Rng()() % 14) {
     case 0:
     case 1:
     case 2:
@@ -337,6 +356,9 @@
     case 11:
       mesh->platform_down = !mesh->platform_down;
       break;
+    case 12:
+      mesh->Crash(RequestKey({.target = std::to_string(mesh->Rng()() % 3)}));
+      break;
     default:
       mesh->duplicate_probability =
           static_cast<double>(mesh->Rng()() % 4) * 0.1;
@@ -536,6 +558,51 @@
   CHECK_FALSE(replica.IsBehindFor(milliseconds(0), start + milliseconds(600)));
 }
 
+// Guards against nodes that send a request on although others know that it
+// crashes backend servers (incident inc26-crashes).
+TEST_CASE("All nodes block a crashing request within 3 s, also after restarts",
+          "[crashing-request]") {
+  const std::string key = RequestKey({.target = "/crash"});
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    Mesh mesh(seed);
+    mesh.loss_probability = 0.2;
+    mesh.Run(milliseconds(2'000));
+    for (uint32_t i = 0; i < kCrashesToBlock; ++i) mesh.Crash(key);
+    mesh.Run(milliseconds(3'000));
+    REQUIRE(mesh.FractionThatBlocks(key) == 1);
+    for (int i = 0; i < Mesh::kNodes; ++i) {
+      mesh.Start(i);
+      REQUIRE(mesh.FractionThatBlocks(key) == 1);
+      mesh.Run(milliseconds(200));
+    }
+  }
+}
+
+TEST_CASE("Crashes that parts of a mesh saw alone count together afterwards",
+          "[crashing-request]") {
+  const std::string key = RequestKey({.target = "/crash"});
+  Mesh mesh(3);
+  mesh.Run(milliseconds(2'000));
+  mesh.partitioned_zones = {"z0", "z1", "z2"};
+  for (int i = 0; i < 12; ++i) mesh.Crash(key);
+  mesh.Run(milliseconds(4'000));
+  mesh.partitioned_zones.clear();
+  mesh.Run(milliseconds(20'000));
+  CHECK(mesh.FractionThatBlocks(key) == 1);
+}
+
+TEST_CASE("All of 200 nodes block a crashing request within 3 s",
+          "[crashing-request]") {
+  const std::string key = RequestKey({.target = "/crash"});
+  Mesh mesh(5, 200);
+  mesh.loss_probability = 0.01;
+  mesh.Run(milliseconds(3'000));
+  for (uint32_t i = 0; i < kCrashesToBlock; ++i) mesh.Crash(key);
+  mesh.Run(milliseconds(3'000));
+  CHECK(mesh.FractionThatBlocks(key) == 1);
+}
+
 TEST_CASE("A restarted node gets its leaving instances from other members") {
   const TimePoint now = TimePoint() + std::chrono::hours(1);
   Replica peer({.id = "peer", .control_address = "peer"}, now);
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -205,6 +205,12 @@
   return entry.notice != before;
 }
 
+bool Admission::IsLeaving(const std::string& service,
+                          const std::string& version) const {
+  const auto found = m_entries.find({service, version});
+  return found == m_entries.end() || !UnavailableReason(found->second).empty();
+}
+
 const LocalBackend* Admission::FindBackend(const std::string& service,
                                            const std::string& version) const {
   const auto found = m_entries.find({service, version});
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -19,6 +19,10 @@
   std::string version;  // Version of the selected target.
   std::string request_id;
   std::string route;  // Name of the configured route, or method and path.
+  std::string key;    // Equal for repetitions of the request; see RequestKey().
+  // Backend servers that crashed while they ran it, as far as another node
+  // knows.
+  uint32_t known_crashes = 0;
   bool idempotent = true;
   uint32_t priority = 0;
   AttemptKind attempt_kind = AttemptKind::kFirst;
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -1,5 +1,6 @@
 #include "kumquatmoor/node/control_loop.h"
 
+#include <spdlog/fmt/ranges.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -65,6 +66,7 @@
 void ControlLoop::RunPostedCommands() {
   while (auto command = m_commands.TryPop()) (*command)(*this);
   PublishNewBatch();
+  PublishCrashes();
 }
 
 void ControlLoop::Tick() {
@@ -90,6 +92,7 @@
   if (now >= m_next_ack_update) {
     m_next_ack_update = now + kAckUpdateInterval;
     UpdateAckTree(now);
+    m_replica.DropExpiredCrashes(UnixMs());
   }
   RestoreLeavingInstances();
   ClearPlatformFailure(now);
@@ -99,6 +102,7 @@
   }
   if (auto peer = m_replica.PopSyncPeer()) m_syncs->TryPush(std::move(*peer));
   PublishRoutes();
+  PublishCrashes();
   LogChanges();
   LogDelays(now);
   m_timer.expires_after(kTickInterval);
@@ -124,6 +128,7 @@
   }
   Send(m_replica.OnDatagram(datagram, now));
   PublishNewBatch();
+  PublishCrashes();
 }
 
 void ControlLoop::Send(const std::vector<OutgoingDatagram>& out) {
@@ -410,6 +415,53 @@
   }
 }
 
+void ControlLoop::OnBackendCrash(const BackendCrash& crash) {
+  spdlog::warn(
+      "crash: event=backend_crashed service={} version={} instance={} "
+      "requests={} keys=\"{}\"",
+      crash.service, crash.version, crash.instance, crash.keys.size(),
+      fmt::join(crash.keys, " "));
+  m_replica.AddCrash(crash, UnixMs());
+  // Sends the change at once instead of at the next tick.
+  if (m_ready) Send(m_replica.Tick(Clock::now()));
+}
+
+void ControlLoop::OnSuspectResponse(const std::string& key,
+                                    const std::string& service,
+                                    const std::string& version) {
+  m_replica.AddResponse(key, service, version);
+}
+
+bool ControlLoop::ClearCrashes(const std::string& key) {
+  if (!m_replica.ClearCrashes(key)) return false;
+  spdlog::info("crash: event=cleared key={}", key);
+  return true;
+}
+
+void ControlLoop::PublishCrashes() {
+  const CrashSuspects& crashes = m_replica.Crashes();
+  if (crashes.Hash() == m_published_crashes) return;
+  m_published_crashes = crashes.Hash();
+  m_proxy->SetCrashes(std::make_shared<const CrashSuspects>(crashes));
+  std::set<std::string> blocked;
+  for (const auto& record : crashes.All()) {
+    if (!IsBlockedAnywhere(record)) continue;
+    blocked.insert(record.key());
+    if (m_blocked.count(record.key()) > 0) continue;
+    for (const auto& version : record.versions()) {
+      spdlog::warn(
+          "crash: event=blocked key={} service={} version={} crashes={}",
+          record.key(), version.service(), version.version(),
+          version.instances_size());
+    }
+  }
+  for (const auto& key : m_blocked) {
+    if (blocked.count(key) > 0) continue;
+    spdlog::info("crash: event=unblocked key={}", key);
+  }
+  m_blocked = std::move(blocked);
+}
+
 void ControlLoop::PublishBackends() {
   m_proxy->SetBackends(m_registry.Backends());
   std::vector<Endpoint> endpoints = m_registry.Endpoints();
@@ -503,6 +555,8 @@
          line("kumquatmoor_control_sent_bytes_total", m_socket.BytesSent()) +
          line("kumquatmoor_control_received_bytes_total",
               m_socket.BytesReceived()) +
+         line("kumquatmoor_crash_suspects", m_replica.Crashes().All().size()) +
+         line("kumquatmoor_blocked_keys", m_replica.Crashes().BlockedCount()) +
          line("kumquatmoor_control_sent_total", m_socket.DatagramsSent());
 }
 
--- a/src/node/crashing_request_test.cc
+++ b/src/node/crashing_request_test.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -86,6 +87,9 @@
   // Sent instead of distinct good requests, if not empty.
   std::string popular_target;
   std::function<void(int)> on_request;
+  // Backend servers end the connection of each request with such a number, in
+  // place of a response. 0: of none.
+  int reset_period = 0;
   // Good requests that were sent since the last ResetCounts().
   int good_sent = 0;
   int good_served = 0;
@@ -101,6 +105,7 @@
   }
 
   int m_period = 0;  // Incremented by ResetCounts().
+  int m_responses = 0;
 
   asio::awaitable<void> SendRequest(int number, std::string target) {
     const TestMesh::CallOptions call{
@@ -121,6 +126,9 @@
     run.expires_after(crashing ? kTimeToCrash : kRunTime);
     co_await run.async_wait(asio::use_awaitable);
     if (crashing) mesh.CrashBackend(host, kDownTime);
+    if (reset_period > 0 && ++m_responses % reset_period == 0) {
+      throw std::runtime_error("reset");
+    }
     co_return TestMesh::Response(request, 200);
   }
 };
@@ -129,7 +137,7 @@
 // that they run (incident inc26-crashes).
 TEST_CASE_METHOD(CrashFixture,
                  "A request that crashes backend servers is not sent again",
-                 "[.crashing-request]") {
+                 "[crashing-request]") {
   SendRequests(milliseconds(3'000), [this] { ResetCounts(); });
   CHECK(LateArrivals() <= kMaxLateArrivals);
   CHECK(good_served == good_sent);
@@ -150,5 +158,25 @@
   CHECK(good_served == good_sent);
 }
 
+// Guards against requests that are blocked since a backend server resets single
+// connections, as it does when it is full.
+TEST_CASE_METHOD(CrashFixture, "Connections that end alone are no crashes") {
+  crashing_target.clear();
+  reset_period = 4;
+  SendRequests(milliseconds(1'500));
+  CHECK(good_sent > 100);
+  CHECK(mesh.Crashes().IsEmpty());
+}
+
+// A node that knows nothing of the crashes asks another one's target.
+TEST_CASE_METHOD(CrashFixture,
+                 "A restarted node does not let a crashing request through",
+                 "[crashing-request]") {
+  SendRequests(milliseconds(3'000), [this] {
+    for (size_t host = 0; host < kHosts; ++host) mesh.RestartNode(host);
+  });
+  CHECK(LateArrivals() <= kMaxLateArrivals);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -7,6 +7,7 @@
 #include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -19,6 +20,14 @@
 
 // Lowest HTTP status that counts as an error of the backend server.
 constexpr unsigned kFirstErrorStatus = 400;
+constexpr unsigned kGatewayTimeout = 504;
+// Time after which a request may be sent again that was refused because another
+// suspected one runs.
+constexpr milliseconds kIsolationRetryAfter{200};
+
+constexpr std::string_view kCrashing = "the request crashes backend servers";
+constexpr std::string_view kIsolated =
+    "another request that may crash the backend server runs";
 
 milliseconds ElapsedSince(TimePoint start) {
   return std::chrono::duration_cast<milliseconds>(Clock::now() - start);
@@ -49,7 +58,8 @@
       m_admission(options),
       m_pool(context),
       m_outcomes(outcomes),
-      m_metrics(metrics) {}
+      m_metrics(metrics),
+      m_crash_detector(context) {}
 
 void LocalRunner::WakeWaiting() {
   for (auto& decision : m_admission.TakeDecisions(Clock::now())) {
@@ -113,7 +123,8 @@
        {headers::kService, headers::kVersion, headers::kIdempotent,
         headers::kPriority, headers::kObjectiveMs, headers::kRoute,
         headers::kAttemptKind, headers::kInstance, headers::kBackendLimit,
-        headers::kBackendLeaving}) {
+        headers::kBackendLeaving, headers::kRequestKey,
+        headers::kKnownCrashes}) {
     head->erase(name);
   }
   head->set(m_headers.request_id, call.request_id);
@@ -124,9 +135,50 @@
   }
 }
 
+void LocalRunner::SetCrashHandlers(
+    std::function<void(const BackendCrash&)> on_crash,
+    std::function<void(const Call&)> on_response) {
+  m_crash_detector.SetHandler(
+      [this, on_crash = std::move(on_crash)](const BackendCrash& crash) {
+        m_metrics->OnCrash();
+        on_crash(crash);
+      });
+  m_on_response = std::move(on_response);
+}
+
+bool LocalRunner::IsBlocked(const Call& call, LocalRun& run) {
+  const CrashStanding standing =
+      m_crashes->StandingOf(call.key, call.service, call.version);
+  if (standing.blocked) {
+    run.admission.blocked = true;
+    run.admission.reason = kCrashing;
+    m_metrics->OnBlocked();
+    return true;
+  }
+  if (std::max(standing.crashes, call.known_crashes) < kCrashesToIsolate) {
+    return false;
+  }
+  std::weak_ptr<void>& other = m_isolated[{call.service, call.version}];
+  if (!other.expired()) {
+    run.admission.blocked = true;
+    run.admission.reason = kIsolated;
+    run.admission.wait = kIsolationRetryAfter;
+    return true;
+  }
+  run.isolation = std::make_shared<int>(0);
+  other = run.isolation;
+  return false;
+}
+
 asio::awaitable<void> LocalRunner::Run(InboundRequest& inbound,
                                        RequestHead head, const Call& call,
                                        LocalRun& run) {
+  if (IsBlocked(call, run)) {
+    m_metrics->OnRefusal();
+    run.result.verdict = Verdict::kNotRun;
+    run.result.reason = std::string(run.admission.reason);
+    co_return;
+  }
   run.admission = m_admission.Admit(call.ForAdmission(), Clock::now());
   if (run.admission.queued) {
     co_await AwaitSlot(inbound, call, run);
@@ -153,7 +205,19 @@
   options.headers = &m_headers;
   options.to_backend = true;
   options.active = m_active;
-  run.result = co_await Forward(m_pool, inbound, options);
+  {
+    const CrashDetector::RunEntry entry =
+        m_crash_detector.Begin({.service = call.service,
+                                .version = call.version,
+                                .instance = run.admission.instance,
+                                .address = run.admission.address,
+                                .key = call.key});
+    run.result = co_await Forward(m_pool, inbound, options);
+    if (run.result.connection_lost &&
+        !m_admission.IsLeaving(call.service, call.version)) {
+      run.crashed = co_await m_crash_detector.HasCrashed(entry);
+    }
+  }
   if (!run.result.answered) co_return;
   ReadNotice(call, run);
   run.result.head.set(headers::kVerdict, VerdictName(run.result.verdict));
@@ -194,6 +258,13 @@
                       run.result.verdict != Verdict::kNotRun,
                       run.admission.run_time, run_time);
   if (!run.result.caller_gone) ReportOutcome(call, run, complete);
+  run.isolation.reset();
+  // A 504 may say that the deadline ended the run before it could do harm.
+  const bool responded =
+      ran && complete && run.result.head.result_int() != kGatewayTimeout;
+  if (responded && m_crashes->Contains(call.key) && m_on_response) {
+    m_on_response(call);
+  }
   WakeWaiting();
 }
 
--- a/src/node/local_runner.h
+++ b/src/node/local_runner.h
@@ -33,6 +33,7 @@
 #include "kumquatmoor/transport/exchange.h"
 #include "kumquatmoor/transport/upstream_pool.h"
 #include "node/call.h"
+#include "node/crash_detector.h"
 
 namespace kumquatmoor {
 
@@ -42,6 +43,10 @@
   ForwardResult result;
   TimePoint started;
   bool finished = false;
+  bool crashed = false;  // The backend server crashed while it ran the request.
+  // Held while a request runs apart from others that may crash the backend
+  // server.
+  std::shared_ptr<void> isolation;
 };
 
 // The value of the load header: requests in flight and slots, as "3/10".
@@ -80,6 +85,15 @@
     m_on_leaving = std::move(handler);
   }
 
+  // What is known of requests that crash backend servers. Never null.
+  void SetCrashes(std::shared_ptr<const CrashSuspects> crashes) {
+    m_crashes = std::move(crashes);
+  }
+  // Calls `on_crash` when a backend server of this host has crashed, and
+  // `on_response` when one responded to a request that is known from a crash.
+  void SetCrashHandlers(std::function<void(const BackendCrash&)> on_crash,
+                        std::function<void(const Call&)> on_response);
+
   // Aborts every request that waits or runs, at the end of the drain timeout.
   void AbortAll();
 
@@ -102,6 +116,9 @@
                                          const Call& call, LocalRun& run);
   void SetRequestHeaders(const Call& call, const AdmissionResult& admission,
                          RequestHead* head) const;
+  // Sets `run.admission` and returns true if the request must not run now
+  // because of crashes. Otherwise keeps it apart if necessary.
+  bool IsBlocked(const Call& call, LocalRun& run);
   // Records what the backend server says of itself in its response.
   void ReadNotice(const Call& call, LocalRun& run);
   void ReportOutcome(const Call& call, const LocalRun& run, bool complete);
@@ -113,6 +130,12 @@
   BoundedRing<Outcome>* m_outcomes;
   CallMetrics* m_metrics;
   std::function<void(const LocalBackend&)> m_on_leaving;
+  CrashDetector m_crash_detector;
+  std::shared_ptr<const CrashSuspects> m_crashes =
+      std::make_shared<const CrashSuspects>();
+  std::function<void(const Call&)> m_on_response;
+  // The isolated run of each service and version.
+  std::map<std::pair<std::string, std::string>, std::weak_ptr<void>> m_isolated;
   // Ids of retries that were sent to a backend server.
   RecentIds m_retried_runs{kMaxRetriedRuns};
   std::map<uint64_t, std::shared_ptr<Waiter>> m_waiters;  // By ticket.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -115,6 +115,16 @@
     m_loop.Post(
         [backend](ControlLoop& loop) { loop.OnBackendLeaving(backend); });
   });
+  m_proxy.SetCrashHandlers(
+      [this](const BackendCrash& crash) {
+        m_loop.Post([crash](ControlLoop& loop) { loop.OnBackendCrash(crash); });
+      },
+      [this](const std::string& key, const std::string& service,
+             const std::string& version) {
+        m_loop.Post([key, service, version](ControlLoop& loop) {
+          loop.OnSuspectResponse(key, service, version);
+        });
+      });
 }
 
 Node::~Node() { Stop(); }
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -116,6 +116,25 @@
   m_runner->SetLeavingHandler(std::move(handler));
 }
 
+void Proxy::SetCrashes(std::shared_ptr<const CrashSuspects> crashes) {
+  asio::post(m_context, [this, crashes = std::move(crashes)]() mutable {
+    m_crashes = crashes;
+    m_runner->SetCrashes(std::move(crashes));
+  });
+}
+
+void Proxy::SetCrashHandlers(
+    std::function<void(const BackendCrash&)> on_crash,
+    std::function<void(const std::string&, const std::string&,
+                       const std::string&)>
+        on_response) {
+  m_runner->SetCrashHandlers(
+      std::move(on_crash),
+      [on_response = std::move(on_response)](const Call& call) {
+        on_response(call.key, call.service, call.version);
+      });
+}
+
 void Proxy::CloseVersion(std::string service, std::string version,
                          std::function<void()> closed) {
   asio::post(m_context, [this, service = std::move(service),
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -84,6 +84,9 @@
   bool leaving = false;       // As in AdmissionResult.
   bool limited = false;       // As in AdmissionResult.
   bool retry_denied = false;  // As in AdmissionResult.
+  bool blocked = false;       // As in AdmissionResult.
+  bool crashed = false;       // The backend server of this attempt crashed.
+  uint32_t crashes = 0;       // Backend servers that crashed, in all attempts.
   int64_t offers = 0;         // Backend servers that the request was sent to.
   int refusals = 0;           // Nodes that refused the request.
   int unreachable = 0;        // Nodes that could not be connected to.
@@ -98,6 +101,7 @@
   // The next attempt, with the totals of this one.
   Attempt Next() const {
     return {.call = call,
+            .crashes = crashes,
             .offers = offers,
             .refusals = refusals,
             .unreachable = unreachable};
@@ -160,6 +164,7 @@
         index->Find(Text(head[http::field::host]), Text(head.target()));
     if (route == nullptr) return Rejection{404, "no route"};
     ApplyRoute(*route, call);
+    call->key = KeyOf(inbound, *call);
     return std::nullopt;
   }
   std::string_view path = Text(head.target());
@@ -172,20 +177,58 @@
   if (call->request_id.empty()) call->request_id = NewRequestId();
   call->route = RouteOf(method, path);
   call->idempotent = IsIdempotent(method);
+  call->key = KeyOf(inbound, *call);
   return std::nullopt;
 }
 
+std::string Proxy::KeyOf(const InboundRequest& inbound,
+                         const Call& call) const {
+  const RequestHead& head = inbound.Head();
+  const bool has_routes =
+      m_routes->http_routes != nullptr && !m_routes->http_routes->IsEmpty();
+  const uint64_t length =
+      ParseCount(Text(head[http::field::content_length])).value_or(0);
+  return RequestKey({.host = has_routes ? Text(head[http::field::host])
+                                        : std::string_view(call.service),
+                     .method = Text(head.method_string()),
+                     .target = Text(head.target()),
+                     .caller = m_options.service,
+                     .body = inbound.BufferedBody(),
+                     .body_bytes = inbound.IsFullyBuffered() ? 0 : length});
+}
+
 Pick Proxy::PickFor(const Call& call, AttemptKind kind,
                     const std::set<std::string>& tried) {
   const ServiceRoutes* service = m_routes->Find(call.service);
   if (service == nullptr) return {.reason = "no live target"};
-  const PickOptions options{.zone = m_options.zone,
-                            .idempotent = call.idempotent,
-                            .kind = kind,
-                            .tried = &tried};
+  PickOptions options{.zone = m_options.zone,
+                      .idempotent = call.idempotent,
+                      .kind = kind,
+                      .tried = &tried};
+  std::set<std::string> blocked;
+  if (m_crashes->Contains(call.key)) {
+    for (const auto& version : service->versions) {
+      const CrashStanding standing =
+          m_crashes->StandingOf(call.key, call.service, version.version);
+      if (standing.blocked) blocked.insert(version.version);
+      if (standing.crashes >= kCrashesToIsolate) options.pinned_key = call.key;
+    }
+    options.blocked_versions = &blocked;
+  }
   return PickTarget(*service, options, m_loads, Clock::now(), m_rng);
 }
 
+bool Proxy::IsBlockedEverywhere(const Call& call) const {
+  const ServiceRoutes* service = m_routes->Find(call.service);
+  if (service == nullptr || service->versions.empty()) return false;
+  return std::all_of(service->versions.begin(), service->versions.end(),
+                     [&](const VersionRoutes& version) {
+                       return m_crashes
+                           ->StandingOf(call.key, call.service, version.version)
+                           .blocked;
+                     });
+}
+
 asio::awaitable<bool> Proxy::Reject(InboundRequest& inbound, unsigned status,
                                     std::string reason) {
   LocalReply answer;
@@ -237,7 +280,10 @@
     if (arrived || attempt.MayHaveArrived()) kind = AttemptKind::kRetry;
     const Pick pick = PickFor(call, kind, tried);
     if (pick.target == nullptr) {
-      if (tried.empty()) attempt.result.reason = std::string(pick.reason);
+      if (tried.empty()) {
+        attempt.result.reason = std::string(pick.reason);
+        attempt.blocked = IsBlockedEverywhere(call);
+      }
       break;
     }
     tried.insert(pick.target->member_id);
@@ -245,10 +291,12 @@
     if (attempt.MayHaveArrived()) arrived = std::move(attempt);
     attempt = std::move(next);
     attempt.call.version = pick.target->version;
+    attempt.call.known_crashes = attempt.crashes;
     attempt.call.attempt_kind = kind;
     co_await TryTarget(inbound, pick, attempt);
     RecordAttempt(pick, attempt);
     if (attempt.result.offered) ++attempt.offers;
+    if (attempt.crashed) ++attempt.crashes;
     if (attempt.result.caller_gone) co_return;
     if (!ShouldRetry(inbound, attempt)) break;
     m_metrics.OnRetry();
@@ -267,7 +315,12 @@
   const bool refused = result.verdict == Verdict::kNotRun;
   const bool failed =
       !result.answered || result.head.result_int() >= 500 || refused;
-  if (!failed || inbound.streamed) return false;
+  if (!failed || inbound.streamed || attempt.blocked) return false;
+  // One crash may have had another cause.
+  const CrashStanding standing =
+      m_crashes->StandingOf(call.key, call.service, call.version);
+  const uint32_t crashes = std::max(attempt.crashes, standing.crashes);
+  if (attempt.crashed && crashes >= kCrashesToIsolate) return false;
   // A response with a large body cannot be kept until the next attempt ends.
   if (result.answered && !result.fully_buffered) return false;
   if (Clock::now() >= call.deadline) return false;
@@ -290,6 +343,12 @@
   head.set(headers::kIdempotent, call.idempotent ? "1" : "0");
   head.set(headers::kPriority, std::to_string(call.priority));
   head.set(headers::kAttemptKind, AttemptKindName(call.attempt_kind));
+  head.set(headers::kRequestKey, call.key);
+  const uint32_t crashes = std::max(
+      call.known_crashes,
+      m_crashes->StandingOf(call.key, call.service, call.version).crashes);
+  head.erase(headers::kKnownCrashes);
+  if (crashes > 0) head.set(headers::kKnownCrashes, std::to_string(crashes));
   const auto now = Clock::now();
   if (call.objective != TimePoint::max()) {
     const auto left =
@@ -352,6 +411,8 @@
     attempt.leaving = run.admission.leaving;
     attempt.limited = run.admission.limited;
     attempt.retry_denied = run.admission.retry_denied;
+    attempt.blocked = run.admission.blocked;
+    attempt.crashed = run.crashed;
     attempt.retry_after = run.admission.wait;
     std::swap(attempt.result, run.result);
     if (attempt.result.verdict == Verdict::kNotRun) ++attempt.refusals;
@@ -378,9 +439,12 @@
     m_loads.OnReport(pick.target->member_id, *in_flight, Clock::now());
   }
   if (attempt.result.offered) RememberNotice(pick.target->member_id, head);
+  attempt.crashed = head.count(headers::kCrashed) > 0;
   if (attempt.result.verdict == Verdict::kNotRun) {
     attempt.result.reason = std::string(Text(head[headers::kReason]));
-    attempt.leaving = head.count(http::field::retry_after) == 0;
+    attempt.blocked = head.count(headers::kBlocked) > 0;
+    attempt.leaving =
+        !attempt.blocked && head.count(http::field::retry_after) == 0;
     attempt.limited = head.count(headers::kLimited) > 0;
     attempt.retry_denied = head.count(headers::kRetryDenied) > 0;
     attempt.retry_after = ParseRetryAfter(Text(head[http::field::retry_after]));
@@ -403,7 +467,7 @@
   m_loads.OnDone(target, failed && !result.caller_gone, now, latency);
   const bool unreachable =
       !result.answered && result.verdict == Verdict::kNotRun && !attempt.local;
-  if (unreachable && !result.caller_gone) {
+  if ((unreachable && !result.caller_gone) || attempt.crashed) {
     m_loads.OnUnreachable(target, now);
   } else if (attempt.leaving) {
     m_loads.OnRefused(target, now);
@@ -411,7 +475,7 @@
     m_loads.OnRetryDenied(target, call.attempt_kind, now);
   } else if (attempt.limited) {
     m_loads.OnFull(target, now, std::min(attempt.retry_after, kMaxRetryAfter));
-  } else if (result.verdict == Verdict::kNotRun) {
+  } else if (result.verdict == Verdict::kNotRun && !attempt.blocked) {
     m_loads.OnFull(target, now);
   }
   // The load of another node was in a header of its response.
@@ -440,6 +504,7 @@
                           attempt.call.request_id);
   attempt.result.head.erase(headers::kLoad);
   attempt.result.head.erase(headers::kOffered);
+  attempt.result.head.erase(headers::kCrashed);
   attempt.result.head.erase(headers::kInstance);
   // A drain that begins during the write must not close a connection that the
   // response keeps open.
@@ -470,6 +535,8 @@
   if (result.verdict == Verdict::kNotRun) {
     answer.retry_after =
         std::clamp(attempt.retry_after, kMinRetryAfter, kMaxRetryAfter);
+    const bool is_final = attempt.blocked && attempt.retry_after.count() == 0;
+    if (is_final) answer.retry_after = milliseconds(0);
   } else {
     answer.verdict = Verdict::kMayHaveRun;
     answer.status = result.timed_out ? 504 : 502;
@@ -497,6 +564,9 @@
   call.priority = ParseCount(Text(head[headers::kPriority])).value_or(0);
   call.attempt_kind = ParseAttemptKind(Text(head[headers::kAttemptKind]))
                           .value_or(AttemptKind::kFirst);
+  call.key = std::string(Text(head[headers::kRequestKey]));
+  call.known_crashes =
+      ParseCount(Text(head[headers::kKnownCrashes])).value_or(0);
   if (auto left = ParseCount(Text(head[headers::kObjectiveMs]))) {
     call.objective = call.started + milliseconds(*left);
   }
@@ -527,7 +597,11 @@
   answer.offered = run.result.offered;
   // Without a Retry-After header, the other node avoids this target for a
   // while.
-  if (!run.admission.leaving) {
+  answer.blocked = run.admission.blocked;
+  answer.crashed = run.crashed;
+  if (answer.blocked) {
+    answer.retry_after = run.admission.wait;
+  } else if (!run.admission.leaving) {
     answer.retry_after = std::max(run.admission.wait, kMinRetryAfter);
   }
   answer.limited = run.admission.limited;
--- a/src/node/test_mesh.cc
+++ b/src/node/test_mesh.cc
@@ -26,6 +26,8 @@
 constexpr char kZone[] = "z";
 constexpr char kRouteHost[] = "h";
 constexpr uint32_t kMaxAttempts = 3;
+constexpr std::chrono::milliseconds kGossipDelay{50};
+constexpr int64_t kUnixMs = 1'000'000'000;  // Time of day of every crash.
 
 // A completion token that stores the error instead of throwing it.
 auto Into(beast::error_code& error) {
@@ -111,9 +113,33 @@
   if (const auto error = host.proxy->Start()) {
     throw std::runtime_error(error.message());
   }
+  host.proxy->SetCrashHandlers(
+      [this](const BackendCrash& crash) {
+        ChangeCrashes([crash](CrashSuspects& crashes) {
+          crashes.AddCrash(crash, kUnixMs);
+        });
+      },
+      [this](const std::string& key, const std::string& service,
+             const std::string& version) {
+        ChangeCrashes([=](CrashSuspects& crashes) {
+          crashes.AddResponse(key, service, version);
+        });
+      });
+  host.proxy->SetCrashes(std::make_shared<const CrashSuspects>(m_crashes));
   Announce(host);
 }
 
+void TestMesh::ChangeCrashes(std::function<void(CrashSuspects&)> change) {
+  auto timer = std::make_shared<asio::steady_timer>(m_context);
+  timer->expires_after(kGossipDelay);
+  timer->async_wait([this, timer, change = std::move(change)](
+                        const beast::error_code& /*error*/) {
+    change(m_crashes);
+    const auto crashes = std::make_shared<const CrashSuspects>(m_crashes);
+    for (const auto& host : m_hosts) host->proxy->SetCrashes(crashes);
+  });
+}
+
 void TestMesh::Announce(Host& host) {
   host.proxy->SetBackends(
       {{.service = host.options.service,
@@ -201,10 +227,14 @@
                         .target = std::string(request.target()),
                         .id = std::string(request["Id"]),
                         .at = Clock::now()});
+  const auto remove = [&backend](asio::ip::tcp::socket* ended) {
+    backend.running.erase(ended);
+  };
+  const std::unique_ptr<asio::ip::tcp::socket, decltype(remove)> running(
+      &socket, remove);
   backend.running.insert(&socket);
   const uint32_t crashes = backend.crashes;
   HttpResponse response = co_await m_scripts.at(service)(host, request);
-  backend.running.erase(&socket);
   if (backend.crashes != crashes) throw std::runtime_error("crashed");
   co_return response;
 }
--- a/src/node/test_mesh.h
+++ b/src/node/test_mesh.h
@@ -13,8 +13,10 @@
 //     ...
 //   });
 //
-// Everything runs on the thread that calls Run. A request to "/SERVICE/..." is
-// routed to the service. The headers have short names, see TestMeshHeaders.
+// Crashes that a node reports are known to all nodes 50 ms later, in place of
+// gossip. Everything runs on the thread that calls Run. A request to
+// "/SERVICE/..." is routed to the service. The headers have short names, see
+// TestMeshHeaders.
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -88,6 +90,8 @@
   boost::asio::io_context& Context() { return m_context; }
   Proxy& NodeOf(size_t host) { return *m_hosts[host]->proxy; }
   const std::vector<Arrival>& Arrivals() const { return m_arrivals; }
+  // What all nodes know of crashes.
+  const CrashSuspects& Crashes() const { return m_crashes; }
 
  private:
   struct Host {
@@ -112,6 +116,8 @@
   void StartNode(Host& host);
   void PublishRoutes();
   std::shared_ptr<const RouteTable> Routes() const;
+  // Runs `change` on the crash records of the mesh after the delay of gossip.
+  void ChangeCrashes(std::function<void(CrashSuspects&)> change);
   // Passes the backend server's current instance to its node.
   static void Announce(Host& host);
   boost::asio::awaitable<void> RestartBackend(
@@ -129,6 +135,7 @@
   // Idle connections of callers, by host.
   std::map<size_t, std::vector<std::unique_ptr<Connection>>> m_idle;
   std::vector<Arrival> m_arrivals;
+  CrashSuspects m_crashes;
   uint16_t m_next_port = 17'300;
 };
 
--- a/src/state/picker.cc
+++ b/src/state/picker.cc
@@ -13,6 +13,8 @@
 
 #include "kumquatmoor/state/picker.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <vector>
@@ -142,6 +144,21 @@
   return versions.back();
 }
 
+// The target with the highest hash of its id and the key (rendezvous hashing),
+// or nullptr.
+const Target* PinnedTarget(const Candidates& targets, std::string_view key) {
+  const Target* pinned = nullptr;
+  uint64_t highest = 0;
+  for (const Target* target : targets) {
+    const std::string text = target->member_id + '\n' + std::string(key);
+    const uint64_t hash = XXH3_64bits(text.data(), text.size());
+    if (pinned != nullptr && hash < highest) continue;
+    pinned = target;
+    highest = hash;
+  }
+  return pinned;
+}
+
 Pick PickInVersion(const VersionRoutes& version, const PickOptions& options,
                    const TargetLoads& loads, TimePoint now,
                    std::mt19937_64& rng) {
@@ -149,6 +166,12 @@
       ReachableTargets(UntriedTargets(version, options, loads, now), loads,
                        now),
       loads, now);
+  if (!options.pinned_key.empty()) {
+    const Target* pinned = PinnedTarget(healthy, options.pinned_key);
+    return {.version = &version,
+            .target = pinned,
+            .reason = pinned == nullptr ? "none untried" : "pinned"};
+  }
   const Candidates candidates = TargetsNotFull(healthy, loads, now);
   Candidates own_zone;
   std::copy_if(
@@ -309,7 +332,15 @@
 Pick PickTarget(const ServiceRoutes& service, const PickOptions& options,
                 const TargetLoads& loads, TimePoint now, std::mt19937_64& rng) {
   std::vector<const VersionRoutes*> versions;
-  for (const auto& version : service.versions) versions.push_back(&version);
+  for (const auto& version : service.versions) {
+    if (options.blocked_versions == nullptr ||
+        options.blocked_versions->count(version.version) == 0) {
+      versions.push_back(&version);
+    }
+  }
+  if (versions.empty() && !service.versions.empty()) {
+    return {.reason = "the request crashes backend servers"};
+  }
   while (!versions.empty()) {
     const auto* version = DrawVersion(versions, options.idempotent, rng);
     if (version == nullptr) break;
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -211,6 +211,14 @@
   co_return co_await BufferResponseBody(result, deadline);
 }
 
+// True if the error says that the peer has ended the connection.
+bool IsEndOfConnection(const Error& error) {
+  return error == asio::error::eof || error == asio::error::connection_reset ||
+         error == asio::error::broken_pipe ||
+         error == http::error::end_of_stream ||
+         error == http::error::partial_message;
+}
+
 // Returns true if the response echoes the id of another request. A response
 // without an id is accepted.
 bool IsForOtherRequest(const http::response_header<>& response,
@@ -420,6 +428,7 @@
   watch.reset();
   if (error || result.caller_gone) {
     SetFailure(&result, Verdict::kMayHaveRun, "no whole answer", error);
+    result.connection_lost = !result.caller_gone && IsEndOfConnection(error);
     co_return result;
   }
   if (options.to_backend) {
--- a/src/transport/relay.cc
+++ b/src/transport/relay.cc
@@ -140,6 +140,8 @@
   if (!reply.load.empty()) response.set(headers::kLoad, reply.load);
   if (reply.limited) response.set(headers::kLimited, "1");
   if (reply.retry_denied) response.set(headers::kRetryDenied, "1");
+  if (reply.crashed) response.set(headers::kCrashed, "1");
+  if (reply.blocked) response.set(headers::kBlocked, "1");
   if (reply.offered) response.set(headers::kOffered, "1");
   if (reply.retry_after.count() > 0) {
     const double seconds =
