A limit that is no number leaves the limit before it in force

Cause: a Server-Limit that cannot be parsed was read as none, which withdraws the limit. Evidence: node_test [unreadable-limit] failed before and passes now; it runs with the other tests again. Why it works: both the node beside the backend server and the callers' nodes keep the limit before it.

--- a/include/kumquatmoor/protocol/backend_notice.h
+++ b/include/kumquatmoor/protocol/backend_notice.h
@@ -6,7 +6,8 @@
 //   BackendNotice notice{.limit = ParseRate("5.9")};
 //
 // A limit holds until the next response, which may have another one or none. A
-// process that leaves does not come back.
+// response with a limit that cannot be parsed changes nothing. A process that
+// leaves does not come back.
 // All functions are pure and safe to call from any thread.
 
 #include <optional>
@@ -18,10 +19,16 @@
   // Requests per second that it accepts from all hosts together.
   std::optional<double> limit;
   bool leaving = false;  // It must get no new requests.
+  // The response has a limit that cannot be parsed.
+  bool has_invalid_limit = false;
 
   bool operator==(const BackendNotice&) const = default;
 };
 
+// `notice`, with the limit of `previous` in place of an invalid one.
+BackendNotice KeepValidLimit(BackendNotice notice,
+                             const BackendNotice& previous);
+
 // Parses a rate per second, a decimal number. Returns nullopt if the text is
 // not a number, or is negative, infinite or NaN.
 std::optional<double> ParseRate(std::string_view text);
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -201,7 +201,7 @@
   if (entry.backend.instance != instance) return false;
   entry.responded = true;
   const BackendNotice before = entry.notice;
-  SetNotice(notice, &entry, now);
+  SetNotice(KeepValidLimit(notice, before), &entry, now);
   return entry.notice != before;
 }
 
--- a/src/node/backend_notice_test.cc
+++ b/src/node/backend_notice_test.cc
@@ -166,7 +166,7 @@
 
 // Guards against a limit that an unreadable one withdraws.
 TEST_CASE_METHOD(NoticeFixture, "A limit that is no number withdraws no limit",
-                 "[.unreadable-limit]") {
+                 "[unreadable-limit]") {
   notice.limit = 5;
   unreadable_after = milliseconds(2'000);
   SendRequests(milliseconds(9'000));
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -46,8 +46,11 @@
     const auto value = head[name];
     return {value.data(), value.size()};
   };
-  return {.limit = ParseRate(text(names.backend_limit)),
-          .leaving = text(names.backend_leaving) == "1"};
+  const std::string_view limit_text = text(names.backend_limit);
+  const auto limit = ParseRate(limit_text);
+  return {.limit = limit,
+          .leaving = text(names.backend_leaving) == "1",
+          .has_invalid_limit = !limit_text.empty() && !limit};
 }
 
 LocalRunner::LocalRunner(asio::io_context& context, const CallHeaders& headers,
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -188,8 +188,9 @@
       m_routes->http_routes != nullptr && !m_routes->http_routes->IsEmpty();
   const uint64_t length =
       ParseCount(Text(head[http::field::content_length])).value_or(0);
-  return RequestKey({.host = has_routes ? Text(head[http::field::host])
-                                        : std::string_view(call.service),
+  std::string_view host = call.service;
+  if (has_routes) host = Text(head[http::field::host]);
+  return RequestKey({.host = host,
                      .method = Text(head.method_string()),
                      .target = Text(head.target()),
                      .caller = m_options.service,
@@ -365,10 +366,12 @@
 
 void Proxy::RememberNotice(const std::string& member_id,
                            const http::fields& response) {
-  const BackendNotice notice = NoticeOf(response, m_options.headers);
+  const auto found = m_notices.find(member_id);
+  const BackendNotice notice = KeepValidLimit(
+      NoticeOf(response, m_options.headers),
+      found == m_notices.end() ? BackendNotice() : found->second.notice);
   if (notice == BackendNotice()) {
     // A response may be older than the one that said that the process leaves.
-    const auto found = m_notices.find(member_id);
     if (found != m_notices.end() && !found->second.notice.leaving) {
       m_notices.erase(found);
     }
--- a/src/protocol/backend_notice.cc
+++ b/src/protocol/backend_notice.cc
@@ -5,6 +5,12 @@
 
 namespace kumquatmoor {
 
+BackendNotice KeepValidLimit(BackendNotice notice,
+                             const BackendNotice& previous) {
+  if (!notice.has_invalid_limit) return notice;
+  return {.limit = previous.limit, .leaving = notice.leaving};
+}
+
 std::optional<double> ParseRate(std::string_view text) {
   double rate = 0;
   const char* end = text.data() + text.size();
