Operators see the requests that ran during crashes, and can clear one

kumquatmoorctl crashes lists the records that every node holds, kumquatmoorctl crashes clear KEY lets a blocked request run again in the whole mesh: a higher generation of the record replaces the one that blocks.

--- a/include/kumquatmoor/coordination/control_client.h
+++ b/include/kumquatmoor/coordination/control_client.h
@@ -45,6 +45,11 @@
   Result<NodesReply> GetNodes(const ControlPeer& peer);
   Result<ExplainReply> Explain(const ControlPeer& peer,
                                const std::string& service);
+  // The requests that backend servers ran when they crashed.
+  Result<CrashesReply> GetCrashes(const ControlPeer& peer);
+  // Forgets the crashes of a request in the whole mesh.
+  Result<ClearCrashesReply> ClearCrashes(const ControlPeer& peer,
+                                         const std::string& key);
 
   // Requests the zone reports of `peers`, the roots of several zones,
   // concurrently. Returns one report for each peer; its `reached` is false if
--- a/include/kumquatmoor/node/control_service.h
+++ b/include/kumquatmoor/node/control_service.h
@@ -60,6 +60,12 @@
   grpc::Status Explain(grpc::ServerContext* context,
                        const ExplainRequest* request,
                        ExplainReply* reply) override;
+  grpc::Status GetCrashes(grpc::ServerContext* context,
+                          const CrashesRequest* request,
+                          CrashesReply* reply) override;
+  grpc::Status ClearCrashes(grpc::ServerContext* context,
+                            const ClearCrashesRequest* request,
+                            ClearCrashesReply* reply) override;
 
  private:
   ControlLoop* m_loop;
--- a/src/coordination/control_client.cc
+++ b/src/coordination/control_client.cc
@@ -128,6 +128,20 @@
       m_faults, peer, request, kCallTimeout, &Control::Stub::Explain);
 }
 
+Result<CrashesReply> ControlClient::GetCrashes(const ControlPeer& peer) {
+  return Call<CrashesReply, CrashesRequest>(m_faults, peer, CrashesRequest(),
+                                            kCallTimeout,
+                                            &Control::Stub::GetCrashes);
+}
+
+Result<ClearCrashesReply> ControlClient::ClearCrashes(const ControlPeer& peer,
+                                                      const std::string& key) {
+  ClearCrashesRequest request;
+  request.set_key(key);
+  return Call<ClearCrashesReply, ClearCrashesRequest>(
+      m_faults, peer, request, kCallTimeout, &Control::Stub::ClearCrashes);
+}
+
 std::vector<ZoneReport> ControlClient::ReportZones(
     std::span<const ControlPeer> peers) {
   grpc::CompletionQueue queue;
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -11,6 +11,7 @@
 #include "ctl/command_helpers.h"
 #include "ctl/table_commands.h"
 #include "kumquatmoor/coordination/table_store.h"
+#include "kumquatmoor/state/crash_suspects.h"
 
 namespace kumquatmoor {
 namespace {
@@ -117,6 +118,51 @@
   return kExitSuccess;
 }
 
+int Crashes(const CtlContext& context, const Arguments& /*arguments*/) {
+  auto answer = Attempt([&] {
+    return CallAnyNode<CrashesReply>(context, [&](const ControlPeer& peer) {
+      return context.client->GetCrashes(peer);
+    });
+  });
+  if (auto* failure = std::get_if<Failure>(&answer)) {
+    return ReportFailure(context, *failure);
+  }
+  const CrashesReply& reply = std::get<CrashesReply>(answer);
+  if (context.json) {
+    PrintMessage(context, reply);
+    return kExitSuccess;
+  }
+  for (const auto& record : reply.records()) {
+    *context.out << fmt::format(
+        "{} {}\n", record.key(),
+        IsBlockedAnywhere(record) ? "blocked" : "not blocked");
+    for (const auto& version : record.versions()) {
+      *context.out << fmt::format("  {}/{}: {} crashed{}\n", version.service(),
+                                  version.version(), version.instances_size(),
+                                  version.responded() ? ", responded" : "");
+    }
+  }
+  return kExitSuccess;
+}
+
+int ClearCrashes(const CtlContext& context, const Arguments& arguments) {
+  auto answer = Attempt([&] {
+    return CallAnyNode<ClearCrashesReply>(
+        context, [&](const ControlPeer& peer) {
+          return context.client->ClearCrashes(peer, arguments[0]);
+        });
+  });
+  if (auto* failure = std::get_if<Failure>(&answer)) {
+    return ReportFailure(context, *failure);
+  }
+  if (!std::get<ClearCrashesReply>(answer).accepted()) {
+    *context.err << "not accepted: no request with this key is known\n";
+    return kExitRefused;
+  }
+  *context.out << "accepted: the request may run again\n";
+  return kExitSuccess;
+}
+
 int History(const CtlContext& context, const Arguments& /*arguments*/) {
   TableStore store(context.platform);
   auto read = Attempt([&] { return store.ReadHead(); });
@@ -209,6 +255,8 @@
       {{"history"}, 0, History},
       {{"nodes"}, 0, Nodes},
       {{"explain"}, 1, Explain},
+      {{"crashes"}, 0, Crashes},
+      {{"crashes", "clear"}, 1, ClearCrashes},
   };
   return kCommands;
 }
@@ -231,7 +279,10 @@
          "  history                 the latest accepted tables\n"
          "  history --write_id=ID   whether that write was accepted\n"
          "  nodes                   every node and its backend servers\n"
-         "  explain SERVICE         where a request would go, and why\n\n"
+         "  explain SERVICE         where a request would go, and why\n"
+         "  crashes                 requests that ran when backend servers\n"
+         "                          crashed, and which of them are blocked\n"
+         "  crashes clear KEY       let a blocked request run again\n\n"
          "Exit codes: 0 good, 1 refused (nothing changed), 2 bad usage or\n"
          "settings, 3 unknown (may have taken effect), 4 unreachable.";
 }
--- a/src/node/control_service.cc
+++ b/src/node/control_service.cc
@@ -219,4 +219,26 @@
   return grpc::Status::OK;
 }
 
+grpc::Status ControlService::GetCrashes(grpc::ServerContext* /*context*/,
+                                        const CrashesRequest* /*request*/,
+                                        CrashesReply* reply) {
+  auto records = m_loop->Run<std::vector<CrashRecord>>(
+      [](ControlLoop& loop) { return loop.GetReplica().Crashes().All(); });
+  if (!records) return Busy();
+  for (auto& record : *records) *reply->add_records() = std::move(record);
+  return grpc::Status::OK;
+}
+
+grpc::Status ControlService::ClearCrashes(grpc::ServerContext* /*context*/,
+                                          const ClearCrashesRequest* request,
+                                          ClearCrashesReply* reply) {
+  const auto accepted =
+      m_loop->Run<bool>([key = request->key()](ControlLoop& loop) {
+        return loop.ClearCrashes(key);
+      });
+  if (!accepted) return Busy();
+  reply->set_accepted(*accepted);
+  return grpc::Status::OK;
+}
+
 }  // namespace kumquatmoor
