Count crashes of backend servers that have no instance id, or an old one

What callers saw: a request that crashes backend servers was never blocked where these announce no instance id: 20 crashes later than 3 s after the third, of 32 in 8 s. A backend server of the users may also start again under the id that it had. Cause: crashes were told apart by the instance id alone. Why it works: the node beside the backend server is the only one that reports its crash, so the node, its start and a count identify the crash.

--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -206,6 +206,7 @@
   uint64_t m_published_change = 0;
   uint64_t m_published_crashes = 0;  // Hash of the crash records.
   std::set<std::string> m_blocked;   // Keys of the blocked requests.
+  uint64_t m_backend_crashes = 0;    // Of local backend servers.
   std::set<std::string> m_published_unreachable;
   uint64_t m_ack_tree_version = 0;  // AliveVersion() that the tree is built on.
   uint64_t m_published_revision = 0;
--- a/include/kumquatmoor/state/crash_suspects.h
+++ b/include/kumquatmoor/state/crash_suspects.h
@@ -62,6 +62,7 @@
 struct BackendCrash {
   std::string service;
   std::string version;
+  // Identifies the process. Two crashes of one instance count once.
   std::string instance;
   std::vector<std::string> keys;  // Of the requests that it ran.
 };
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -421,7 +421,13 @@
       "requests={} keys=\"{}\"",
       crash.service, crash.version, crash.instance, crash.keys.size(),
       fmt::join(crash.keys, " "));
-  m_replica.AddCrash(crash, UnixMs());
+  // Backend servers need not have instance ids, and may start again with the
+  // one that they had.
+  BackendCrash identified = crash;
+  identified.instance =
+      fmt::format("{}/{}/{}", m_options.replica.id,
+                  m_options.replica.started_ms, ++m_backend_crashes);
+  m_replica.AddCrash(identified, UnixMs());
   // Sends the change at once instead of at the next tick.
   if (m_ready) Send(m_replica.Tick(Clock::now()));
 }
--- a/src/node/crash_detector.cc
+++ b/src/node/crash_detector.cc
@@ -37,7 +37,8 @@
 asio::awaitable<bool> CrashDetector::HasCrashed(const RunEntry& entry) {
   const Run run = m_runs->extract(entry.m_id).mapped().run;
   boost::system::error_code ignored;
-  if (const auto found = m_checks.find(run.instance); found != m_checks.end()) {
+  const ProcessKey process{run.service, run.version, run.instance};
+  if (const auto found = m_checks.find(process); found != m_checks.end()) {
     const std::shared_ptr<Check> check = found->second;
     check->crash.keys.push_back(run.key);
     co_await check->decided.async_wait(
@@ -51,9 +52,9 @@
                   .keys = {run.key}};
   check->started = Clock::now();
   check->decided.expires_at(TimePoint::max());
-  m_checks.emplace(run.instance, check);
+  m_checks.emplace(process, check);
   check->has_crashed = co_await Decide(run.address, *check);
-  m_checks.erase(run.instance);
+  m_checks.erase(process);
   if (check->has_crashed && m_handler) m_handler(check->crash);
   check->decided.cancel();
   co_return check->has_crashed;
@@ -78,7 +79,9 @@
 bool CrashDetector::AnyRunGoesOn(const Check& check) const {
   return std::any_of(m_runs->begin(), m_runs->end(), [&](const auto& item) {
     const StartedRun& other = item.second;
-    return other.run.instance == check.crash.instance &&
+    return other.run.service == check.crash.service &&
+           other.run.version == check.crash.version &&
+           other.run.instance == check.crash.instance &&
            other.started < check.started;
   });
 }
--- a/src/node/crash_detector.h
+++ b/src/node/crash_detector.h
@@ -25,6 +25,8 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
+#include <utility>
 
 #include "kumquatmoor/state/crash_suspects.h"
 #include "kumquatmoor/state/limits.h"
@@ -96,7 +98,9 @@
   std::function<void(const BackendCrash&)> m_handler;
   std::shared_ptr<Runs> m_runs = std::make_shared<Runs>();
   uint64_t m_last_id = 0;
-  std::map<std::string, std::shared_ptr<Check>> m_checks;  // By instance.
+  // By service, version and instance, which may be empty.
+  using ProcessKey = std::tuple<std::string, std::string, std::string>;
+  std::map<ProcessKey, std::shared_ptr<Check>> m_checks;
 };
 
 }  // namespace kumquatmoor
--- a/tools/proofs.py
+++ b/tools/proofs.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import sys
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -30,6 +31,8 @@
 CONVERGENCE_LIMIT_S = 3
 DRAIN_LIMIT_S = 2
 RECALL_LIMIT_S = 3
+# Time after the third crash by a request within which all nodes must know it.
+SPREAD_LIMIT_S = 3
 
 
 def check(condition, message):
@@ -367,6 +370,77 @@
         check_run_counts(cluster)
 
 
+def restart_crashed_backends(cluster, service, crash_times, stopping):
+    """Starts backend servers of `service` again 1 s after they end, and adds
+    the time of each end to `crash_times`, until `stopping` is set."""
+    hosts = [host for host in cluster.hosts if (service, "v1") in host.backends]
+    ended = {}
+    while not stopping.wait(0.01):
+        for host in hosts:
+            if host.backends[(service, "v1")].poll() is None:
+                continue
+            if host not in ended:
+                ended[host] = time.monotonic()
+                crash_times.append(ended[host])
+            elif time.monotonic() > ended[host] + 1:
+                del ended[host]
+                cluster.start_backend(host, service, "v1")
+
+
+def call_status(host, path, method="GET"):
+    """The status of a call through the caller address of a host."""
+    request = urllib.request.Request(f"http://{host.at(CALLER_PORT)}{path}",
+                                     method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=3) as response:
+            return response.status
+    except urllib.error.HTTPError as error:
+        return error.code
+
+
+def crashing_request_is_stopped():
+    """A request that ends each backend server that runs it is repeated through
+    every node. After three crashes at most three more follow within the bounds
+    of the users, other requests are served, and an operator can clear it."""
+    with sagarmatha(35) as cluster:
+        cluster.spec["backend"] = {**cluster.spec.get("backend", {}),
+                                   "fault": "crash", "fault_route": "/crash"}
+        cluster.start()
+        cluster.apply_first_table()
+        crashes, stopping = [], threading.Event()
+        supervisor = threading.Thread(
+            target=restart_crashed_backends,
+            args=(cluster, "bookings", crashes, stopping))
+        supervisor.start()
+        try:
+            sends = 0
+            end = time.monotonic() + 8
+            while time.monotonic() < end:
+                host = cluster.hosts[sends % len(cluster.hosts)]
+                call_status(host, "/bookings/crash")
+                sends += 1
+                time.sleep(0.05)
+            check(len(crashes) >= 3, f"{len(crashes)} crashes")
+            late = [at for at in crashes if at > crashes[2] + SPREAD_LIMIT_S]
+            check(len(late) <= 3, f"{len(late)} late crashes of {len(crashes)}")
+            load = cluster.start_load("after", MIXED, 200, 3)
+            result = cluster.finish_load("after", load)
+            check(result["outcomes"] == {"ok": result["calls"]}, str(result))
+            listed = cluster.ctl_json("crashes").get("records", [])
+            keys = [record["key"] for record in listed
+                    if len(record["versions"][0]["instances"]) >= 3]
+            check(len(keys) == 1, f"listed requests: {listed}")
+            answer = cluster.ctl("crashes", "clear", keys[0])
+            check(answer.returncode == 0, answer.stderr)
+            time.sleep(1)
+            before = len(crashes)
+            call_status(cluster.hosts[0], "/bookings/crash")
+            cluster.wait(lambda: len(crashes) > before, "a cleared request")
+        finally:
+            stopping.set()
+            supervisor.join()
+
+
 def drained_backend_gets_nothing_new():
     """A backend server drains while its node cannot notify any other node. Its
     node refuses new requests for it."""
@@ -534,7 +608,7 @@
 PROOFS = [revisions_never_fall, routes_resolve, damaged_batch_is_refused_whole,
           bad_version_is_taken_back, answers_are_whole_and_own,
           large_bodies_stream, at_most_one_run,
-          callers_that_leave_free_their_slots, drained_backend_gets_nothing_new,
+          callers_that_leave_free_their_slots, crashing_request_is_stopped, drained_backend_gets_nothing_new,
           shutdown_cuts_nothing_off, accepted_means_in_force, operators_race,
           zones_serve_alone]
 
