--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -284,6 +284,7 @@
       if (tried.empty()) {
         attempt.result.reason = std::string(pick.reason);
         attempt.blocked = IsBlockedEverywhere(call);
+        if (attempt.blocked) m_metrics.OnBlocked();
       }
       break;
     }
