--- a/src/state/crash_suspects.cc
+++ b/src/state/crash_suspects.cc
@@ -271,9 +271,10 @@
   if (m_records.size() <= kMaxRecords) return;
   const auto importance = [](const Records::const_iterator& item) {
     const CrashRecord& record = item->second;
+    const std::string_view key = record.key();
     return std::make_tuple(IsBlockedAnywhere(record),
                            UnansweredCrashes(record) > 0, record.crashed_ms(),
-                           std::string_view(record.key()));
+                           key);
   };
   std::vector<Records::iterator> records;
   for (auto it = m_records.begin(); it != m_records.end(); ++it) {
