Count attempts of unknown outcome against the route's limit

What callers saw: requests that ran on three backend servers where the route allows two (BUDGET), when connections between nodes were reset. Cause: an attempt counted as sent to a backend server only if the other node's response said so. An attempt whose connection was lost may have run, and was retried without a limit but the deadline and the retry budget. The new test: 5 targets where 2 are allowed, before; 2 now. Why it works: whatever may have arrived is counted, as the retry kind already does.

--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -87,7 +87,7 @@
   bool blocked = false;       // As in AdmissionResult.
   bool crashed = false;       // The backend server of this attempt crashed.
   uint32_t crashes = 0;       // Backend servers that crashed, in all attempts.
-  int64_t offers = 0;         // Backend servers that the request was sent to.
+  int64_t offers = 0;         // Attempts that may have arrived.
   int refusals = 0;           // Nodes that refused the request.
   int unreachable = 0;        // Nodes that could not be connected to.
   milliseconds retry_after{0};
@@ -297,7 +297,7 @@
     attempt.call.attempt_kind = kind;
     co_await TryTarget(inbound, pick, attempt);
     RecordAttempt(pick, attempt);
-    if (attempt.result.offered) ++attempt.offers;
+    if (attempt.MayHaveArrived()) ++attempt.offers;
     if (attempt.crashed) ++attempt.crashes;
     if (attempt.result.caller_gone) co_return;
     if (!ShouldRetry(inbound, attempt)) break;
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -32,6 +33,8 @@
 constexpr char kCaller[] = "127.0.0.1:17210";
 constexpr char kData[] = "127.0.0.1:17211";
 constexpr char kBackend[] = "127.0.0.1:17212";
+constexpr char kLostNodes[] = "127.0.0.1:17213";
+constexpr uint32_t kMaxAttempts = 2;  // Of each route.
 
 CallHeaders TestHeaders() {
   return {.request_id = "Id",
@@ -109,6 +112,12 @@
   }
 
   static std::shared_ptr<const RouteTable> Routes() {
+    return Routes({"n1"}, kData);
+  }
+
+  // Routes to the targets of these members, whose nodes have the same address.
+  static std::shared_ptr<const RouteTable> Routes(
+      const std::vector<std::string>& members, const std::string& address) {
     Batch batch;
     batch.set_revision(1);
     ServiceConfig* service = batch.add_services();
@@ -123,20 +132,23 @@
       route->set_host("h");
       route->set_prefix(idempotent ? "/read/" : "/write/");
       route->set_kind(idempotent ? IDEMPOTENT : NON_IDEMPOTENT);
-      route->set_max_attempts(2);
+      route->set_max_attempts(kMaxAttempts);
       WeightedService* part = route->add_parts();
       part->set_service("s");
       part->set_weight(1);
     }
-    MemberRecord member;
-    member.set_id("n1");
-    member.set_zone("z");
-    member.set_data_address(kData);
-    Endpoint* endpoint = member.add_endpoints();
-    endpoint->set_service("s");
-    endpoint->set_version("v1");
-    endpoint->set_slots(1);
-    return BuildRoutes(batch, {}, std::vector<MemberRecord>{member}, "z");
+    std::vector<MemberRecord> records;
+    for (const auto& id : members) {
+      MemberRecord& member = records.emplace_back();
+      member.set_id(id);
+      member.set_zone("z");
+      member.set_data_address(address);
+      Endpoint* endpoint = member.add_endpoints();
+      endpoint->set_service("s");
+      endpoint->set_version("v1");
+      endpoint->set_slots(1);
+    }
+    return BuildRoutes(batch, {}, records, "z");
   }
 
   Proxy& GetProxy() { return *m_proxy; }
@@ -619,6 +631,48 @@
   double m_longest_wait_ms = 0;
 };
 
+// Nodes of other hosts that end each connection once they have read a request.
+class LostNodes {
+ public:
+  LostNodes()
+      : m_server(
+            m_context, {.address = kLostNodes},
+            [this](tcp::socket socket) { return Serve(std::move(socket)); }) {
+    REQUIRE_FALSE(m_server.Start());
+    m_thread = std::thread([this] { m_context.run(); });
+  }
+  ~LostNodes() {
+    m_context.stop();
+    m_thread.join();
+  }
+  int Requests() const { return m_requests; }
+
+ private:
+  asio::awaitable<void> Serve(tcp::socket socket) {
+    std::string request;
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(request),
+                                    "\r\n\r\n", asio::use_awaitable);
+    ++m_requests;
+  }
+
+  asio::io_context m_context{1};
+  HttpServer m_server;
+  std::atomic<int> m_requests = 0;
+  std::thread m_thread;
+};
+
+// Guards against a request that is sent to more targets than its route allows,
+// since attempts whose outcome is unknown were not counted.
+TEST_CASE_METHOD(ProxyFixture,
+                 "Attempts whose connection is lost count as sent") {
+  const LostNodes nodes;
+  Start({}, false);
+  GetProxy().SetRoutes(Routes({"n2", "n3", "n4", "n5", "n6"}, kLostNodes));
+  CallerClient caller;
+  CHECK(caller.CallForStatus("/read/1", "r1") == 502);
+  CHECK(nodes.Requests() == static_cast<int>(kMaxAttempts));
+}
+
 constexpr double kLinkRate = 1'250'000;  // 10 Mbit/s, in bytes per second.
 constexpr size_t kLargeBodyBytes = 90'000;
 
