Read large bodies in few system calls; send long messages one after another

Callers saw downloads and the calls of running requests late on hosts with a tenth of a core. Cause, from the source: Beast reads as much as the connection's buffer has room for, and 512 bytes if its bytes are always parsed at once, so a response of 90 KB cost some 176 reads on each of two nodes. Each response also cleared a block of 16 KB. Buffers now have room for the rest of the body, up to 64 KiB, and are released when the connection is idle.

Long messages were sent shortest first. They are sent in the order in which they are ready now; short ones still go first.

--- a/include/kumquatmoor/protocol/headers.h
+++ b/include/kumquatmoor/protocol/headers.h
@@ -27,6 +27,16 @@
 inline constexpr char kReason[] = "Kumquatmoor-Reason";
 // Response between nodes: requests in flight and slots, such as "3/10".
 inline constexpr char kLoad[] = "Kumquatmoor-Load";
+// Response between nodes: milliseconds that the sender's link needs for the
+// responses to the requests that it has admitted. Absent: less than one.
+inline constexpr char kLinkWaitMs[] = "Kumquatmoor-Link-Wait-Ms";
+// Response between nodes: "1" if the request was refused because its response
+// would not get through the sender's link in time. Retry-After has the time
+// until the link is idle enough.
+inline constexpr char kLinkFull[] = "Kumquatmoor-Link-Full";
+// Response between nodes: the expected run time of a request on this route, in
+// milliseconds. Absent: not known.
+inline constexpr char kRunTimeMs[] = "Kumquatmoor-Run-Time-Ms";
 // Response: the version that served the request.
 inline constexpr char kServedBy[] = "Kumquatmoor-Served-By";
 // Request between nodes: the name of the route.
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -187,6 +187,13 @@
       parser;
 };
 
+// The size of the response's body, if it is known.
+std::optional<uint64_t> BodyBytes(const ForwardResult& result);
+
+// Sets the header kLinkWaitMs.
+void SetLinkWait(std::chrono::milliseconds wait,
+                 boost::beast::http::fields* head);
+
 // Sends the request and reads the head of the response and the buffered part of
 // its body. Ends early if the caller closes its connection. Failures of a
 // connection are reported in the result.
@@ -205,6 +212,8 @@
   LinkPacer* pacer = nullptr;
   // A response that is not complete by then is cut short.
   Deadline deadline = Deadline::max();
+  // Counts the bytes that were written, if they are paced. May be null.
+  size_t* sent_bytes = nullptr;
 };
 
 // Writes the head and the body of the response to the caller. Returns false if
@@ -235,7 +244,10 @@
   bool retry_denied = false;  // The retry budget is used up.
   bool crashed = false;       // The backend server crashed.
   bool blocked = false;       // The request crashes backend servers.
-  bool close = false;         // Close the connection after the reply.
+  bool link_full = false;     // The host's link has no room in time.
+  // As in headers::kLinkWaitMs.
+  std::chrono::milliseconds link_wait{0};
+  bool close = false;  // Close the connection after the reply.
 };
 
 // Writes `reply` to the caller. Write errors are ignored.
--- a/include/kumquatmoor/transport/link_scheduler.h
+++ b/include/kumquatmoor/transport/link_scheduler.h
@@ -27,6 +27,9 @@
   double rate = 0;  // Of the link, bytes per second.
   // Fraction of the rate that is left to traffic that is not scheduled.
   double reserved_fraction = 0.1;
+
+  // Of scheduled traffic, bytes per second.
+  double UsableRate() const { return rate * (1 - reserved_fraction); }
 };
 
 // A part of a message that waits to be sent.
@@ -35,6 +38,7 @@
 
   size_t bytes = 0;
   size_t message_left = 0;  // Bytes of the message, this part included.
+  TimePoint message_ready;  // When the message could first be sent.
   // The part is not sent after this time, when nobody waits for it any more.
   TimePoint deadline = TimePoint::max();
 };
@@ -55,9 +59,13 @@
   bool TakeNow(size_t bytes, TimePoint now);
   // Counts bytes that were sent without asking. They delay the parts that wait.
   void Charge(size_t bytes, TimePoint now);
-  // Adds a part to the queue and returns its ticket. Parts of messages with
-  // fewer bytes left go first, so that a short message does not wait for the
-  // end of a long one.
+  // Messages with fewer bytes left are short.
+  static constexpr size_t kShortMessageBytes = 16'384;
+
+  // Adds a part to the queue and returns its ticket. Parts of short messages go
+  // first, those with fewer bytes left before others. Long messages are sent
+  // one after another, in the order in which they were ready, so that none
+  // waits for later ones.
   uint64_t Enqueue(const LinkPart& part);
   // Removes from the queue the parts that may be sent now, in this order, and
   // those whose deadline has passed.
@@ -68,7 +76,9 @@
 
  private:
   struct Waiting {
-    size_t message_left;
+    bool is_long;
+    TimePoint long_ready;  // Of a long message.
+    size_t short_left;     // Of a short message.
     uint64_t ticket;
     size_t bytes;
     TimePoint deadline;
--- /dev/null
+++ b/src/transport/body_reader.h
@@ -0,0 +1,67 @@
+#ifndef KUMQUATMOOR_SRC_TRANSPORT_BODY_READER_H_
+#define KUMQUATMOOR_SRC_TRANSPORT_BODY_READER_H_
+
+// Reading the body of an HTTP message in few system calls. Beast reads as much
+// as the connection's buffer has room for, 512 bytes if it has none, and never
+// enlarges a buffer whose bytes are parsed at once.
+
+#include <algorithm>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <cstddef>
+#include <string>
+
+namespace kumquatmoor {
+
+// Bytes of a body that are read at a time, at most.
+inline constexpr size_t kMaxBodyReadBytes = 65'536;
+// The same if the length of the body is not known.
+inline constexpr size_t kBodyReadBytes = 16'384;
+// Capacity of a connection's buffer between messages: enough for the head and
+// body of a small one.
+inline constexpr size_t kIdleBufferBytes = 2'048;
+
+// How much of the rest of the body to read next.
+template <typename Parser>
+size_t NextBodyReadBytes(const Parser& parser) {
+  const auto left = parser.content_length_remaining();
+  if (!left) return kBodyReadBytes;
+  return static_cast<size_t>(std::clamp<uint64_t>(*left, 1, kMaxBodyReadBytes));
+}
+
+// Reads the next part of the body and appends it to `body`. `parser` has a
+// buffer_body.
+template <typename Parser>
+boost::asio::awaitable<boost::system::error_code> ReadBodyPart(
+    boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
+    Parser& parser, std::string* body) {
+  const size_t start = body->size();
+  const size_t room = NextBodyReadBytes(parser);
+  if (buffer.size() < room) buffer.reserve(std::min(room, buffer.max_size()));
+  body->resize(start + room);
+  parser.get().body().data = body->data() + start;
+  parser.get().body().size = room;
+  boost::system::error_code error;
+  co_await boost::beast::http::async_read(
+      stream, buffer, parser,
+      boost::asio::redirect_error(boost::asio::use_awaitable, error));
+  body->resize(start + room - parser.get().body().size);
+  if (error == boost::beast::http::error::need_buffer) error = {};
+  co_return error;
+}
+
+// Releases the memory of a buffer that has grown for a large body.
+inline void ShrinkIdleBuffer(boost::beast::flat_buffer* buffer) {
+  if (buffer->size() > 0 || buffer->capacity() <= 2 * kIdleBufferBytes) return;
+  buffer->shrink_to_fit();
+  buffer->reserve(kIdleBufferBytes);
+}
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_SRC_TRANSPORT_BODY_READER_H_
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -11,7 +11,6 @@
 
 #include <netinet/tcp.h>
 
-#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,6 +27,7 @@
 
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/transport/endpoint_address.h"
+#include "transport/body_reader.h"
 #include "transport/paced_write.h"
 
 namespace kumquatmoor {
@@ -148,6 +148,8 @@
   }
   http::request_serializer<http::buffer_body> serializer(request);
   std::string chunk = inbound.BufferedBody();
+  PacedMessage message{.body_left = kMaxBufferedResponseBytes,
+                       .deadline = options.deadline};
   inbound.streamed = true;
   bool more = true;
   Error error;
@@ -156,10 +158,8 @@
     request.body().data = more ? chunk.data() : nullptr;
     request.body().size = chunk.size();
     request.body().more = more;
-    error = co_await WritePaced(connection.stream, serializer,
-                                {.body_bytes = chunk.size(),
-                                 .body_left = kMaxBufferedResponseBytes,
-                                 .deadline = options.deadline},
+    message.body_bytes = chunk.size();
+    error = co_await WritePaced(connection.stream, serializer, message,
                                 options.pacer);
     if (error == http::error::need_buffer) error = {};
     if (error) co_return error;
@@ -175,21 +175,15 @@
 asio::awaitable<Error> BufferResponseBody(ForwardResult& result,
                                           Deadline deadline) {
   auto& parser = *result.parser;
-  std::array<char, 16'384> chunk{};
   while (!parser.is_done() &&
          result.buffered_body.size() < kMaxBufferedResponseBytes) {
     if (std::chrono::steady_clock::now() >= deadline) {
       co_return beast::error::timeout;
     }
-    parser.get().body().data = chunk.data();
-    parser.get().body().size = chunk.size();
-    Error error;
-    co_await http::async_read(result.connection->stream,
-                              result.connection->buffer, parser, Into(error));
-    if (error == http::error::need_buffer) error = {};
+    const Error error = co_await ReadBodyPart(result.connection->stream,
+                                              result.connection->buffer, parser,
+                                              &result.buffered_body);
     if (error) co_return error;
-    result.buffered_body.append(chunk.data(),
-                                chunk.size() - parser.get().body().size);
   }
   result.fully_buffered = parser.is_done();
   co_return Error();
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "kumquatmoor/transport/exchange.h"
+#include "transport/body_reader.h"
 
 namespace kumquatmoor {
 namespace {
@@ -129,15 +130,10 @@
 asio::awaitable<void> InboundRequest::ReadChunk(std::string* chunk) {
   chunk->clear();
   if (m_parser.is_done()) co_return;
-  chunk->resize(kMaxBufferedRequestBytes);
-  m_parser.get().body().data = chunk->data();
-  m_parser.get().body().size = chunk->size();
   m_stream.expires_after(kCallerBodyTimeout);
-  Error error;
-  co_await http::async_read(m_stream, m_buffer, m_parser, Into(error));
-  if (error == http::error::need_buffer) error = {};
+  const Error error =
+      co_await ReadBodyPart(m_stream, m_buffer, m_parser, chunk);
   if (error) throw boost::system::system_error(error);
-  chunk->resize(chunk->size() - m_parser.get().body().size);
 }
 
 }  // namespace kumquatmoor
--- a/src/transport/link_scheduler.cc
+++ b/src/transport/link_scheduler.cc
@@ -20,7 +20,7 @@
 }  // namespace
 
 LinkScheduler::LinkScheduler(LinkSchedulerOptions options)
-    : m_rate(options.rate * (1 - options.reserved_fraction)),
+    : m_rate(options.UsableRate()),
       m_burst(std::max(kMinBurstBytes, m_rate * kMinBurstTime.count())),
       m_tokens(m_burst) {}
 
@@ -44,7 +44,10 @@
 }
 
 uint64_t LinkScheduler::Enqueue(const LinkPart& part) {
-  m_waiting.insert({.message_left = part.message_left,
+  const bool is_long = part.message_left >= kShortMessageBytes;
+  m_waiting.insert({.is_long = is_long,
+                    .long_ready = is_long ? part.message_ready : TimePoint(),
+                    .short_left = is_long ? 0 : part.message_left,
                     .ticket = ++m_last_ticket,
                     .bytes = part.bytes,
                     .deadline = part.deadline});
--- a/src/transport/paced_write.h
+++ b/src/transport/paced_write.h
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/write.hpp>
+#include <chrono>
 #include <cstddef>
 
 #include "kumquatmoor/transport/link_pacer.h"
@@ -24,6 +25,8 @@
   // Of the body to be sent in total, now and later.
   size_t body_left = 0;
   LinkPart::TimePoint deadline = LinkPart::TimePoint::max();
+  LinkPart::TimePoint ready = std::chrono::steady_clock::now();
+  size_t* sent_bytes = nullptr;  // As in RelayOptions.
 };
 
 // Writes what `serializer` holds, part by part as `pacer` permits; at once if
@@ -49,6 +52,7 @@
       const bool may_send =
           co_await pacer->Await({.bytes = granted,
                                  .message_left = message.body_left,
+                                 .message_ready = message.ready,
                                  .deadline = message.deadline});
       if (!may_send) co_return asio::error::timed_out;
     }
@@ -58,6 +62,7 @@
     if (error) co_return error;
     // The head is not part of the body and was not granted.
     if (written > granted) pacer->Charge(written - granted);
+    if (message.sent_bytes != nullptr) *message.sent_bytes += written;
     granted -= std::min(granted, written);
     message.body_bytes -= std::min(message.body_bytes, written);
     message.body_left -= std::min(message.body_left, written);
--- a/src/transport/relay.cc
+++ b/src/transport/relay.cc
@@ -15,6 +15,7 @@
 
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/transport/exchange.h"
+#include "transport/body_reader.h"
 #include "transport/paced_write.h"
 
 namespace kumquatmoor {
@@ -45,10 +46,12 @@
   }
   const size_t size = response.body().size();
   http::response_serializer<http::string_body> serializer(response);
-  const Error error = co_await WritePaced(
-      inbound.Stream(), serializer,
-      {.body_bytes = size, .body_left = size, .deadline = options.deadline},
-      options.pacer);
+  const Error error = co_await WritePaced(inbound.Stream(), serializer,
+                                          {.body_bytes = size,
+                                           .body_left = size,
+                                           .deadline = options.deadline,
+                                           .sent_bytes = options.sent_bytes},
+                                          options.pacer);
   co_return !error;
 }
 
@@ -64,6 +67,9 @@
   http::response_serializer<http::buffer_body> serializer(response);
   auto& parser = *result.parser;
   std::string chunk = std::move(result.buffered_body);
+  PacedMessage message{.body_left = kMaxBufferedResponseBytes,
+                       .deadline = options.deadline,
+                       .sent_bytes = options.sent_bytes};
   Error error;
   while (true) {
     const bool more = !chunk.empty();
@@ -71,10 +77,8 @@
     response.body().size = chunk.size();
     response.body().more = more;
     inbound.Stream().expires_after(kCallerWriteTimeout);
-    error = co_await WritePaced(inbound.Stream(), serializer,
-                                {.body_bytes = chunk.size(),
-                                 .body_left = kMaxBufferedResponseBytes,
-                                 .deadline = options.deadline},
+    message.body_bytes = chunk.size();
+    error = co_await WritePaced(inbound.Stream(), serializer, message,
                                 options.pacer);
     if (error == http::error::need_buffer) error = {};
     if (error) co_return false;
@@ -85,19 +89,28 @@
     }
     // The timeout of the stream does not end reads that never wait.
     if (std::chrono::steady_clock::now() >= options.deadline) co_return false;
-    chunk.resize(kMaxBufferedRequestBytes);
-    parser.get().body().data = chunk.data();
-    parser.get().body().size = chunk.size();
-    co_await http::async_read(result.connection->stream,
-                              result.connection->buffer, parser, Into(error));
-    if (error == http::error::need_buffer) error = {};
+    chunk.clear();
+    error = co_await ReadBodyPart(result.connection->stream,
+                                  result.connection->buffer, parser, &chunk);
     if (error) co_return false;
-    chunk.resize(chunk.size() - parser.get().body().size);
   }
 }
 
 }  // namespace
 
+std::optional<uint64_t> BodyBytes(const ForwardResult& result) {
+  if (result.fully_buffered) return result.buffered_body.size();
+  const auto declared = result.parser->content_length();
+  if (!declared) return std::nullopt;
+  return *declared;
+}
+
+void SetLinkWait(std::chrono::milliseconds wait, http::fields* head) {
+  if (wait.count() > 0) {
+    head->set(headers::kLinkWaitMs, std::to_string(wait.count()));
+  }
+}
+
 void ReleaseConnection(ForwardResult& result, UpstreamPool& pool) {
   if (result.connection == nullptr) return;
   // Bytes after the response belong to no request.
@@ -142,6 +155,8 @@
   if (reply.retry_denied) response.set(headers::kRetryDenied, "1");
   if (reply.crashed) response.set(headers::kCrashed, "1");
   if (reply.blocked) response.set(headers::kBlocked, "1");
+  if (reply.link_full) response.set(headers::kLinkFull, "1");
+  SetLinkWait(reply.link_wait, &response);
   if (reply.offered) response.set(headers::kOffered, "1");
   if (reply.retry_after.count() > 0) {
     const double seconds =
--- a/src/transport/upstream_pool.cc
+++ b/src/transport/upstream_pool.cc
@@ -3,6 +3,8 @@
 #include <boost/asio/buffer.hpp>
 #include <utility>
 
+#include "transport/body_reader.h"
+
 namespace kumquatmoor {
 namespace {
 
@@ -51,12 +53,15 @@
 
 std::unique_ptr<UpstreamConnection> UpstreamPool::MakeNew(
     const std::string& address) {
-  return std::make_unique<UpstreamConnection>(m_context, address);
+  auto connection = std::make_unique<UpstreamConnection>(m_context, address);
+  connection->buffer.reserve(kIdleBufferBytes);
+  return connection;
 }
 
 void UpstreamPool::ReturnIdle(std::unique_ptr<UpstreamConnection> connection) {
   connection->idle_since = std::chrono::steady_clock::now();
   connection->stream.expires_never();
+  ShrinkIdleBuffer(&connection->buffer);
   IdleConnections& idle = m_idle[connection->address];
   if (idle.size() < kMaxIdlePerAddress) idle.push_back(std::move(connection));
 }
