Admit requests by the host's link; choose targets by the run time they report

Two causes of late and failed requests at 65 hosts and more, with a test each. They are in one commit as both change the cost of a target and what it reports.

A link is overloaded, not slots. Admission knew slots only. LinkBacklog counts the responses of admitted requests; what would be late is refused before it runs, with the time to wait, and reported, so that callers' nodes choose another target. The objective that a node passes on leaves the time to relay the response.

Each caller learned the speed of targets alone. 195 callers see a target every few seconds, one lognormal sample each, so slow targets were chosen as often as fast ones. The node beside a target reports its mean run time of the route with each response, one report is enough (picker_test).

The picker test on unequal targets is stricter now (120 of 1,000 picks of a slow target, 320 before). Its second half expected the slow target to be chosen while the fast one had a free slot; the request would run there at once and end four times sooner, so the load is now above the slots.

--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -26,6 +26,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -36,7 +37,9 @@
 #include "kumquatmoor/protocol/attempt_kind.h"
 #include "kumquatmoor/protocol/backend_notice.h"
 #include "kumquatmoor/state/limits.h"
+#include "kumquatmoor/state/link_backlog.h"
 #include "kumquatmoor/state/recent_ids.h"
+#include "kumquatmoor/state/response_sizes.h"
 #include "kumquatmoor/state/retry_guard.h"
 #include "kumquatmoor/state/routes.h"
 #include "kumquatmoor/state/run_times.h"
@@ -63,6 +66,9 @@
   // finds no free slot is refused.
   size_t waiting_per_slot = 0;
   RetryGuardOptions retries;  // Of each backend server.
+  // What responses may use of the host's link, in bytes per second; 0 if
+  // unknown.
+  double link_rate = 0;
 };
 
 struct AdmissionRequest {
@@ -75,6 +81,7 @@
   uint32_t priority = 0;
   TimePoint objective = TimePoint::max();
   TimePoint deadline = TimePoint::max();
+  bool via_link = false;  // The response leaves this host.
 };
 
 // The decision on one request, and the state of its backend server.
@@ -91,6 +98,8 @@
   bool limited = false;
   // The retry budget is used up, for requests of this kind.
   bool retry_denied = false;
+  // The response would not get through the host's link in time.
+  bool link_full = false;
   // The request crashes backend servers or, if `wait` is not 0, another one
   // that may do so runs. Decided by LocalRunner.
   bool blocked = false;
@@ -121,7 +130,9 @@
   // oldest id is dropped first.
   static constexpr size_t kMaxSeenIds = 65'536;
 
-  explicit Admission(AdmissionOptions options = {}) : m_options(options) {}
+  explicit Admission(AdmissionOptions options = {})
+      : m_options(options),
+        m_link(std::make_shared<LinkBacklog>(options.link_rate)) {}
 
   // Replaces the backend servers. Requests in flight stay counted, also for a
   // backend server that is no longer in the list. Of several backend servers
@@ -174,6 +185,22 @@
   // False if the request is not queued.
   bool CancelQueued(const AdmissionRequest& request, uint64_t ticket);
 
+  // Records the size of a successful response.
+  void OnResponse(const std::string& route, size_t bytes) {
+    m_response_sizes.Add(route, bytes);
+  }
+  // Reserves the host's link for the response to an admitted or queued request.
+  LinkReservation ReserveLink(const AdmissionRequest& request) const;
+  // Reserves it for another response of this host.
+  LinkReservation ReserveLink(size_t bytes) const { return {m_link, bytes}; }
+  // The time that the link needs for a response of this size if it is idle.
+  std::chrono::milliseconds LinkTransferTime(size_t bytes) const {
+    return m_link->TransferTime(bytes);
+  }
+  // The time that the link needs for the responses of all requests that were
+  // admitted.
+  std::chrono::milliseconds LinkWait() const { return m_link->TotalWait(); }
+
   // Number of requests that run or wait at one backend server, or at all of
   // them together.
   uint32_t InFlight(const std::string& service,
@@ -219,7 +246,19 @@
   std::string_view RefusalReason(const AdmissionRequest& request, Entry* entry,
                                  TimePoint now);
 
+  // The request as its slot queue sees it. The response must be ready early
+  // enough to be sent over the link.
+  QueuedRequest ForQueue(const AdmissionRequest& request, uint64_t ticket,
+                         std::chrono::milliseconds run_time) const;
+  // Whether the response would get through the host's link in time.
+  LinkEstimate EstimateLink(const AdmissionRequest& request,
+                            std::chrono::milliseconds run_time,
+                            TimePoint now) const;
+
   AdmissionOptions m_options;
+  // Shared with reservations, whose coroutine frames may outlive this object.
+  std::shared_ptr<LinkBacklog> m_link;
+  ResponseSizes m_response_sizes;
   std::map<Key, Entry> m_entries;
   std::set<Key> m_closed;  // Versions that lost their whole share.
   uint64_t m_last_ticket = 0;
--- a/include/kumquatmoor/node/call_metrics.h
+++ b/include/kumquatmoor/node/call_metrics.h
@@ -38,6 +38,11 @@
   void OnCrash() { ++m_crashes; }
   // Counts a request that was refused because it crashes backend servers.
   void OnBlocked() { ++m_blocked; }
+  // Counts a request whose response would not have got through the host's link
+  // in time.
+  void OnLinkRefusal() { ++m_link_refusals; }
+  // Counts bytes that the link carried of a response that was not completed.
+  void OnWastedBytes(size_t bytes) { m_wasted_bytes += bytes; }
   // Counts an outcome that was dropped because the ring to the control thread
   // was full.
   void OnLostOutcome() { ++m_lost_outcomes; }
@@ -58,6 +63,8 @@
   uint64_t m_lost_outcomes = 0;
   uint64_t m_crashes = 0;
   uint64_t m_blocked = 0;
+  uint64_t m_link_refusals = 0;
+  uint64_t m_wasted_bytes = 0;
   boost::histogram::histogram<std::tuple<Axis>> m_latency;
   double m_latency_sum_ms = 0;
 };
--- a/include/kumquatmoor/node/node_settings.h
+++ b/include/kumquatmoor/node/node_settings.h
@@ -64,6 +64,8 @@
   // Rate of the host's link in Mbit/s, 0 if unknown. Requests and responses to
   // other nodes are paced below it, so that control traffic does not wait.
   double link_mbps = 0;
+  // Responses to callers use this link, too.
+  bool callers_use_link = false;
   std::string log_level = "info";
   std::string log_file;  // Empty: standard output.
 };
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -73,6 +73,9 @@
   std::chrono::milliseconds drain_timeout{10'000};
   // Rate of the host's link in bytes per second, 0 if unknown.
   double link_rate = 0;
+  // Responses to callers leave by this link, too. False if callers run on this
+  // host and connect over loopback.
+  bool callers_use_link = false;
   uint64_t seed = 1;
 };
 
@@ -159,6 +162,9 @@
   // Reads what requests from callers and from other nodes have in common.
   Call ReadCall(const InboundRequest& inbound, const CallHeaders& names);
   void ApplyRoute(const HttpRoute& route, Call* call);
+  // Expected time to pass on a response, which is received completely before it
+  // is sent to the caller.
+  std::chrono::milliseconds RelayTime(const std::string& route) const;
   RequestHead HeadForNode(const InboundRequest& inbound,
                           const Call& call) const;
   Pick PickFor(const Call& call, AttemptKind kind,
@@ -172,6 +178,9 @@
   bool ShouldRetry(const InboundRequest& inbound, const Attempt& attempt);
   // Updates the load figures of the target and logs the attempt.
   void RecordAttempt(const Pick& pick, const Attempt& attempt);
+  // Reads what the node beside a target says of its load.
+  void ReadLoad(const std::string& member_id, const std::string& route,
+                const boost::beast::http::fields& response);
   // Remembers what the backend server of a target says of itself in a response.
   void RememberNotice(const std::string& member_id,
                       const boost::beast::http::fields& response);
@@ -197,7 +206,7 @@
   HttpServer m_caller_server;
   HttpServer m_data_server;
   UpstreamPool m_pool;  // Connections to other nodes.
-  LinkPacer m_pacer;    // Of messages to other nodes.
+  LinkPacer m_pacer;    // Of messages that leave by the host's link.
   std::shared_ptr<const RouteTable> m_routes;
   std::shared_ptr<const CrashSuspects> m_crashes =
       std::make_shared<const CrashSuspects>();
@@ -207,6 +216,7 @@
   std::unique_ptr<LocalRunner> m_runner;
   LogBudget m_log_budget;
   TargetLoads m_loads;
+  ResponseSizes m_response_sizes;  // Of responses to callers.
   // What the backend servers of other hosts said in their last response, if it
   // was anything. By member id.
   struct RememberedNotice {
--- a/include/kumquatmoor/state/picker.h
+++ b/include/kumquatmoor/state/picker.h
@@ -12,8 +12,8 @@
 //   loads.OnDone(pick.target->member_id, failed, now, latency);
 //
 // The version is drawn at random by its share of the traffic. The target is
-// chosen by power of two choices over load, in the caller's own zone first
-// (locality-aware). Outlier ejection, slow start and a half-open circuit
+// chosen by power of d choices over run time and load, in the caller's own zone
+// first (locality-aware). Outlier ejection, slow start and a half-open circuit
 // breaker limit what failing, new and unreachable targets get.
 //
 // Time and randomness are arguments. Not thread-safe; each proxy thread owns
@@ -69,11 +69,30 @@
   // that all targets share thus makes none of them an outlier.
   double outlier_failure_rate = 0.25;
   double outlier_rate_ratio = 2.5;
+  // Targets that are drawn at random, of which the cheapest gets the request.
+  // With more of them fewer requests run at slow targets, and more callers
+  // choose the same fast one at the same time.
+  int choices = 4;
+  // Requests per slot up to which a target counts as free.
+  double free_load = 0.6;
   // A target of a packed version is filled up to this load before the next one
   // gets requests. Below 1 to leave free slots for bursts.
   double packed_load = 0.75;
   // Older load reports are ignored.
   std::chrono::milliseconds max_report_age{1'000};
+  // Large responses are requested from other zones if the link of the target in
+  // the own zone would be busy for longer than this.
+  std::chrono::milliseconds max_link_wait_in_zone{150};
+};
+
+// What the node beside a target says of it in a response.
+struct LoadReport {
+  uint32_t in_flight = 0;  // Requests of all callers that run or wait.
+  // Time until the host's link has sent the responses that are expected.
+  std::chrono::milliseconds link_wait{0};
+  std::string_view route;  // Of the response; "" if not reported.
+  // Expected run time of a request on this route, 0 if not known.
+  std::chrono::milliseconds run_time{0};
 };
 
 // The load and health of each target, as one proxy thread observes them.
@@ -101,8 +120,7 @@
   // up.
   void OnRetryDenied(const std::string& member_id, AttemptKind kind,
                      TimePoint now);
-  // The target reported its number of requests in flight, from all callers.
-  void OnReport(const std::string& member_id, uint32_t in_flight,
+  void OnReport(const std::string& member_id, const LoadReport& report,
                 TimePoint now);
 
   const TargetLoadOptions& Options() const { return m_options; }
@@ -113,8 +131,10 @@
   // True if the failure rate is far above `failure_rate_of_others`.
   bool IsOutlier(const std::string& member_id, double failure_rate_of_others,
                  TimePoint now) const;
-  // Moving average of the latency, 0 if no request ran yet.
-  double LatencyMs(const std::string& member_id) const;
+  // Expected run time of a request on this route: as the target reported it, or
+  // the moving average of the latency of all its requests. 0 if no request ran
+  // yet.
+  double RunTimeMs(const std::string& member_id, std::string_view route) const;
   // True for the backoff time after OnFull().
   bool IsFull(const std::string& member_id, TimePoint now) const;
   // True for `retry_denied_backoff` after OnRetryDenied() for this kind.
@@ -123,6 +143,9 @@
   // Requests in flight per slot; the target is full from 1 on. Doubled during
   // slow start.
   double LoadOf(const Target& target, TimePoint now) const;
+  // Time until the link of the target's host is idle, by its last report.
+  std::chrono::milliseconds LinkWait(const std::string& member_id,
+                                     TimePoint now) const;
 
  private:
   struct Entry {
@@ -140,6 +163,8 @@
     double failure_rate = 0;
     TimePoint failure_rate_at;
     double latency_ms = 0;
+    std::map<std::string, double, std::less<>> run_time_ms;  // By route.
+    TimePoint link_idle_at;
   };
 
   TargetLoadOptions m_options;
@@ -150,6 +175,9 @@
   std::string_view zone;
   bool idempotent = true;
   AttemptKind kind = AttemptKind::kFirst;
+  std::string_view route;
+  // The response is large, so that the link of the target's host matters.
+  bool bulk = false;
   // Member ids of targets to skip, as earlier attempts were sent to them. Not
   // owned.
   const std::set<std::string>* tried = nullptr;
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -1,5 +1,7 @@
 // With a queue (waiting_per_slot > 0), SlotQueue decides whether a request
-// runs, waits or is refused. Without one, a request runs if a slot is free.
+// runs, waits or is refused. Without one, a request runs if a slot is free. The
+// host's link is a second resource: LinkBacklog decides whether the response
+// gets through it in time.
 
 #include "kumquatmoor/node/admission.h"
 
@@ -8,6 +10,8 @@
 namespace kumquatmoor {
 namespace {
 
+using std::chrono::milliseconds;
+
 // One slot in this many is reserved for requests with side effects, so that
 // reads cannot starve them. Applies only if there is no queue.
 constexpr uint32_t kReservedSlotDivisor = 10;
@@ -26,6 +30,7 @@
 constexpr std::string_view kClosed = "version has no share any more";
 constexpr std::string_view kAllSlotsTaken = "all slots are taken";
 constexpr std::string_view kNoSlotInTime = "no slot in time";
+constexpr std::string_view kNoLinkInTime = "the host's link is full";
 constexpr std::string_view kRetryBudget = "the retry budget is used up";
 constexpr std::string_view kBackendLimit =
     "the limit of the backend server is reached";
@@ -156,6 +161,13 @@
     result.reason = kAllSlotsTaken;
     return result;
   }
+  const LinkEstimate link = EstimateLink(request, result.run_time, now);
+  if (!link.in_time) {
+    result.reason = kNoLinkInTime;
+    result.link_full = true;
+    result.wait = link.wait;
+    return result;
+  }
   if (!entry.retries->Take(request.kind, now)) {
     result.reason = kRetryBudget;
     result.retry_denied = true;
@@ -170,12 +182,7 @@
   }
   const uint64_t ticket = ++m_last_ticket;
   const QueueResult queue_result =
-      entry.queue.Enter({.id = ticket,
-                         .priority = request.priority,
-                         .run_time = result.run_time,
-                         .objective = request.objective,
-                         .deadline = request.deadline},
-                        now);
+      entry.queue.Enter(ForQueue(request, ticket, result.run_time), now);
   result.wait = queue_result.wait;
   if (queue_result.admission == QueueAdmission::kRefused) {
     entry.retries->Return(request.kind);
@@ -192,6 +199,38 @@
   return result;
 }
 
+LinkEstimate Admission::EstimateLink(const AdmissionRequest& request,
+                                     milliseconds run_time,
+                                     TimePoint now) const {
+  if (!request.via_link) return {};
+  return m_link->Estimate({.size = m_response_sizes.Expected(request.route),
+                           .run_time = run_time,
+                           .objective = request.objective,
+                           .deadline = request.deadline},
+                          now);
+}
+
+QueuedRequest Admission::ForQueue(const AdmissionRequest& request,
+                                  uint64_t ticket,
+                                  milliseconds run_time) const {
+  QueuedRequest queued{.id = ticket,
+                       .priority = request.priority,
+                       .run_time = run_time,
+                       .objective = request.objective,
+                       .deadline = request.deadline};
+  if (!request.via_link) return queued;
+  const milliseconds transfer =
+      m_link->TransferTime(m_response_sizes.Expected(request.route).mean);
+  queued.objective -= transfer;
+  queued.deadline -= transfer;
+  return queued;
+}
+
+LinkReservation Admission::ReserveLink(const AdmissionRequest& request) const {
+  if (!request.via_link) return {};
+  return {m_link, m_response_sizes.Expected(request.route).mean};
+}
+
 bool Admission::OnNotice(const std::string& service, const std::string& version,
                          const std::string& instance,
                          const BackendNotice& notice, TimePoint now) {
@@ -250,8 +289,8 @@
 }
 
 void Admission::Release(const AdmissionRequest& request, bool handed_over,
-                        std::chrono::milliseconds expected,
-                        std::optional<std::chrono::milliseconds> run_time) {
+                        milliseconds expected,
+                        std::optional<milliseconds> run_time) {
   auto found = m_entries.find({request.service, request.version});
   if (found != m_entries.end()) {
     found->second.queue.OnRunEnded(expected);
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -32,6 +32,7 @@
   std::chrono::milliseconds allowed_time{0};  // Until the caller's deadline.
   TimePoint objective = TimePoint::max();     // Latency objective.
   TimePoint deadline;
+  bool via_link = false;  // The response goes to another host.
 
   AdmissionRequest ForAdmission() const {
     return {.service = service,
@@ -42,7 +43,8 @@
             .kind = attempt_kind,
             .priority = priority,
             .objective = objective,
-            .deadline = deadline};
+            .deadline = deadline,
+            .via_link = via_link};
   }
   // The longest time for which a pooled connection may have been idle to be
   // used for this request. A request with side effects uses only connections
--- a/src/node/call_metrics.cc
+++ b/src/node/call_metrics.cc
@@ -43,6 +43,8 @@
   counter("kumquatmoor_lost_outcomes_total", m_lost_outcomes);
   counter("kumquatmoor_backend_crashes_total", m_crashes);
   counter("kumquatmoor_blocked_requests_total", m_blocked);
+  counter("kumquatmoor_link_refusals_total", m_link_refusals);
+  counter("kumquatmoor_link_wasted_bytes_total", m_wasted_bytes);
   text += "# TYPE kumquatmoor_call_ms histogram\n";
   double below = m_latency.at(-1);
   for (auto&& bin : boost::histogram::indexed(m_latency)) {
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -21,6 +21,7 @@
 // Lowest HTTP status that counts as an error of the backend server.
 constexpr unsigned kFirstErrorStatus = 400;
 constexpr unsigned kGatewayTimeout = 504;
+constexpr unsigned kSuccessClass = 2;
 // Time after which a request may be sent again that was refused because another
 // suspected one runs.
 constexpr milliseconds kIsolationRetryAfter{200};
@@ -183,6 +184,9 @@
     co_return;
   }
   run.admission = m_admission.Admit(call.ForAdmission(), Clock::now());
+  if (run.admission.admitted || run.admission.queued) {
+    run.link = m_admission.ReserveLink(call.ForAdmission());
+  }
   if (run.admission.queued) {
     co_await AwaitSlot(inbound, call, run);
   }
@@ -223,11 +227,23 @@
   }
   if (!run.result.answered) co_return;
   ReadNotice(call, run);
+  MeasureResponse(call, run);
   run.result.head.set(headers::kVerdict, VerdictName(run.result.verdict));
   run.result.head.set(m_headers.request_id, call.request_id);
   run.result.head.set(headers::kServedBy, call.version);
   run.result.head.set(headers::kLoad, LoadText(run.admission));
   run.result.head.set(headers::kOffered, "1");
+  run.result.head.set(headers::kRunTimeMs,
+                      std::to_string(run.admission.run_time.count()));
+  SetLinkWait(m_admission.LinkWait(), &run.result.head);
+}
+
+void LocalRunner::MeasureResponse(const Call& call, LocalRun& run) {
+  const auto size = BodyBytes(run.result);
+  if (!size) return;
+  run.link.SetSize(*size);
+  const bool success = run.result.head.result_int() / 100 == kSuccessClass;
+  if (success) m_admission.OnResponse(call.route, *size);
 }
 
 void LocalRunner::ReadNotice(const Call& call, LocalRun& run) {
--- a/src/node/local_runner.h
+++ b/src/node/local_runner.h
@@ -44,6 +44,7 @@
   TimePoint started;
   bool finished = false;
   bool crashed = false;  // The backend server crashed while it ran the request.
+  LinkReservation link;  // For the response, if it goes to another host.
   // Held while a request runs apart from others that may crash the backend
   // server.
   std::shared_ptr<void> isolation;
@@ -119,6 +120,8 @@
   // Sets `run.admission` and returns true if the request must not run now
   // because of crashes. Otherwise keeps it apart if necessary.
   bool IsBlocked(const Call& call, LocalRun& run);
+  // Records the size of a successful response.
+  void MeasureResponse(const Call& call, LocalRun& run);
   // Records what the backend server says of itself in its response.
   void ReadNotice(const Call& call, LocalRun& run);
   void ReportOutcome(const Call& call, const LocalRun& run, bool complete);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -59,6 +59,7 @@
           .caller_grace = settings.caller_grace,
           .drain_timeout = settings.drain_timeout,
           .link_rate = settings.link_mbps * kBytesPerSecondPerMbps,
+          .callers_use_link = settings.callers_use_link,
           .seed = RandomSeed()};
 }
 
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -32,6 +32,16 @@
 // suppressed log lines are reported.
 constexpr std::chrono::seconds kHousekeepingInterval{1};
 
+// Admission knows the link that its responses are paced for.
+ProxyOptions WithLink(ProxyOptions options) {
+  // The rest is used by heads and by requests to other nodes.
+  constexpr double kPartForResponses = 0.9;
+  options.admission.link_rate =
+      kPartForResponses *
+      LinkSchedulerOptions{.rate = options.link_rate}.UsableRate();
+  return options;
+}
+
 CallerBounds ToCallerBounds(const CallerLimits& limits) {
   CallerBounds bounds;
   if (limits.max_header_bytes() > 0) {
@@ -59,7 +69,7 @@
 Proxy::Proxy(asio::io_context& context, ProxyOptions options,
              const FaultPlan* faults, BoundedRing<Outcome>* outcomes)
     : m_context(context),
-      m_options(std::move(options)),
+      m_options(WithLink(std::move(options))),
       m_faults(faults),
       m_caller_server(context,
                       HttpServerOptions{.address = m_options.caller_address},
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -43,6 +43,8 @@
 constexpr milliseconds kMaxRetryAfter{1'000};
 // Retry-After of a node that has no configuration yet.
 constexpr milliseconds kNotReadyRetryAfter{300};
+// Lowest HTTP status of responses that say nothing of the size of others.
+constexpr unsigned kFirstErrorStatus = 300;
 
 double ElapsedMs(TimePoint since) {
   return std::chrono::duration<double, std::milli>(Clock::now() - since)
@@ -84,6 +86,7 @@
   bool leaving = false;       // As in AdmissionResult.
   bool limited = false;       // As in AdmissionResult.
   bool retry_denied = false;  // As in AdmissionResult.
+  bool link_full = false;     // As in AdmissionResult.
   bool blocked = false;       // As in AdmissionResult.
   bool crashed = false;       // The backend server of this attempt crashed.
   uint32_t crashes = 0;       // Backend servers that crashed, in all attempts.
@@ -205,6 +208,8 @@
   PickOptions options{.zone = m_options.zone,
                       .idempotent = call.idempotent,
                       .kind = kind,
+                      .route = call.route,
+                      .bulk = m_response_sizes.Expected(call.route).IsBulk(),
                       .tried = &tried};
   std::set<std::string> blocked;
   if (m_crashes->Contains(call.key)) {
@@ -334,6 +339,12 @@
   return attempt.offers < call.max_attempts;
 }
 
+milliseconds Proxy::RelayTime(const std::string& route) const {
+  if (!m_options.callers_use_link) return milliseconds(0);
+  return m_runner->GetAdmission().LinkTransferTime(
+      m_response_sizes.Expected(route).mean);
+}
+
 RequestHead Proxy::HeadForNode(const InboundRequest& inbound,
                                const Call& call) const {
   RequestHead head = inbound.Head();
@@ -353,9 +364,10 @@
   if (crashes > 0) head.set(headers::kKnownCrashes, std::to_string(crashes));
   const auto now = Clock::now();
   if (call.objective != TimePoint::max()) {
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(call.objective - now).count();
-    head.set(headers::kObjectiveMs, std::to_string(std::max<int64_t>(0, left)));
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        call.objective - now - RelayTime(call.route));
+    head.set(headers::kObjectiveMs,
+             std::to_string(std::max<int64_t>(0, left.count())));
   }
   head.set(m_options.headers.deadline_ms,
            std::to_string(call.RemainingMs(now)));
@@ -397,6 +409,21 @@
   if (known.notice.leaving) head->set(headers::kBackendLeaving, "1");
 }
 
+void Proxy::ReadLoad(const std::string& member_id, const std::string& route,
+                     const http::fields& response) {
+  const auto in_flight = ParseCount(Text(response[headers::kLoad]));
+  if (!in_flight) return;
+  const auto time = [&](const char* name) {
+    return milliseconds(ParseCount(Text(response[name])).value_or(0));
+  };
+  m_loads.OnReport(member_id,
+                   {.in_flight = *in_flight,
+                    .link_wait = time(headers::kLinkWaitMs),
+                    .route = route,
+                    .run_time = time(headers::kRunTimeMs)},
+                   Clock::now());
+}
+
 asio::awaitable<void> Proxy::TryTarget(InboundRequest& inbound,
                                        const Pick& pick, Attempt& attempt) {
   const Call& call = attempt.call;
@@ -439,9 +466,7 @@
   }
   if (!attempt.result.answered) co_return;
   const auto& head = attempt.result.head;
-  if (auto in_flight = ParseCount(Text(head[headers::kLoad]))) {
-    m_loads.OnReport(pick.target->member_id, *in_flight, Clock::now());
-  }
+  ReadLoad(pick.target->member_id, call.route, head);
   if (attempt.result.offered) RememberNotice(pick.target->member_id, head);
   attempt.crashed = head.count(headers::kCrashed) > 0;
   if (attempt.result.verdict == Verdict::kNotRun) {
@@ -451,6 +476,7 @@
         !attempt.blocked && head.count(http::field::retry_after) == 0;
     attempt.limited = head.count(headers::kLimited) > 0;
     attempt.retry_denied = head.count(headers::kRetryDenied) > 0;
+    attempt.link_full = head.count(headers::kLinkFull) > 0;
     attempt.retry_after = ParseRetryAfter(Text(head[http::field::retry_after]));
   }
 }
@@ -479,12 +505,17 @@
     m_loads.OnRetryDenied(target, call.attempt_kind, now);
   } else if (attempt.limited) {
     m_loads.OnFull(target, now, std::min(attempt.retry_after, kMaxRetryAfter));
-  } else if (result.verdict == Verdict::kNotRun && !attempt.blocked) {
+  } else if (result.verdict == Verdict::kNotRun && !attempt.blocked &&
+             !attempt.link_full) {
     m_loads.OnFull(target, now);
   }
   // The load of another node was in a header of its response.
   if (attempt.local) {
-    m_loads.OnReport(m_options.id, attempt.local->admission.in_flight, now);
+    m_loads.OnReport(m_options.id,
+                     {.in_flight = attempt.local->admission.in_flight,
+                      .route = call.route,
+                      .run_time = attempt.local->admission.run_time},
+                     now);
   }
   const LogKind kind = refused || unreachable ? LogKind::kRefused
                        : failed               ? LogKind::kFailed
@@ -510,13 +541,25 @@
   attempt.result.head.erase(headers::kOffered);
   attempt.result.head.erase(headers::kCrashed);
   attempt.result.head.erase(headers::kInstance);
+  attempt.result.head.erase(headers::kLinkWaitMs);
+  attempt.result.head.erase(headers::kRunTimeMs);
+  const auto size = BodyBytes(attempt.result);
+  if (size && status < kFirstErrorStatus) {
+    m_response_sizes.Add(attempt.call.route, *size);
+  }
   // A drain that begins during the write must not close a connection that the
   // response keeps open.
   const bool close = m_draining;
   UpstreamPool& pool = attempt.local ? m_runner->Pool() : m_pool;
-  const bool complete = co_await RelayResponse(
-      inbound, attempt.result, pool,
-      {.close = close, .deadline = attempt.call.deadline});
+  const bool uses_link = m_options.callers_use_link;
+  LinkReservation link;
+  if (uses_link) link = m_runner->GetAdmission().ReserveLink(size.value_or(0));
+  const bool complete =
+      co_await RelayResponse(inbound, attempt.result, pool,
+                             {.close = close,
+                              .pacer = uses_link ? &m_pacer : nullptr,
+                              .deadline = attempt.call.deadline,
+                              .sent_bytes = link.SentBytes()});
   if (attempt.local && !attempt.local->finished) {
     attempt.local->result.answered = true;
     attempt.local->result.verdict = verdict;
@@ -568,6 +611,7 @@
   call.priority = ParseCount(Text(head[headers::kPriority])).value_or(0);
   call.attempt_kind = ParseAttemptKind(Text(head[headers::kAttemptKind]))
                           .value_or(AttemptKind::kFirst);
+  call.via_link = true;
   call.key = std::string(Text(head[headers::kRequestKey]));
   call.known_crashes =
       ParseCount(Text(head[headers::kKnownCrashes])).value_or(0);
@@ -586,7 +630,10 @@
     const unsigned status = run.result.head.result_int();
     const bool complete =
         co_await RelayResponse(inbound, run.result, m_runner->Pool(),
-                               {.pacer = &m_pacer, .deadline = call.deadline});
+                               {.pacer = &m_pacer,
+                                .deadline = call.deadline,
+                                .sent_bytes = run.link.SentBytes()});
+    if (!complete) m_metrics.OnWastedBytes(*run.link.SentBytes());
     run.result.head.result(status);
     m_runner->Finish(call, run, complete);
     co_return complete&& inbound.KeepAlive();
@@ -610,6 +657,9 @@
   }
   answer.limited = run.admission.limited;
   answer.retry_denied = run.admission.retry_denied;
+  answer.link_full = run.admission.link_full;
+  answer.link_wait = m_runner->GetAdmission().LinkWait();
+  if (answer.link_full) m_metrics.OnLinkRefusal();
   if (run.admission.slots > 0) answer.load = LoadText(run.admission);
   if (answer.verdict != Verdict::kNotRun) {
     answer.status = run.result.timed_out ? 504 : 502;
--- a/src/node/test_mesh.cc
+++ b/src/node/test_mesh.cc
@@ -65,10 +65,10 @@
 std::shared_ptr<const RouteTable> TestMesh::Routes() const {
   Batch batch;
   batch.set_revision(1);
-  std::set<std::string> services;
+  std::map<std::string, std::chrono::milliseconds> services;
   std::vector<MemberRecord> members;
   for (const auto& host : m_hosts) {
-    services.insert(host->options.service);
+    services[host->options.service] = host->options.objective;
     MemberRecord& member = members.emplace_back();
     member.set_id(host->name);
     member.set_zone(kZone);
@@ -78,21 +78,24 @@
     endpoint->set_version(kVersion);
     endpoint->set_slots(host->options.slots);
   }
-  for (const auto& name : services) {
+  for (const auto& [name, objective] : services) {
     ServiceConfig* service = batch.add_services();
     service->set_service(name);
     Row* row = service->add_rows();
     row->set_version("*");
     row->set_weight(100);
     row->set_from_weight(100);
-    HttpRoute* route = batch.add_routes();
-    route->set_name(name);
-    route->set_host(kRouteHost);
-    route->set_prefix("/" + name + "/");
-    route->set_max_attempts(kMaxAttempts);
-    WeightedService* part = route->add_parts();
-    part->set_service(name);
-    part->set_weight(1);
+    for (const std::string& route_name : {name, name + "/other"}) {
+      HttpRoute* route = batch.add_routes();
+      route->set_name(route_name);
+      route->set_host(kRouteHost);
+      route->set_prefix("/" + route_name + "/");
+      route->set_max_attempts(kMaxAttempts);
+      route->set_objective_ms(static_cast<uint32_t>(objective.count()));
+      WeightedService* part = route->add_parts();
+      part->set_service(name);
+      part->set_weight(1);
+    }
   }
   return BuildRoutes(batch, {}, members, kZone);
 }
--- a/src/node/test_mesh.h
+++ b/src/node/test_mesh.h
@@ -15,7 +15,8 @@
 //
 // Crashes that a node reports are known to all nodes 50 ms later, in place of
 // gossip. Everything runs on the thread that calls Run. A request to
-// "/SERVICE/..." is routed to the service. The headers have short names, see
+// "/SERVICE/..." is routed to the service, by a route of its own if it begins
+// with "/SERVICE/other/". The headers have short names, see
 // TestMeshHeaders.
 
 #include <boost/asio/awaitable.hpp>
@@ -42,6 +43,8 @@
   struct HostOptions {
     std::string service;
     uint32_t slots = 8;
+    // Latency objective of the route to the service; 0: none.
+    std::chrono::milliseconds objective{0};
     ProxyOptions proxy = {};
   };
   // A request that reached a backend server.
--- a/src/state/picker.cc
+++ b/src/state/picker.cc
@@ -1,7 +1,7 @@
-// Power of two choices: two candidates are drawn at random and the one with the
-// lower cost gets the request. Load reports lag, and choosing the least loaded
-// of all targets would send the requests of all callers to the same target
-// until its next report (herding).
+// Power of d choices: a few candidates are drawn at random and the one with the
+// lowest cost gets the request. Load reports lag, and choosing the cheapest of
+// all targets would send the requests of all callers to the same target until
+// its next report (herding).
 //
 // A refusal takes precedence over load reports: a target that refused as full
 // gets no requests for a short time. Targets of other zones are candidates only
@@ -23,6 +23,10 @@
 namespace {
 
 using Candidates = std::vector<const Target*>;
+using std::chrono::milliseconds;
+
+// Routes of a target whose run times are kept. Bounds memory.
+constexpr size_t kMaxRoutesPerTarget = 64;
 
 double ShareOf(const VersionRoutes& version, bool idempotent) {
   return idempotent ? version.read_share : version.write_share;
@@ -93,24 +97,48 @@
   return not_full.empty() ? targets : not_full;
 }
 
-// The cost of one more request: the load with it, times the target's moving
-// average of the latency (as in peak EWMA), since targets of a service differ
-// in speed. A target without a latency counts as fast, so that it gets
-// requests.
-double CostOf(const Target& target, const TargetLoads& loads, TimePoint now) {
-  const double load = loads.LoadOf(target, now) + 1.0 / target.slots;
-  return load * std::max(1.0, loads.LatencyMs(target.member_id));
+// The cost of one more request: the target's expected run time, since targets
+// of a service differ in speed, times the load with it. While slots are free
+// the load makes no difference: the request would not wait. A target without a
+// run time counts as fast, so that it gets requests.
+double CostOf(const Target& target, const PickOptions& options,
+              const TargetLoads& loads, TimePoint now) {
+  const double load = std::max(loads.Options().free_load,
+                               loads.LoadOf(target, now) + 1.0 / target.slots);
+  const double run_time_ms =
+      std::max(1.0, loads.RunTimeMs(target.member_id, options.route));
+  const double cost = load * run_time_ms;
+  if (!options.bulk) return cost;
+  const milliseconds link_wait = loads.LinkWait(target.member_id, now);
+  return cost + static_cast<double>(link_wait.count());
 }
 
-const Target* LessLoadedOfTwo(const Candidates& targets,
-                              const TargetLoads& loads, TimePoint now,
-                              std::mt19937_64& rng) {
+// The cheapest of a few targets that are drawn at random, or nullptr.
+const Target* CheapestOfFew(const Candidates& targets,
+                            const PickOptions& options,
+                            const TargetLoads& loads, TimePoint now,
+                            std::mt19937_64& rng) {
   if (targets.empty()) return nullptr;
   std::uniform_int_distribution<size_t> draw(0, targets.size() - 1);
-  const Target* first = targets[draw(rng)];
-  const Target* second = targets[draw(rng)];
-  return CostOf(*second, loads, now) < CostOf(*first, loads, now) ? second
-                                                                  : first;
+  const Target* cheapest = nullptr;
+  double lowest_cost = 0;
+  for (int i = 0; i < loads.Options().choices; ++i) {
+    const Target* target = targets[draw(rng)];
+    const double cost = CostOf(*target, options, loads, now);
+    if (cheapest != nullptr && cost >= lowest_cost) continue;
+    cheapest = target;
+    lowest_cost = cost;
+  }
+  return cheapest;
+}
+
+// Whether a target of the own zone can take the request, so that no other zone
+// has to.
+bool HasRoom(const Target& target, const PickOptions& options,
+             const TargetLoads& loads, TimePoint now) {
+  if (loads.LoadOf(target, now) >= 1) return false;
+  return !options.bulk || loads.LinkWait(target.member_id, now) <=
+                              loads.Options().max_link_wait_in_zone;
 }
 
 // The first target, by id, with a load below `packed_load`, or nullptr.
@@ -183,11 +211,11 @@
       return {.version = &version, .target = packed, .reason = "packed"};
     }
   }
-  const Target* local = LessLoadedOfTwo(own_zone, loads, now, rng);
-  if (local != nullptr && loads.LoadOf(*local, now) < 1) {
+  const Target* local = CheapestOfFew(own_zone, options, loads, now, rng);
+  if (local != nullptr && HasRoom(*local, options, loads, now)) {
     return {.version = &version, .target = local, .reason = "own zone"};
   }
-  const Target* any = LessLoadedOfTwo(candidates, loads, now, rng);
+  const Target* any = CheapestOfFew(candidates, options, loads, now, rng);
   if (any == nullptr) return {.version = &version, .reason = "none untried"};
   return {.version = &version,
           .target = any,
@@ -239,9 +267,14 @@
          rate > m_options.outlier_rate_ratio * failure_rate_of_others;
 }
 
-double TargetLoads::LatencyMs(const std::string& member_id) const {
+double TargetLoads::RunTimeMs(const std::string& member_id,
+                              std::string_view route) const {
   auto found = m_entries.find(member_id);
-  return found == m_entries.end() ? 0 : found->second.latency_ms;
+  if (found == m_entries.end()) return 0;
+  const auto& run_times = found->second.run_time_ms;
+  const auto reported = run_times.find(route);
+  return reported == run_times.end() ? found->second.latency_ms
+                                     : reported->second;
 }
 
 void TargetLoads::OnDone(const std::string& member_id, bool failed,
@@ -299,11 +332,29 @@
          now < found->second.retry_denied_until[static_cast<size_t>(kind)];
 }
 
-void TargetLoads::OnReport(const std::string& member_id, uint32_t in_flight,
-                           TimePoint now) {
+void TargetLoads::OnReport(const std::string& member_id,
+                           const LoadReport& report, TimePoint now) {
   Entry& entry = m_entries[member_id];
-  entry.reported = in_flight;
+  entry.reported = report.in_flight;
   entry.reported_at = now;
+  entry.link_idle_at = now + report.link_wait;
+  if (report.run_time.count() == 0) return;
+  const auto found = entry.run_time_ms.find(report.route);
+  const auto run_time = static_cast<double>(report.run_time.count());
+  if (found != entry.run_time_ms.end()) {
+    found->second = run_time;
+  } else if (entry.run_time_ms.size() < kMaxRoutesPerTarget) {
+    entry.run_time_ms.emplace(report.route, run_time);
+  }
+}
+
+milliseconds TargetLoads::LinkWait(const std::string& member_id,
+                                   TimePoint now) const {
+  auto found = m_entries.find(member_id);
+  if (found == m_entries.end()) return milliseconds(0);
+  const auto wait = std::chrono::duration_cast<milliseconds>(
+      found->second.link_idle_at - now);
+  return std::max(milliseconds(0), wait);
 }
 
 bool TargetLoads::IsEjected(const std::string& member_id, TimePoint now) const {
--- a/src/state/picker_test.cc
+++ b/src/state/picker_test.cc
@@ -55,7 +55,7 @@
     CHECK(pick.target->zone == "a");
   }
   for (const char* id : {"old0", "old1", "new0", "new1"}) {
-    loads.OnReport(id, 10, now);
+    loads.OnReport(id, {.in_flight = 10}, now);
   }
   int elsewhere = 0;
   for (int i = 0; i < 200; ++i) {
@@ -111,7 +111,7 @@
   TargetLoads loads;
   std::mt19937_64 rng(8);
   TimePoint now = TimePoint() + seconds(100);
-  loads.OnReport("new0", 0, now);
+  loads.OnReport("new0", {.in_flight = 0}, now);
   std::map<std::string, int> sent;
   const auto send = [&](int requests) {
     for (int i = 0; i < requests; ++i) {
@@ -174,7 +174,7 @@
     return count;
   };
   loads.OnFull("old0", now);
-  loads.OnReport("old0", 0, now);  // A wrong report.
+  loads.OnReport("old0", {.in_flight = 0}, now);  // A wrong report.
   CHECK(picks_of("old0", now) == 0);
   CHECK(picks_of("old1", now) == 200);
   CHECK(picks_of("old0", now + milliseconds(30)) > 0);
@@ -189,12 +189,15 @@
 }
 
 // Sends 1,000 writes from a caller in zone b and counts the picks by target.
-std::map<std::string, int> CountPicks(const TargetLoads& loads, TimePoint now) {
+std::map<std::string, int> CountPicks(const TargetLoads& loads, TimePoint now,
+                                      std::string_view route = "",
+                                      bool bulk = false) {
   const ServiceRoutes service = MakeService();
   std::mt19937_64 rng(11);
   std::map<std::string, int> picks;
   for (int i = 0; i < 1'000; ++i) {
-    const PickOptions options{.zone = "b", .idempotent = false};
+    const PickOptions options{
+        .zone = "b", .idempotent = false, .route = route, .bulk = bulk};
     ++picks[PickTarget(service, options, loads, now, rng).target->member_id];
   }
   return picks;
@@ -260,11 +263,48 @@
     loads.OnDone("old3", false, now, milliseconds(100));
   }
   const auto picks = CountPicks(loads, now);
-  // The slow target is chosen only if both draws give it.
-  CHECK(picks.at("old2") < 320);
-  loads.OnReport("old3", 9, now);
+  // The slow target is chosen only if all four draws give it.
+  CHECK(picks.at("old2") < 120);
+  // The fast target would serve a request sooner as long as a slot is free.
+  loads.OnReport("old3", {.in_flight = 9}, now);
+  CHECK(CountPicks(loads, now)["old2"] < 120);
+  loads.OnReport("old3", {.in_flight = 40}, now);
   CHECK(CountPicks(loads, now)["old2"] > 600);
 }
 
+// Guards against slow targets that many callers choose as often as fast ones:
+// each caller alone sees too few requests of a target to know its speed.
+TEST_CASE("One report of run times is enough to avoid a slow target") {
+  TargetLoads loads;
+  const TimePoint now = TimePoint() + seconds(100);
+  // The last request to each target took the same time by chance.
+  for (const char* id : {"old2", "old3"}) {
+    loads.OnSent(id, now);
+    loads.OnDone(id, false, now, milliseconds(200));
+  }
+  loads.OnReport("old2", {.route = "r", .run_time = milliseconds(400)}, now);
+  loads.OnReport("old3", {.route = "r", .run_time = milliseconds(100)}, now);
+  CHECK(CountPicks(loads, now, "r")["old2"] < 120);
+  // Nothing is known of other routes.
+  CHECK(CountPicks(loads, now, "other")["old2"] > 300);
+}
+
+// Guards against downloads from a host whose link is full.
+TEST_CASE("Large responses are requested where the link is free") {
+  TargetLoads loads;
+  const TimePoint now = TimePoint() + seconds(100);
+  loads.OnReport("old2", {.link_wait = milliseconds(400)}, now);
+  loads.OnReport("old3", {.link_wait = milliseconds(10)}, now);
+  CHECK(CountPicks(loads, now, "", true)["old2"] < 120);
+  // It does not matter for small responses, which go first.
+  CHECK(CountPicks(loads, now)["old2"] > 300);
+  // The link has sent its responses since.
+  CHECK(CountPicks(loads, now + milliseconds(500), "", true)["old2"] > 300);
+  // The own zone is skipped while all its links are full.
+  loads.OnReport("old3", {.link_wait = milliseconds(400)}, now);
+  const auto picks = CountPicks(loads, now, "", true);
+  CHECK(picks.at("old2") + picks.at("old3") < 200);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
