Derive the times of a drain from the grace of a shutdown

The template fixed 5.3 s for a drain though SIGKILL comes after 6 s on some deployments and 10 s on others: where it is 10 s, a request that was still running 5.3 s after SIGTERM was cut off with 4.7 s left. shutdown_grace_s sets the drain to 0.88 of the grace and the time for callers to half of it, 3 s at most; explicit times have precedence. callers_use_link says that responses to callers leave by the host's link, as clients are a network hop away there.

--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -54,6 +54,21 @@
   return address;
 }
 
+// Derives the times of a drain from the time between SIGTERM and SIGKILL.
+void ApplyShutdownGrace(milliseconds grace, NodeSettings* settings) {
+  // The rest is left to answer the requests that are aborted and to exit.
+  constexpr double kDrainPart = 0.88;
+  // Callers are told within a few readiness checks. Half of the grace is left
+  // to the requests that arrive last.
+  constexpr double kMaxCallerPart = 0.5;
+  constexpr milliseconds kMaxCallerGrace{3'000};
+  const auto part = [&](double fraction) {
+    return std::chrono::duration_cast<milliseconds>(grace * fraction);
+  };
+  settings->drain_timeout = part(kDrainPart);
+  settings->caller_grace = std::min(kMaxCallerGrace, part(kMaxCallerPart));
+}
+
 // Reads the keys by which a deployment adapts the node to its environment.
 void ReadDeploymentKeys(JsonReader* reader, NodeSettings* settings) {
   const std::string kind = reader->String("configuration", "table");
@@ -77,6 +92,13 @@
       "retry_ratio", {.fallback = 0.2, .minimum = 0, .maximum = 1});
   settings->link_mbps = reader->Number(
       "link_mbps", {.fallback = 0, .minimum = 0, .maximum = 1e6});
+  settings->callers_use_link = reader->Bool("callers_use_link", false);
+  const double grace_s = reader->Number(
+      "shutdown_grace_s", {.fallback = 0, .minimum = 0, .maximum = 600});
+  if (grace_s > 0) {
+    ApplyShutdownGrace(
+        milliseconds(static_cast<int64_t>(grace_s * kMsPerSecond)), settings);
+  }
   settings->caller_grace =
       ReadDuration(reader, "caller_grace_ms", settings->caller_grace, 0);
 }
@@ -100,13 +122,13 @@
                                            settings.default_deadline, 1);
   settings.probe_interval =
       ReadDuration(&reader, "probe_interval_ms", settings.probe_interval, 50);
-  settings.drain_timeout =
-      ReadDuration(&reader, "drain_timeout_ms", settings.drain_timeout, 0);
   settings.max_attempts = reader.Integer(
       "max_attempts", {.fallback = 3, .minimum = 1, .maximum = 10});
   settings.gateways_per_zone = reader.Integer(
       "gateways_per_zone", {.fallback = 2, .minimum = 1, .maximum = 5});
   ReadDeploymentKeys(&reader, &settings);
+  settings.drain_timeout =
+      ReadDuration(&reader, "drain_timeout_ms", settings.drain_timeout, 0);
   settings.log_level = reader.String("log_level", settings.log_level);
   settings.log_file = reader.String("log_file", "");
   reader.RejectUnknownKeys();
--- a/src/node/node_settings_test.cc
+++ b/src/node/node_settings_test.cc
@@ -15,12 +15,17 @@
   "platform_address": "127.0.0.1:7100", "seeds": ["127.0.0.2:7002"]
 })";
 
-// Returns the error message of reading settings with this text, or "".
-std::string ReadProblem(const std::string& text) {
+auto ReadText(const std::string& text) {
   const std::string path = "node_settings_test.json";
   std::ofstream(path, std::ios::binary) << text;
   auto read = Attempt([&] { return ReadNodeSettings(path); });
   std::remove(path.c_str());
+  return read;
+}
+
+// Returns the error message of reading settings with this text, or "".
+std::string ReadProblem(const std::string& text) {
+  const auto read = ReadText(text);
   const auto* failure = std::get_if<Failure>(&read);
   return failure == nullptr ? "" : failure->message;
 }
@@ -36,6 +41,28 @@
   CHECK(ReadProblem(kValidSettings).empty());
 }
 
+// Guards against requests that a drain cuts off long before SIGKILL where the
+// deployment allows more than six seconds.
+TEST_CASE("The times of a drain follow from the grace of a shutdown") {
+  using std::chrono::milliseconds;
+  const int grace_s = GENERATE(2, 6, 10, 30);
+  const milliseconds grace(1'000 * grace_s);
+  const std::string key = "\"shutdown_grace_s\": " + std::to_string(grace_s);
+  const auto read =
+      ReadText(ValidSettingsWith("\"seeds\"", key + ", \"seeds\""));
+  const auto& settings = std::get<NodeSettings>(read);
+  // Requests that run may take five sixths of the grace; the process needs some
+  // time to end.
+  CHECK(settings.drain_timeout >= grace * 5 / 6);
+  CHECK(settings.drain_timeout <= grace * 9 / 10);
+  CHECK(settings.caller_grace <= grace / 2);
+  CHECK(settings.caller_grace >= std::min(milliseconds(3'000), grace / 2));
+  // A time that is set explicitly has precedence.
+  const auto other = ReadText(ValidSettingsWith(
+      "\"seeds\"", key + ", \"drain_timeout_ms\": 700, \"seeds\""));
+  CHECK(std::get<NodeSettings>(other).drain_timeout == milliseconds(700));
+}
+
 TEST_CASE("An invalid setting is reported with its key") {
   struct Case {
     const char* old_text;
