--- a/src/node/link_overload_test.cc
+++ b/src/node/link_overload_test.cc
@@ -56,7 +56,9 @@
             &large);
       Spawn("/b/other/S", kSeconds * kSmallPerSecond,
             milliseconds(1'000) / kSmallPerSecond, &small);
-      while (m_open > 0) co_await Sleep(milliseconds(20));
+      while (m_open > 0) {
+        co_await Sleep(milliseconds(20));
+      }
     });
   }
 
