--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -52,6 +52,7 @@
   // Written after `bytes`, again and again until the proxy closes the
   // connection. "" writes nothing.
   std::string endless = {};
+  bool close = false;  // The connection ends after `bytes`.
 };
 
 std::string Bytes(const std::string& status, const std::string& headers,
@@ -167,6 +168,7 @@
       co_await timer.async_wait(asio::use_awaitable);
       co_await asio::async_write(stream, asio::buffer(reply.bytes),
                                  asio::use_awaitable);
+      if (reply.close) co_return;
       if (!reply.endless.empty()) {
         co_await WriteEndless(stream, reply.endless);
       }
@@ -567,6 +569,31 @@
   }
 }
 
+// Guards against a response that breaks off on its way and whose missing bytes
+// are taken from the next response on the caller's connection.
+TEST_CASE_METHOD(ProxyFixture,
+                 "A streamed response that breaks off is not completed") {
+  // More than a node holds back until the response is complete.
+  constexpr size_t kSentBytes = 2'000'000;
+  constexpr size_t kMissingBytes = 10;
+  script = [](const RequestHead& head) {
+    const std::string id(head["Id"]);
+    if (id != "r1") return Reply{.bytes = Signed(id, "ok")};
+    std::string bytes =
+        Signed(id, std::string(kSentBytes + kMissingBytes, 'x'));
+    bytes.resize(bytes.size() - kMissingBytes);
+    return Reply{.bytes = std::move(bytes), .close = true};
+  };
+  Start();
+  CallerClient caller;
+  REQUIRE(caller.Send("/read/1", "r1"));
+  // Reads the response to the first request. The connection ends at once, not
+  // with the idle timeout.
+  const auto start = std::chrono::steady_clock::now();
+  CHECK(caller.CallForStatus("/read/2", "r2") == 0);
+  CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(2));
+}
+
 // A host's outgoing link: a FIFO queue that sends `rate` bytes per second.
 // Reads what the proxy writes to its connections and computes how long a packet
 // that entered the queue at the worst moment would wait.
