Deliver complete responses to callers also after the deadline of their route

Since responses to callers are paced, one that waited for the link at the timeout of its route was cut off there, and the caller saw a closed connection in place of a response that was ready. Before, such a response was written whatever the time. A response that is complete has no deadline towards the caller now; one that is streamed keeps it.

--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -552,13 +552,16 @@
   const bool close = m_draining;
   UpstreamPool& pool = attempt.local ? m_runner->Pool() : m_pool;
   const bool uses_link = m_options.callers_use_link;
+  // A response that is complete is delivered, also when late.
+  const TimePoint relay_until =
+      attempt.result.fully_buffered ? TimePoint::max() : attempt.call.deadline;
   LinkReservation link;
   if (uses_link) link = m_runner->GetAdmission().ReserveLink(size.value_or(0));
   const bool complete =
       co_await RelayResponse(inbound, attempt.result, pool,
                              {.close = close,
                               .pacer = uses_link ? &m_pacer : nullptr,
-                              .deadline = attempt.call.deadline,
+                              .deadline = relay_until,
                               .sent_bytes = link.SentBytes()});
   if (attempt.local && !attempt.local->finished) {
     attempt.local->result.answered = true;
