Serve what arrives while a node closes its connections for a shutdown

- An idle connection was closed after a check for bytes to read, but the close happened in a later handler.
A request that arrived in between was reset.
- Closing the listening socket resets connections that the kernel had established and the node had not accepted.
- A caller that had connected just before the end of the grace was idle, as it had not sent its request yet, and was closed at once.
A connection now stays until it was idle for 500 ms (proxy_test).
This takes the place of the idle timeout of 100 ms after the grace, whose timer could close a connection that had bytes to read.

What is left: a request that is sent while the FIN of its long idle connection is on its way. HTTP/1.1 has no means against that.

--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -187,6 +187,7 @@
   // Adds what is remembered of the target's backend server to a request.
   void AddNotice(const std::string& member_id, RequestHead* head) const;
   std::string NewRequestId();
+  // Ends sessions that have been idle for some time.
   void CloseIdleCallers();
   // Logs the numbers of suppressed log lines.
   void LogSuppressed();
@@ -234,7 +235,6 @@
   // Connections to other nodes that carry a request.
   std::shared_ptr<ActiveStreams> m_active = std::make_shared<ActiveStreams>();
   bool m_draining = false;
-  bool m_grace_over = false;  // `caller_grace` of the drain has passed.
   TimePoint m_drain_end = TimePoint::max();
 };
 
--- a/include/kumquatmoor/transport/http_server.h
+++ b/include/kumquatmoor/transport/http_server.h
@@ -42,13 +42,16 @@
 
   // Binds to the address and starts accepting connections.
   boost::system::error_code Start();
-  // Stops accepting connections. Running sessions are not affected.
+  // Accepts the connections that are established already, then stops accepting.
+  // Running sessions are not affected.
   void StopAccepting();
   // Number of running sessions.
   size_t Connections() const { return m_connections; }
 
  private:
   boost::asio::awaitable<void> AcceptLoop();
+  // Closes the connection at once if there are `max_connections` others.
+  void StartSession(boost::asio::ip::tcp::socket socket);
   boost::asio::awaitable<void> RunSession(boost::asio::ip::tcp::socket socket);
 
   boost::asio::io_context& m_context;
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -24,10 +24,9 @@
 constexpr milliseconds kDrainPollInterval{20};
 // Time to write the responses to the requests that a drain aborts.
 constexpr milliseconds kAbortReplyTime{50};
-// Idle timeout of connections that were accepted before the grace of a drain
-// ended and are served after it: the time in which their first request has to
-// begin.
-constexpr milliseconds kIdleTimeoutAfterGrace{100};
+// After the grace of a drain, connections that have been idle for this time are
+// closed. A caller that has just connected needs some time to send its request.
+constexpr milliseconds kIdleTimeAfterGrace{500};
 // Interval at which idle pooled connections are closed and the numbers of
 // suppressed log lines are reported.
 constexpr std::chrono::seconds kHousekeepingInterval{1};
@@ -63,7 +62,8 @@
 
 struct Proxy::CallerConnection {
   beast::tcp_stream stream;
-  bool idle = true;  // No byte of the next request has arrived.
+  // Not set while a request is read or served.
+  std::optional<TimePoint> idle_since;
 };
 
 Proxy::Proxy(asio::io_context& context, ProxyOptions options,
@@ -197,17 +197,15 @@
   timer.expires_after(m_options.caller_grace);
   co_await timer.async_wait(asio::use_awaitable);
   m_caller_server.StopAccepting();
-  m_grace_over = true;
-  CloseIdleCallers();
-  // Idle connections are closed, so each remaining connection carries a
-  // request, which may not have been read completely yet.
   const auto busy = [this] {
-    return m_runner->GetAdmission().TotalInFlight() > 0 || !m_callers->empty();
+    return m_runner->GetAdmission().TotalInFlight() > 0 ||
+           m_caller_server.Connections() > 0;
   };
-  while (busy() && Clock::now() < m_drain_end) {
+  do {
+    CloseIdleCallers();
     timer.expires_after(kDrainPollInterval);
     co_await timer.async_wait(asio::use_awaitable);
-  }
+  } while (busy() && Clock::now() < m_drain_end);
   if (busy()) {
     spdlog::warn("node: event=cut_off callers={} local_requests={}",
                  m_callers->size(), m_runner->GetAdmission().TotalInFlight());
@@ -220,15 +218,15 @@
   drained();
 }
 
-// Cancels the wait for the next request, which ends the session. A request
-// whose bytes have arrived is still served: its connection is not idle any
-// more, or its socket has bytes to read.
+// Cancels the wait for the next request, which ends the session unless bytes of
+// a request have arrived by then.
 void Proxy::CloseIdleCallers() {
+  const auto now = Clock::now();
   for (CallerConnection* caller : *m_callers) {
-    if (!caller->idle) continue;
-    boost::system::error_code error;
-    if (caller->stream.socket().available(error) > 0 && !error) continue;
-    caller->stream.cancel();
+    if (caller->idle_since &&
+        now - *caller->idle_since >= kIdleTimeAfterGrace) {
+      caller->stream.cancel();
+    }
   }
 }
 
@@ -278,13 +276,10 @@
   beast::flat_buffer buffer(kMaxUnparsedBytes + m_bounds.max_header_bytes);
   bool keep_open = true;
   while (keep_open) {
-    CallerBounds bounds = m_bounds;
-    // The connection was accepted shortly before the end of the grace.
-    if (m_grace_over) bounds.idle_timeout = kIdleTimeoutAfterGrace;
-    InboundRequest inbound(caller.stream, buffer, bounds);
-    caller.idle = true;
+    InboundRequest inbound(caller.stream, buffer, m_bounds);
+    caller.idle_since = Clock::now();
     const ReadOutcome read =
-        co_await inbound.ReadHead([&caller] { caller.idle = false; });
+        co_await inbound.ReadHead([&caller] { caller.idle_since.reset(); });
     if (read == ReadOutcome::kClosed) break;
     if (read == ReadOutcome::kRejected) {
       co_await Reject(inbound, inbound.RejectionStatus(),
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -459,6 +459,27 @@
   CHECK(done.wait_for(milliseconds(4'000)) == std::future_status::ready);
 }
 
+// Guards against a caller whose connection is reset since it connected shortly
+// before the end of the grace and its request arrives shortly after it.
+TEST_CASE_METHOD(ProxyFixture,
+                 "A connection of the last moment of the grace is served") {
+  constexpr milliseconds kGrace{400};
+  Start({.caller_grace = kGrace, .drain_timeout = milliseconds(8'000)});
+  std::promise<void> drained;
+  const auto start = std::chrono::steady_clock::now();
+  GetProxy().StartDrain([&] { drained.set_value(); });
+  std::this_thread::sleep_until(start + kGrace - milliseconds(40));
+  CallerClient caller;
+  std::this_thread::sleep_until(start + kGrace + milliseconds(20));
+  const auto response = caller.Call("/read/1");
+  REQUIRE(response);
+  // The only target is on the node that drains.
+  CHECK(response->result_int() == 503);
+  CHECK_FALSE(response->keep_alive());
+  CHECK(drained.get_future().wait_for(milliseconds(4'000)) ==
+        std::future_status::ready);
+}
+
 TEST_CASE_METHOD(
     ProxyFixture,
     "Running and waiting requests get a response at the drain timeout") {
@@ -755,5 +776,29 @@
         static_cast<double>(kResponses * kLargeBodyBytes + control_bytes));
 }
 
+// Guards against a response that is ready, but is cut off at the timeout of its
+// route while it waits for the link.
+TEST_CASE_METHOD(LinkFixture,
+                 "A complete response is delivered also after its deadline",
+                 "[link]") {
+  constexpr int kLeftMs = 200;
+  constexpr size_t kOtherBytes = 750'000;  // Fill the link for 600 ms.
+  script = [this](const RequestHead& head) {
+    GetProxy().ChargeLink(kOtherBytes);
+    return Reply{.bytes = Signed(std::string(head["Id"]),
+                                 std::string(kLargeBodyBytes, 'x'))};
+  };
+  Start({.link_rate = kLinkRate, .callers_use_link = true});
+  CallerClient caller(kLeftMs);
+  const auto start = std::chrono::steady_clock::now();
+  REQUIRE(caller.Send("/read/1", "r1"));
+  const auto response = caller.Receive();
+  CHECK(std::chrono::steady_clock::now() - start > milliseconds(kLeftMs));
+  REQUIRE(response);
+  CHECK(response->result_int() == 200);
+  CHECK(response->body().size() == kLargeBodyBytes);
+  CHECK(caller.Call("/read/2", "r2"));
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -54,8 +54,15 @@
 }
 
 void HttpServer::StopAccepting() {
-  boost::system::error_code ignored;
-  m_acceptor.close(ignored);
+  // The kernel resets connections that were established but not accepted.
+  boost::system::error_code error;
+  m_acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(m_context);
+    m_acceptor.accept(socket, error);
+    if (!error) StartSession(std::move(socket));
+  }
+  m_acceptor.close(error);
 }
 
 asio::awaitable<void> HttpServer::AcceptLoop() {
@@ -70,12 +77,17 @@
       co_await backoff.async_wait(asio::use_awaitable);
       continue;
     }
-    if (m_connections >= m_options.max_connections) continue;
-    socket.set_option(tcp::no_delay(true), error);
-    asio::co_spawn(m_context, RunSession(std::move(socket)), asio::detached);
+    StartSession(std::move(socket));
   }
 }
 
+void HttpServer::StartSession(tcp::socket socket) {
+  if (m_connections >= m_options.max_connections) return;
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  asio::co_spawn(m_context, RunSession(std::move(socket)), asio::detached);
+}
+
 asio::awaitable<void> HttpServer::RunSession(tcp::socket socket) {
   ++m_connections;
   try {
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -32,6 +32,11 @@
   return asio::redirect_error(asio::use_awaitable, error);
 }
 
+bool HasBytesToRead(beast::tcp_stream& stream) {
+  Error error;
+  return stream.socket().available(error) > 0 && !error;
+}
+
 }  // namespace
 
 CallerWatch::CallerWatch(beast::tcp_stream& caller,
@@ -66,15 +71,19 @@
 }
 
 // Waits for the first byte of the request, which ends the idle time. Returns at
-// once if the buffer already has bytes of a pipelined request.
+// once if the buffer already has bytes of a pipelined request. If the wait is
+// cancelled while bytes arrive, they are read.
 asio::awaitable<Error> InboundRequest::AwaitFirstByte() {
   constexpr size_t kFirstReadBytes = 4'096;
   Error error;
   if (m_buffer.size() > 0) co_return error;
   m_stream.expires_after(m_bounds.idle_timeout);
-  const size_t size = co_await m_stream.async_read_some(
-      m_buffer.prepare(kFirstReadBytes), Into(error));
-  m_buffer.commit(size);
+  do {
+    error = {};
+    const size_t size = co_await m_stream.async_read_some(
+        m_buffer.prepare(kFirstReadBytes), Into(error));
+    m_buffer.commit(size);
+  } while (error == asio::error::operation_aborted && HasBytesToRead(m_stream));
   co_return error;
 }
 
