Stop a response that waits for the link when its caller has left

A response that waited for its turn on a full link noticed that its caller had left only when the turn came: until then its bytes were counted in the backlog, for which other requests were refused, and then its first part was sent to nobody. LinkPacer watches the connection while a part waits and removes the part from the queue when the peer closes it. Bytes of the peer's next request end the watch, not the response.

--- a/include/kumquatmoor/transport/link_pacer.h
+++ b/include/kumquatmoor/transport/link_pacer.h
@@ -14,6 +14,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -31,8 +32,10 @@
 
   bool IsEnabled() const { return m_scheduler.has_value(); }
   // Waits until `part` may be sent. Returns false if its deadline passes before
-  // that.
-  boost::asio::awaitable<bool> Await(LinkPart part);
+  // that, or if `peer`, the connection that it is for, is closed by the other
+  // side. A null `peer` is not watched.
+  boost::asio::awaitable<bool> Await(LinkPart part,
+                                     boost::beast::tcp_stream* peer = nullptr);
   // Counts bytes that are sent without waiting.
   void Charge(size_t bytes);
 
@@ -40,9 +43,10 @@
   struct Waiter {
     explicit Waiter(boost::asio::io_context& context) : granted(context) {}
     boost::asio::steady_timer granted;  // Cancelled when the part may be sent.
-    bool expired = false;
+    bool may_send = false;
   };
 
+  void Abandon(uint64_t ticket);
   void GrantDue();
   void StartTimer();
 
--- a/include/kumquatmoor/transport/link_scheduler.h
+++ b/include/kumquatmoor/transport/link_scheduler.h
@@ -70,6 +70,9 @@
   // Removes from the queue the parts that may be sent now, in this order, and
   // those whose deadline has passed.
   std::vector<LinkGrant> Grant(TimePoint now);
+  // Removes a part that is not to be sent any more. Does nothing if it does not
+  // wait.
+  void Remove(uint64_t ticket);
   // The earliest time at which Grant() may return a part; nothing if no part
   // waits.
   std::optional<TimePoint> NextGrant(TimePoint now);
--- a/src/transport/link_pacer.cc
+++ b/src/transport/link_pacer.cc
@@ -3,6 +3,9 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <optional>
+
+#include "kumquatmoor/transport/exchange.h"
 
 namespace kumquatmoor {
 namespace {
@@ -17,18 +20,32 @@
   if (link_rate > 0) m_scheduler.emplace(LinkSchedulerOptions{link_rate});
 }
 
-asio::awaitable<bool> LinkPacer::Await(LinkPart part) {
+asio::awaitable<bool> LinkPacer::Await(LinkPart part,
+                                       boost::beast::tcp_stream* peer) {
   if (!m_scheduler || m_scheduler->TakeNow(part.bytes, SteadyClock::now())) {
     co_return true;
   }
   const auto waiter = std::make_shared<Waiter>(m_context);
   waiter->granted.expires_at(SteadyClock::time_point::max());
-  m_waiters.emplace(m_scheduler->Enqueue(part), waiter);
+  const uint64_t ticket = m_scheduler->Enqueue(part);
+  m_waiters.emplace(ticket, waiter);
   StartTimer();
+  std::optional<CallerWatch> watch;
+  if (peer != nullptr) {
+    watch.emplace(*peer, [this, ticket] { Abandon(ticket); });
+  }
   boost::system::error_code cancelled;
   co_await waiter->granted.async_wait(
       asio::redirect_error(asio::use_awaitable, cancelled));
-  co_return !waiter->expired;
+  co_return waiter->may_send;
+}
+
+void LinkPacer::Abandon(uint64_t ticket) {
+  const auto found = m_waiters.find(ticket);
+  if (found == m_waiters.end()) return;
+  m_scheduler->Remove(ticket);
+  found->second->granted.cancel();
+  m_waiters.erase(found);
 }
 
 void LinkPacer::Charge(size_t bytes) {
@@ -39,7 +56,7 @@
   for (const LinkGrant& grant : m_scheduler->Grant(SteadyClock::now())) {
     const auto found = m_waiters.find(grant.ticket);
     if (found == m_waiters.end()) continue;
-    found->second->expired = grant.expired;
+    found->second->may_send = !grant.expired;
     found->second->granted.cancel();
     m_waiters.erase(found);
   }
--- a/src/transport/link_scheduler.cc
+++ b/src/transport/link_scheduler.cc
@@ -67,6 +67,12 @@
   return grants;
 }
 
+void LinkScheduler::Remove(uint64_t ticket) {
+  std::erase_if(m_waiting, [ticket](const Waiting& waiting) {
+    return waiting.ticket == ticket;
+  });
+}
+
 std::optional<LinkScheduler::TimePoint> LinkScheduler::NextGrant(
     TimePoint now) {
   if (m_waiting.empty()) return std::nullopt;
--- a/src/transport/paced_write.h
+++ b/src/transport/paced_write.h
@@ -27,12 +27,16 @@
   LinkPart::TimePoint deadline = LinkPart::TimePoint::max();
   LinkPart::TimePoint ready = std::chrono::steady_clock::now();
   size_t* sent_bytes = nullptr;  // As in RelayOptions.
+  // The message is a response: nobody needs the rest once the peer has closed
+  // the connection.
+  bool is_response = false;
 };
 
 // Writes what `serializer` holds, part by part as `pacer` permits; at once if
-// `pacer` is null or disabled. Fails with timed_out if the deadline passes
-// while a part waits. Like http::async_write, fails with need_buffer when a
-// buffer_body needs its next buffer.
+// `pacer` is null or disabled. Fails with timed_out if the deadline passes, or
+// the peer of a response disconnects, while a part waits. Like
+// http::async_write, fails with need_buffer when a buffer_body needs its next
+// buffer.
 template <typename Serializer>
 boost::asio::awaitable<boost::system::error_code> WritePaced(
     boost::beast::tcp_stream& stream, Serializer& serializer,
@@ -49,11 +53,12 @@
   while (!serializer.is_done()) {
     if (granted == 0 && message.body_bytes > 0) {
       granted = std::min(message.body_bytes, kLinkPartBytes);
+      const LinkPart part{.bytes = granted,
+                          .message_left = message.body_left,
+                          .message_ready = message.ready,
+                          .deadline = message.deadline};
       const bool may_send =
-          co_await pacer->Await({.bytes = granted,
-                                 .message_left = message.body_left,
-                                 .message_ready = message.ready,
-                                 .deadline = message.deadline});
+          co_await pacer->Await(part, message.is_response ? &stream : nullptr);
       if (!may_send) co_return asio::error::timed_out;
     }
     serializer.limit(granted > 0 ? granted : kLinkPartBytes);
--- a/src/transport/relay.cc
+++ b/src/transport/relay.cc
@@ -50,7 +50,8 @@
                                           {.body_bytes = size,
                                            .body_left = size,
                                            .deadline = options.deadline,
-                                           .sent_bytes = options.sent_bytes},
+                                           .sent_bytes = options.sent_bytes,
+                                           .is_response = true},
                                           options.pacer);
   co_return !error;
 }
@@ -69,7 +70,8 @@
   std::string chunk = std::move(result.buffered_body);
   PacedMessage message{.body_left = kMaxBufferedResponseBytes,
                        .deadline = options.deadline,
-                       .sent_bytes = options.sent_bytes};
+                       .sent_bytes = options.sent_bytes,
+                       .is_response = true};
   Error error;
   while (true) {
     const bool more = !chunk.empty();
