Do not count a pause of an analyzer as time without a finding

Operators of similar systems were hurt by processes that acted, after a pause, on a permission that had run out meanwhile. Here an analyzer of a canary whose process was paused for 5 s raised the share, or settled its zone, at its first tick afterwards: the time at the stage had passed, though it had not seen one request of it. A zone that settles may end the move, at which the old targets stop at once. The same jump ended the wait for the counts of the baseline, so that a fault common to all versions recalled the new one.

ObservedClock stands still while ticks are more than a second apart; the analyzer measures all its waits by it, deadlines still by the real time. The first tick after a pause decides nothing by elapsed time, so the reports that waited in the sockets count first. The new test of canary_analyzer_test fails at each of the five stages when the clock counts pauses.

--- a/include/kumquatmoor/coordination/canary_analyzer.h
+++ b/include/kumquatmoor/coordination/canary_analyzer.h
@@ -51,6 +51,7 @@
 #include "kumquatmoor/coordination/failure_test.h"
 #include "kumquatmoor/state/limits.h"
 #include "kumquatmoor/state/marks.h"
+#include "kumquatmoor/state/observed_clock.h"
 #include "kumquatmoor/state/outcome_counters.h"
 #include "kumquatmoor/state/routes.h"
 
@@ -248,7 +249,9 @@
   // Number of targets that may be excluded before their version is recalled.
   static uint32_t MaxExcluded(const ReachableTargetCounts& targets);
   // Raises the stage or settles the zone, or sets the reason to hold the stage.
-  void DecideOnStage(ClockReading time, const MoveProgress& progress,
+  // `observed` is the observed time at `time`.
+  void DecideOnStage(ClockReading time, TimePoint observed,
+                     const MoveProgress& progress,
                      const ReachableTargetCounts& targets,
                      std::vector<CanaryDecision>* decisions);
   bool ExceedsMaxErrorRate() const;
@@ -264,6 +267,8 @@
 
   ServiceConfig m_config;
   CanaryAnalyzerOptions m_options;
+  // All other members of type TimePoint are observed times.
+  ObservedClock m_clock;
   std::map<ReporterKey, Reporter> m_reporters;
   std::map<RouteKey, RouteTests> m_tests;
   std::map<std::string, RouteBaseline> m_baselines;  // By route.
--- a/src/coordination/canary_analyzer.cc
+++ b/src/coordination/canary_analyzer.cc
@@ -7,6 +7,10 @@
 // slower than nearly all of it. Three more tests per version take the requests
 // of all routes, each compared with the baseline of its own route: with little
 // traffic they find a fault on every route sooner than a route's own tests.
+//
+// Waits are measured in observed time, so that a pause of the process neither
+// raises a stage nor ends the wait for the counts of a comparison. Deadlines
+// are measured in real time.
 
 #include "kumquatmoor/coordination/canary_analyzer.h"
 
@@ -94,6 +98,7 @@
                                CanaryAnalyzerOptions options, ClockReading time)
     : m_config(std::move(config)),
       m_options(std::move(options)),
+      m_clock(time.now),
       m_baseline_request_at(time.now),
       m_stage_since(time.now) {}
 
@@ -130,16 +135,17 @@
     ClockReading time, const MoveProgress& progress,
     const ReachableTargetCounts& targets) {
   std::vector<CanaryDecision> decisions;
+  const TimePoint observed = m_clock.Advance(time.now);
   if (progress.IsRecalled()) return decisions;
   MergeExcluded(progress);
   std::vector<Increment> due;
   due.swap(m_pending);
-  CollectIncrements(time.now);
-  for (const auto& increment : due) TestIncrement(increment, time.now);
+  CollectIncrements(observed);
+  for (const auto& increment : due) TestIncrement(increment, observed);
   for (auto& [key, tests] : m_tests) {
     const bool may_exclude = !PilotIsAhead(progress, targets);
     if (auto decision =
-            DecideOnRoute(key, &tests, targets, may_exclude, time.now)) {
+            DecideOnRoute(key, &tests, targets, may_exclude, observed)) {
       if (const auto* exclusion = std::get_if<ExcludeTarget>(&*decision)) {
         m_excluded.insert(exclusion->member_id);
         ResetTestsWith(exclusion->member_id);
@@ -152,7 +158,9 @@
       decisions.begin(), decisions.end(), [](const CanaryDecision& decision) {
         return std::holds_alternative<RecallVersion>(decision);
       });
-  if (!recalled) DecideOnStage(time, progress, targets, &decisions);
+  if (!recalled) {
+    DecideOnStage(time, observed, progress, targets, &decisions);
+  }
   return decisions;
 }
 
@@ -362,20 +370,20 @@
   return highest / SequentialTest::kThreshold;
 }
 
-void CanaryAnalyzer::DecideOnStage(ClockReading time,
+void CanaryAnalyzer::DecideOnStage(ClockReading time, TimePoint observed,
                                    const MoveProgress& progress,
                                    const ReachableTargetCounts& targets,
                                    std::vector<CanaryDecision>* decisions) {
   const uint32_t stage = progress.StageOf(m_options.zone);
   if (stage != m_stage) {
     m_stage = stage;
-    m_stage_since = time.now;
+    m_stage_since = observed;
     m_calls_at_stage = 0;
     m_errors_at_stage = 0;
   }
-  const auto at_stage = time.now - m_stage_since;
+  const auto at_stage = observed - m_stage_since;
   m_stage_hold_reason.clear();
-  if (RegressionScore(time.now) >= kHoldScore) {
+  if (RegressionScore(observed) >= kHoldScore) {
     m_stage_hold_reason = "the evidence is not clear yet";
   } else if (stage >= kFullStage) {
     const bool follows_pilot =
@@ -388,7 +396,7 @@
   } else if (ExceedsMaxErrorRate()) {
     m_stage_hold_reason = "too many requests fail to raise the share";
     if (at_stage >= Dwell(time)) {
-      m_stage_since = time.now;
+      m_stage_since = observed;
       m_calls_at_stage = 0;
       m_errors_at_stage = 0;
     }
--- a/src/coordination/canary_analyzer_test.cc
+++ b/src/coordination/canary_analyzer_test.cc
@@ -76,6 +76,9 @@
     }
   }
 
+  // The analyzer's process is paused. Requests go on, but no counts arrive.
+  void Pause(double time_s) { seconds_passed += time_s; }
+
   // Gives the canary version four targets instead of two.
   void UseFourTargets() {
     canary_nodes = {{"n1", {}}, {"n2", {}}, {"n3", {}}, {"n4", {}}};
@@ -226,6 +229,32 @@
   CHECK_FALSE(move.recalled.empty());
 }
 
+// Guards against a version that gets all traffic, or whose old targets are
+// stopped, since its analyzer was paused: it has seen no request meanwhile.
+TEST_CASE("A pause of the analyzer is no time without a finding") {
+  constexpr double kPauseS = 10;
+  for (uint32_t stage : kStages) {
+    if (stage == 0) continue;  // Rises without a wait.
+    INFO("stage " << stage);
+    SimulatedMove move = SimulatedMove::ShortMove(25, 4);
+    while (move.progress.StageOf("z") < stage) move.Run(0.25);
+    move.Run(0.25);  // The analyzer has seen its stage.
+    REQUIRE(move.progress.StageOf("z") == stage);
+    move.Pause(kPauseS);
+    // The first counts after the pause arrive after the first tick.
+    move.calls_per_tick = 0;
+    move.Run(0.25);
+    CHECK(move.progress.StageOf("z") == stage);
+    CHECK(move.progress.settled.empty());
+    // The version fails, as it did during the pause.
+    for (auto& [id, node] : move.canary_nodes) node.error_rate = 0.5;
+    move.calls_per_tick = 200;
+    move.Run(2);
+    CHECK_FALSE(move.recalled.empty());
+    CHECK(move.progress.settled.empty());
+  }
+}
+
 TEST_CASE("A fault common to all versions does not recall the canary") {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     INFO("seed " << seed);
