Do not pass on a request whose caller has left while it waited in a socket

Cause, found by reading: CallerWatch reports a caller that has left when the io_context next polls the socket. A node that was delayed finds the request and the end of the connection at once; it reads the request, sends it on in the same turn or after a connect, and hears of the end afterwards. The node that it sends to does the same. Forward now looks at the socket right before it sends, on both nodes; the connection it would have used stays in the pool.

Test: a proxy whose thread is blocked for 300 ms while five callers send and leave passed on all five; now none.

--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -99,6 +99,9 @@
   // Returns true if BufferedBody is the complete body.
   bool IsFullyBuffered() const { return m_fully_buffered; }
   bool KeepAlive() const { return m_parser.get().keep_alive(); }
+  // True if the caller has closed its connection by now. CallerWatch reports
+  // this, too, but not before the io_context has polled the socket.
+  bool CallerHasLeft();
   boost::beast::tcp_stream& Stream() { return m_stream; }
   // True once Forward has begun to stream the body, so that the request
   // cannot be retried.
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -776,6 +776,37 @@
         static_cast<double>(kResponses * kLargeBodyBytes + control_bytes));
 }
 
+// Guards against requests that a delayed node finds in its sockets and passes
+// on although their callers have left meanwhile.
+TEST_CASE_METHOD(ProxyFixture,
+                 "A request whose caller has left is not passed on") {
+  constexpr int kCallers = 5;
+  slots = kCallers;
+  Start();
+  // The connections to the backend server exist already.
+  REQUIRE(CallerClient().Call("/write/", "first"));
+  std::vector<std::unique_ptr<CallerClient>> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<CallerClient>());
+  }
+  std::this_thread::sleep_for(milliseconds(50));
+  std::promise<void> is_paused;
+  GetProxy().ReadMetrics([&](const CallMetrics&) {
+    is_paused.set_value();
+    std::this_thread::sleep_for(milliseconds(300));
+  });
+  is_paused.get_future().wait();
+  for (int i = 0; i < kCallers; ++i) {
+    REQUIRE(callers[i]->Send("/write/", "left" + std::to_string(i)));
+  }
+  callers.clear();
+  std::this_thread::sleep_for(milliseconds(600));
+  const auto last = CallerClient().Call("/write/", "last");
+  REQUIRE(last);
+  CHECK(last->result_int() == 200);
+  CHECK(seen.size() == 2);
+}
+
 // Guards against a response that is ready, but is cut off at the timeout of its
 // route while it waits for the link.
 TEST_CASE_METHOD(LinkFixture,
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -400,6 +400,14 @@
   if (!co_await ApplyFaults(options, options.deadline)) {
     error = beast::error::timeout;
   }
+  // A request may have waited in the socket, or for the connection.
+  if (!error && inbound.CallerHasLeft()) {
+    watch.reset();
+    pool.ReturnIdle(std::move(result.connection));
+    SetFailure(&result, Verdict::kNotRun, "the caller went away", error);
+    result.caller_gone = true;
+    co_return result;
+  }
   if (!error) {
     result.offered = options.to_backend;
     error = co_await Send(result, inbound, options);
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -4,6 +4,7 @@
 // request that is outside the bounds is rejected with the status of the bound
 // it violates.
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
@@ -136,6 +137,17 @@
   co_return ReadOutcome::kRequest;
 }
 
+bool InboundRequest::CallerHasLeft() {
+  char byte = 0;
+  Error error;
+  auto& socket = m_stream.socket();
+  socket.non_blocking(true, error);
+  if (error) return true;
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
+                 error);
+  return error && error != asio::error::would_block;
+}
+
 asio::awaitable<void> InboundRequest::ReadChunk(std::string* chunk) {
   chunk->clear();
   if (m_parser.is_done()) co_return;
