Let known run times of targets age, so that slow ones get requests again

A target's run time was known until its next response. With the cheapest of four draws from a dozen targets of a zone, one that had been slow once, or was 5% slower than the rest, got next to nothing any more, so that no response said that it was fast again: the picker_test that is new here counted 0 of 17 requests for a target that had been as fast as the others for 20 s, and 1 of 33 for one that is 5% slower. It returned only once the load of the others made up for the difference.

--- a/include/kumquatmoor/state/picker.h
+++ b/include/kumquatmoor/state/picker.h
@@ -64,6 +64,10 @@
   // The failure rate halves in this time without requests, so that a target
   // that was avoided gets requests again.
   std::chrono::milliseconds failure_half_life{2'000};
+  // The known run time of a target halves in this time without requests, so
+  // that a target that was slow gets requests again, the sooner the less slow
+  // it was.
+  std::chrono::milliseconds run_time_half_life{10'000};
   // A target is an outlier if its failure rate is above `outlier_failure_rate`
   // and above `outlier_rate_ratio` times the mean of the other targets. A fault
   // that all targets share thus makes none of them an outlier.
@@ -132,9 +136,10 @@
   bool IsOutlier(const std::string& member_id, double failure_rate_of_others,
                  TimePoint now) const;
   // Expected run time of a request on this route: as the target reported it, or
-  // the moving average of the latency of all its requests. 0 if no request ran
-  // yet.
-  double RunTimeMs(const std::string& member_id, std::string_view route) const;
+  // the moving average of the latency of all its requests. Halves with each
+  // `run_time_half_life` since then. 0 if no request ran yet.
+  double RunTimeMs(const std::string& member_id, std::string_view route,
+                   TimePoint now) const;
   // True for the backoff time after OnFull().
   bool IsFull(const std::string& member_id, TimePoint now) const;
   // True for `retry_denied_backoff` after OnRetryDenied() for this kind.
@@ -148,6 +153,10 @@
                                      TimePoint now) const;
 
  private:
+  struct RunTime {
+    double ms = 0;
+    TimePoint at;
+  };
   struct Entry {
     uint32_t in_flight = 0;  // Requests of this thread.
     uint32_t reported = 0;   // Requests of all callers, by the target's report.
@@ -162,8 +171,8 @@
     TimePoint unreachable_until;
     double failure_rate = 0;
     TimePoint failure_rate_at;
-    double latency_ms = 0;
-    std::map<std::string, double, std::less<>> run_time_ms;  // By route.
+    RunTime latency;
+    std::map<std::string, RunTime, std::less<>> run_times;  // By route.
     TimePoint link_idle_at;
   };
 
--- a/src/state/picker.cc
+++ b/src/state/picker.cc
@@ -106,7 +106,7 @@
   const double load = std::max(loads.Options().free_load,
                                loads.LoadOf(target, now) + 1.0 / target.slots);
   const double run_time_ms =
-      std::max(1.0, loads.RunTimeMs(target.member_id, options.route));
+      std::max(1.0, loads.RunTimeMs(target.member_id, options.route, now));
   const double cost = load * run_time_ms;
   if (!options.bulk) return cost;
   const milliseconds link_wait = loads.LinkWait(target.member_id, now);
@@ -268,13 +268,16 @@
 }
 
 double TargetLoads::RunTimeMs(const std::string& member_id,
-                              std::string_view route) const {
+                              std::string_view route, TimePoint now) const {
   auto found = m_entries.find(member_id);
   if (found == m_entries.end()) return 0;
-  const auto& run_times = found->second.run_time_ms;
+  const auto& run_times = found->second.run_times;
   const auto reported = run_times.find(route);
-  return reported == run_times.end() ? found->second.latency_ms
-                                     : reported->second;
+  const RunTime& known =
+      reported == run_times.end() ? found->second.latency : reported->second;
+  const std::chrono::duration<double> age = now - known.at;
+  const std::chrono::duration<double> half_life = m_options.run_time_half_life;
+  return known.ms * std::exp2(-age / half_life);
 }
 
 void TargetLoads::OnDone(const std::string& member_id, bool failed,
@@ -287,8 +290,9 @@
   entry.failure_rate_at = now;
   if (latency) {
     const auto ms = static_cast<double>(latency->count());
-    const double weight = entry.latency_ms == 0 ? 1 : m_options.ewma_weight;
-    entry.latency_ms += weight * (ms - entry.latency_ms);
+    const double weight = entry.latency.ms == 0 ? 1 : m_options.ewma_weight;
+    entry.latency.ms += weight * (ms - entry.latency.ms);
+    entry.latency.at = now;
   }
   if (!failed) entry.consecutive_unreachable = 0;
   if (!failed) {
@@ -339,12 +343,13 @@
   entry.reported_at = now;
   entry.link_idle_at = now + report.link_wait;
   if (report.run_time.count() == 0) return;
-  const auto found = entry.run_time_ms.find(report.route);
-  const auto run_time = static_cast<double>(report.run_time.count());
-  if (found != entry.run_time_ms.end()) {
+  const auto found = entry.run_times.find(report.route);
+  const RunTime run_time{.ms = static_cast<double>(report.run_time.count()),
+                         .at = now};
+  if (found != entry.run_times.end()) {
     found->second = run_time;
-  } else if (entry.run_time_ms.size() < kMaxRoutesPerTarget) {
-    entry.run_time_ms.emplace(report.route, run_time);
+  } else if (entry.run_times.size() < kMaxRoutesPerTarget) {
+    entry.run_times.emplace(report.route, run_time);
   }
 }
 
--- a/src/state/picker_test.cc
+++ b/src/state/picker_test.cc
@@ -290,6 +290,72 @@
 }
 
 // Guards against downloads from a host whose link is full.
+// One zone with twelve targets. Requests are picked one after another, run
+// alone and report the run time of their target.
+class TargetsOfUnequalSpeed {
+ public:
+  TargetsOfUnequalSpeed() {
+    m_service.service = "s";
+    m_service.versions = {{.version = "v1", .read_share = 1, .write_share = 1}};
+    for (int i = 0; i < 12; ++i) {
+      m_service.versions[0].targets.push_back(
+          {.member_id = std::to_string(i), .zone = "a", .slots = 10});
+    }
+  }
+
+  // Sends a request each 50 ms and returns how many went to the first target,
+  // whose run time is `first`.
+  int CountAtFirst(seconds time, milliseconds first) {
+    int count = 0;
+    const TimePoint end = m_now + time;
+    while (m_now < end) {
+      m_now += milliseconds(10);
+      const Pick pick = PickTarget(m_service, {.zone = "a", .route = "r"},
+                                   m_loads, m_now, m_rng);
+      const std::string& id = pick.target->member_id;
+      const bool is_first = id == "0";
+      if (is_first) ++count;
+      m_loads.OnSent(id, m_now);
+      m_loads.OnDone(id, false, m_now, kRunTime);
+      m_loads.OnReport(
+          id, {.route = "r", .run_time = is_first ? first : kRunTime}, m_now);
+    }
+    return count;
+  }
+
+ private:
+  static constexpr milliseconds kRunTime{100};
+
+  ServiceRoutes m_service;
+  TargetLoads m_loads;
+  std::mt19937_64 m_rng{3};
+  TimePoint m_now = TimePoint() + seconds(100);
+};
+
+// Guards against targets that are given up: no request goes to a target that
+// was slow, so that no response says that it is fast again.
+TEST_CASE("A target that was slow for a while gets requests again") {
+  TargetsOfUnequalSpeed targets;
+  targets.CountAtFirst(seconds(5), milliseconds(1'000));
+  // The target is as fast as the others again.
+  targets.CountAtFirst(seconds(20), milliseconds(100));
+  // A fair share is 17.
+  CHECK(targets.CountAtFirst(seconds(10), milliseconds(100)) >= 8);
+}
+
+TEST_CASE("A target that is hardly slower than the others is in use") {
+  TargetsOfUnequalSpeed targets;
+  // A fair share is 33.
+  CHECK(targets.CountAtFirst(seconds(20), milliseconds(105)) >= 10);
+}
+
+TEST_CASE("A slow target is probed seldom") {
+  TargetsOfUnequalSpeed targets;
+  targets.CountAtFirst(seconds(5), milliseconds(1'000));
+  // A fair share is 33.
+  CHECK(targets.CountAtFirst(seconds(20), milliseconds(1'000)) <= 8);
+}
+
 TEST_CASE("Large responses are requested where the link is free") {
   TargetLoads loads;
   const TimePoint now = TimePoint() + seconds(100);
