Make the backend server with a limit the one that all callers choose

Traced: callers prefer targets by their reported run time, and a backend server with a limit of 5 a second updates its average slowly. When it alone takes three times as long for 2.5 s (a trial), both sections of the test fail with 2 arrivals, while callers are served by the others: the product does what it should, and the check is met only as long as all four targets happen to be equally fast.

The subject now takes 20 ms and the others 60 ms. The bounds stay as they are. The upper one is harder to keep than before, since all callers prefer the subject at all times, and the lower one does not depend on chance.

--- a/src/node/backend_notice_test.cc
+++ b/src/node/backend_notice_test.cc
@@ -95,7 +95,9 @@
   TimePoint m_start;
 
  private:
+  // The subject is the fastest, so that all callers choose it while they may.
   static constexpr milliseconds kRunTime{20};
+  static constexpr milliseconds kRunTimeOfOthers{60};
 
   asio::awaitable<void> SendRequest(int number) {
     const size_t host = static_cast<size_t>(number) % kHosts;
@@ -110,7 +112,7 @@
 
   asio::awaitable<HttpResponse> Respond(size_t host, HttpRequest request) {
     asio::steady_timer run(mesh.Context());
-    run.expires_after(kRunTime);
+    run.expires_after(host == kSubject ? kRunTime : kRunTimeOfOthers);
     co_await run.async_wait(asio::use_awaitable);
     HttpResponse response = TestMesh::Response(request, 200);
     if (host == kSubject && Clock::now() >= m_start + notice_after) {
