--- a/tools/proofs.py
+++ b/tools/proofs.py
@@ -330,6 +330,33 @@
         check(after["outcomes"] == {"ok": after["calls"]}, str(after))
 
 
+def silent_node_keeps_its_work():
+    """Nodes are suspended while their backend servers run non-idempotent
+    requests of others, for less and for more than the time after which members
+    suspect them. Each of these requests runs once, and its caller receives the
+    response once the node runs again."""
+    with sagarmatha(34) as cluster:
+        cluster.spec["backend"]["latency_ms"] = 1500
+        cluster.spec["backend"]["slots"] = 60
+        cluster.start()
+        cluster.apply_first_table()
+        by_name = {host.name: host for host in cluster.hosts}
+        others = [host for host in cluster.hosts
+                  if not host.name.startswith("bookings")]
+        for silence_s in (1, 5):
+            load = cluster.start_load(f"writes-{silence_s}", WRITES, 60, 2,
+                                      others, deadline_ms=12000)
+            time.sleep(1.5)
+            silent = by_name["bookings-3"].node
+            silent.send_signal(signal.SIGSTOP)
+            time.sleep(silence_s)
+            silent.send_signal(signal.SIGCONT)
+            result = cluster.finish_load(f"writes-{silence_s}", load)
+            print(result)
+            check(result["outcomes"] == {"ok": result["calls"]}, str(result))
+        check_run_counts(cluster)
+
+
 def close_before_answer(address, calls):
     """Sends requests and closes each connection before the response
     arrives."""
@@ -608,6 +635,7 @@
 PROOFS = [revisions_never_fall, routes_resolve, damaged_batch_is_refused_whole,
           bad_version_is_taken_back, answers_are_whole_and_own,
           large_bodies_stream, at_most_one_run,
+          silent_node_keeps_its_work,
           callers_that_leave_free_their_slots, crashing_request_is_stopped, drained_backend_gets_nothing_new,
           shutdown_cuts_nothing_off, accepted_means_in_force, operators_race,
           zones_serve_alone]
