--- a/src/coordination/canary_analyzer_test.cc
+++ b/src/coordination/canary_analyzer_test.cc
@@ -638,6 +638,28 @@
   }
 }
 
+// Guards against a good version that is recalled for a fault of a service that
+// all versions call. The pilot zone is at full stage by then, so its analyzer
+// has no requests to a baseline version to compare with; those of the other
+// zones, which fail alike, still have nine tenths of their requests for a
+// second or two. A test of its own in ctest: it is listed in KNOWN-RED.txt.
+TEST_CASE("A common fault while the last zones move recalls nothing", "[.]") {
+  for (const double start : {6.0, 7.0}) {
+    int recalled = 0;
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+      ZonedMove move(seed, FourteenSecondMove());
+      move.Run(start);
+      move.error_rate_of_all = 0.25;
+      move.Run(4);
+      move.error_rate_of_all = 0;
+      move.Run(14 - start);
+      if (move.progress.IsRecalled()) ++recalled;
+    }
+    INFO("fault from " << start << " s");
+    CHECK(recalled == 0);
+  }
+}
+
 TEST_CASE("A common fault that has ended does not hide a bad version") {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     INFO("seed " << seed);
