Let no directory entry outrank the record of a live node

What callers saw: one entry seeds/NODE of another writer with a number that is too large replaced the node's record at the node that read it, and from there on all nodes. The node could not refute it, so it had a wrong address for the rest of the mesh: requests to its backend server failed, and no synchronisation reached it.

Cause and class: untrusted input with the authority of the node itself. The incarnation of the entry was taken over. At the highest one the refutation, which adds 1, is not plausible and is dropped; at the node's own incarnation the greater bytes win.

Ruled out: a lower bound for incarnations that are accepted. Any bound leaves a highest value that cannot be refuted, and a replica has no time of day.

Why it works: an entry names a node to ask, and no more is needed of it. With incarnation 0 each record that a node sent of itself wins, and an entry of a node that is gone is probed and found dead as before.

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -130,8 +130,8 @@
   // Sets this node's status to LEFT and returns the datagrams that announce it.
   std::vector<OutgoingDatagram> Leave(TimePoint now);
 
-  // Adds a member from the member directory. If it was not known, schedules a
-  // synchronisation with it.
+  // Adds a member from the member directory with incarnation 0, below that of
+  // every node. If it was not known, schedules a synchronisation with it.
   void AddDirectoryMember(const MemberRecord& member, TimePoint now);
 
   // Anti-entropy synchronisation: a pull request, the reply to it, and a push
--- a/src/coordination/replica_sync.cc
+++ b/src/coordination/replica_sync.cc
@@ -19,7 +19,11 @@
 void Replica::AddDirectoryMember(const MemberRecord& member, TimePoint now) {
   if (member.id() == m_options.id) return;
   if (m_members.Find(member.id()) != nullptr) return;
-  MergeMember(member, now);
+  // An entry may be old, or come from another writer. With the lowest
+  // incarnation it gives way to any record that the node itself sent.
+  MemberRecord seed = member;
+  seed.set_incarnation(0);
+  MergeMember(seed, now);
   ScheduleSync(member.id());
 }
 
