Believe a refusal only if it echoes the request's id

Callers saw a 503 ("not run, send it again") for a request with side effects that a backend server was executing, or the request was sent to a second backend server and ran twice. Class: an unauthenticated negative acknowledgement, a message that is taken for the answer to the request in flight because of its place on the connection alone.

Cause: a faulty backend server writes an earlier refusal once more on a kept connection. The pool looks at a connection before it is used, but the copy can arrive after that, up to the end of the request. A response with another id is skipped; one without any id was accepted, and its 421 or not-run header became the verdict NotRun.

A refusal now counts only if it has exactly one id and that is the request's. Any other leaves the outcome unknown and closes the connection: the caller of a request with side effects gets 502 and no second backend server is asked. This works because the id is the only thing that ties a response to its request, whatever the moment of the copy.

Ruled out, by tests that passed before: a copy with the id of another request is skipped and costs the next request nothing; copies in the same write or while the connection is idle are found by the pool. Nodes always echo the id when they refuse, each response once, so their refusals are taken as before.

--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -331,6 +331,12 @@
        Bytes("503 Broken", id + "Signed: yes\r\n", ""), 502, 1},
       {"another instance has the address", "/write/",
        Bytes("421 Other", id, ""), 503, 1},
+      {"a refusal that names no request", "/write/",
+       Bytes("503 Full", "Not-Run: 1\r\n", ""), 502, 1},
+      {"a refusal with two ids", "/write/",
+       Bytes("503 Full", id + "Id: r9\r\nNot-Run: 1\r\n", ""), 502, 1},
+      {"another instance names no request", "/write/",
+       Bytes("421 Other", "", ""), 502, 1},
       {"bytes that are no answer", "/write/", "nonsense\r\n\r\n", 502, 1},
   };
   Start();
@@ -355,6 +361,35 @@
   }
 }
 
+// Guards against a request with side effects that runs twice, or that the
+// caller is told to send again, because a refusal without an id, which may be
+// that of an earlier request, counts as its own.
+TEST_CASE_METHOD(
+    ProxyFixture,
+    "A refusal that names no request leads to no second run and no promise") {
+  Start();
+  // The second target, too, is the backend server of this node.
+  GetProxy().SetRoutes(Routes({"n1", "n2"}, kData));
+  // First attempts, which fill the retry budget.
+  constexpr int kFirstAttempts = 40;
+  CallerClient caller;
+  for (int i = 0; i < kFirstAttempts; ++i) {
+    REQUIRE(caller.Call("/read/", "r" + std::to_string(i))->result_int() ==
+            200);
+  }
+  script = [](const RequestHead&) {
+    return Reply{.bytes = Bytes("503 Full", "Not-Run: 1\r\n", "")};
+  };
+  seen.clear();
+  CHECK(CallerClient().Call("/write/", "w1")->result_int() == 502);
+  CHECK(seen.size() == 1);
+  // Behind another node.
+  GetProxy().SetRoutes(Routes({"n2", "n3"}, kData));
+  seen.clear();
+  CHECK(CallerClient().Call("/write/", "w2")->result_int() == 502);
+  CHECK(seen.size() == 1);
+}
+
 TEST_CASE_METHOD(
     ProxyFixture,
     "During a drain, open connections get responses and idle ones are closed") {
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -27,6 +27,7 @@
 
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/transport/endpoint_address.h"
+#include "transport/backend_verdict.h"
 #include "transport/body_reader.h"
 #include "transport/paced_write.h"
 
@@ -264,17 +265,6 @@
   return {};
 }
 
-// The verdict of a backend server's response: 421 (Misdirected Request) and the
-// deployment's not-run header state that the request was not executed.
-Verdict BackendVerdict(const http::response_header<>& response,
-                       const CallHeaders& names) {
-  const bool misdirected =
-      response.result() == http::status::misdirected_request;
-  const bool not_run =
-      !names.not_run.empty() && response.count(names.not_run) > 0;
-  return misdirected || not_run ? Verdict::kNotRun : Verdict::kRan;
-}
-
 // Returns the timeout parameter of the response's Keep-Alive header, if
 // present.
 std::optional<std::chrono::seconds> KeepAliveTimeout(
@@ -441,10 +431,20 @@
       co_return result;
     }
   }
+  Verdict backend_verdict = Verdict::kRan;
+  if (options.to_backend) {
+    backend_verdict =
+        BackendVerdict(result.parser->get(), *options.headers, request_id);
+    if (backend_verdict == Verdict::kMayHaveRun) {
+      SetFailure(&result, backend_verdict, "refusal without the request's id",
+                 error);
+      co_return result;
+    }
+  }
   SetResponse(&result);
   if (options.to_backend) {
     result.offered = true;
-    result.verdict = BackendVerdict(result.head, *options.headers);
+    result.verdict = backend_verdict;
   }
   co_return result;
 }
