Test that no part of a response or request looks complete

Tests only, of a fault that could not be reproduced here: a backend server stops in the middle of the head of its response and closes, and the caller gets a 200 with an empty or short body that is framed as whole.

HttpCall, the reader of responses of the store and other members, takes no prefix of a response with a length or in chunks for complete. In the other direction no prefix of a request reaches the backend server, small or streamed, closed or reset.

--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -3,6 +3,8 @@
 
 #include "kumquatmoor/node/proxy.h"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <array>
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
@@ -11,6 +13,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
@@ -543,6 +546,70 @@
   CHECK(second->result_int() == 503);
 }
 
+// A request with a body of `size` bytes, as it is sent.
+std::string RawRequest(bool chunked, const std::string& id, size_t size) {
+  std::string bytes = "POST /write/ HTTP/1.1\r\nHost: h\r\nLeft: 2000\r\nId: ";
+  bytes += id;
+  if (!chunked) {
+    bytes += "\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n";
+    return bytes + std::string(size, 'b');
+  }
+  bytes += "\r\nTransfer-Encoding: chunked\r\n\r\n";
+  bytes += fmt::format("{:x}\r\n", size) + std::string(size, 'b');
+  return bytes + "\r\n0\r\n\r\n";
+}
+
+// Sends `bytes`, ends the connection's direction to the proxy or resets the
+// connection, and waits until the proxy has ended it, too.
+void SendAndEnd(const std::string& bytes, bool reset) {
+  asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 17210));
+  beast::error_code ended;
+  asio::write(socket, asio::buffer(bytes), ended);
+  if (reset) {
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+    return;
+  }
+  socket.shutdown(tcp::socket::shutdown_send, ended);
+  std::array<char, 4'096> rest{};
+  while (!ended) socket.read_some(asio::buffer(rest), ended);
+}
+
+// Guards against a request that its caller has cut short and that gets to the
+// backend server as a whole one.
+TEST_CASE_METHOD(ProxyFixture, "No part of a request is a complete request",
+                 "[cut]") {
+  Start();
+  constexpr size_t kSmall = 5;
+  constexpr size_t kStreamed = 3 * kMaxBufferedRequestBytes;
+  int next_id = 0;
+  const auto send = [&](bool chunked, size_t size, size_t missing, bool reset) {
+    const std::string id = "c" + std::to_string(next_id++);
+    const std::string bytes = RawRequest(chunked, id, size);
+    if (missing <= bytes.size()) {
+      SendAndEnd(bytes.substr(0, bytes.size() - missing), reset);
+    }
+  };
+  for (const bool chunked : {false, true}) {
+    const size_t size = RawRequest(chunked, "c000", kSmall).size();
+    for (size_t missing = 1; missing <= size; ++missing) {
+      send(chunked, kSmall, missing, missing % 2 == 0);
+    }
+    for (const size_t missing : {1, 2, 4, 5, 6, 7, 8, 1'000, 100'000}) {
+      for (const bool reset : {false, true}) {
+        send(chunked, kStreamed, missing, reset);
+      }
+    }
+  }
+  // Resets are handled by the time that a later request is served.
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(CallerClient().Call("/write/", "last")->result_int() == 200);
+  REQUIRE(seen.size() == 1);
+  CHECK(seen[0]["Id"] == "last");
+}
+
 // Guards against bytes without end from a backend server: they must not take
 // the node's memory, or its slot beyond the deadline, or look like a response.
 TEST_CASE_METHOD(ProxyFixture,
--- a/src/transport/http_call_test.cc
+++ b/src/transport/http_call_test.cc
@@ -53,13 +53,23 @@
   co_await socket.async_read_some(asio::buffer(&byte, 1), asio::use_awaitable);
 }
 
+// Sends `bytes` in response to a request and closes the connection.
+asio::awaitable<void> SendAndClose(tcp::socket socket, std::string bytes) {
+  std::string request;
+  co_await asio::async_read_until(socket, asio::dynamic_buffer(request),
+                                  "\r\n\r\n", asio::use_awaitable);
+  co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+}
+
 // Serves on a thread of its own, since HttpCall blocks.
 class SlowServer {
  public:
   explicit SlowServer(SlowBody body)
-      : m_server(m_context, {.address = kAddress}, [body](tcp::socket socket) {
+      : SlowServer([body](tcp::socket socket) {
           return SendSlowly(std::move(socket), body);
-        }) {
+        }) {}
+  explicit SlowServer(HttpServer::Session session)
+      : m_server(m_context, {.address = kAddress}, std::move(session)) {
     REQUIRE_FALSE(m_server.Start());
     m_thread = std::thread([this] { m_context.run(); });
   }
@@ -109,6 +119,25 @@
   CHECK(call.elapsed < 4 * kTimeout);
 }
 
+// Guards against a response of the store, or of another member, that was cut
+// short and is taken for complete.
+TEST_CASE("No part of a response is complete", "[cut]") {
+  const std::string head = "HTTP/1.1 200 OK\r\nA: b\r\n";
+  for (const std::string& rest :
+       {std::string("Content-Length: 4\r\n\r\n{\"\"}"),
+        std::string(
+            "Transfer-Encoding: chunked\r\n\r\n4\r\n{\"\"}\r\n0\r\n\r\n")}) {
+    const std::string bytes = head + rest;
+    for (size_t size = 0; size <= bytes.size(); ++size) {
+      INFO(size << " of " << bytes);
+      const SlowServer server([&](tcp::socket socket) {
+        return SendAndClose(std::move(socket), bytes.substr(0, size));
+      });
+      CHECK(CallServer({}).complete == (size == bytes.size()));
+    }
+  }
+}
+
 TEST_CASE("A response without end is given up at the longest duration") {
   const SlowServer server(
       {.pieces = 1'000, .sent = 1'000, .pause = kTimeout / 4});
