Send a refused request again only on another connection

Callers that send a request again with the id of the first attempt were told "not run" while the backend server executed it.

Cause: a node forgets the id of a request that was refused, so that it can be sent again, and the pool gives it the connection that was used last, which is the one of the refusal. If a faulty backend server writes the refusal once more there, it has the right id, and no look at the response can tell.

A connection now keeps the ids of the requests that were refused on it, and the pool does not give it to a request with such an id. At most 65 ids are kept: a connection with more is closed, one new connection for 65 refusals, so that its memory is bounded. All other requests use the connection as before.

Ruled out: one node sends a request to a member at most once, so callers with a new id for each attempt, as the platform's have, do not meet this.

--- a/include/kumquatmoor/transport/upstream_pool.h
+++ b/include/kumquatmoor/transport/upstream_pool.h
@@ -4,7 +4,7 @@
 // UpstreamPool is a pool of idle keep-alive connections to nodes and backend
 // servers.
 //
-//   auto connection = pool.TakeIdle(address, max_age);
+//   auto connection = pool.TakeIdle(address, max_age, request_id);
 //   if (connection == nullptr) connection = pool.MakeNew(address);
 //   ...
 //   pool.ReturnIdle(std::move(connection));
@@ -21,6 +21,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,10 @@
   // Keep-Alive header; one minute if the peer sends none.
   std::chrono::milliseconds peer_idle_timeout{std::chrono::minutes(1)};
   bool reused = false;  // The connection has carried a request before.
+  // Ids of the requests that the peer has refused on this connection. The peer
+  // may write a refusal twice, and the id cannot tell the second one from the
+  // answer to the same request.
+  std::set<std::string> refused_ids;
 };
 
 class UpstreamPool {
@@ -51,18 +56,23 @@
   // as firewalls drop the state of idle connections.
   static constexpr std::chrono::seconds kMaxIdleAge{5};
   static constexpr size_t kMaxIdlePerAddress = 64;
+  // Connections on which more requests were refused are closed.
+  static constexpr size_t kMaxRefusedIds = 64;
 
   explicit UpstreamPool(boost::asio::io_context& context)
       : m_context(context) {}
 
   // Returns a connection that has been idle for at most `max_age`, preferably
-  // the one that was used last, or nullptr if there is none.
+  // the one that was used last, or nullptr if there is none. The peer has not
+  // refused the request `request_id` on it.
   std::unique_ptr<UpstreamConnection> TakeIdle(
-      const std::string& address, std::chrono::milliseconds max_age);
+      const std::string& address, std::chrono::milliseconds max_age,
+      const std::string& request_id);
   // Creates a connection that is not connected yet.
   std::unique_ptr<UpstreamConnection> MakeNew(const std::string& address);
   // Makes the connection available to TakeIdle. Closes it instead if there are
-  // already kMaxIdlePerAddress idle connections to its address.
+  // already kMaxIdlePerAddress idle connections to its address, or if it has
+  // more than kMaxRefusedIds refused ids.
   void ReturnIdle(std::unique_ptr<UpstreamConnection> connection);
   // Closes the connections that were idle for longer than kMaxIdleAge. To be
   // called periodically.
--- a/src/transport/backend_refusal_test.cc
+++ b/src/transport/backend_refusal_test.cc
@@ -271,6 +271,23 @@
   }
 }
 
+// Guards against a repeated refusal that has the right id because the request
+// itself was refused before on the connection and is sent again.
+TEST_CASE("A request that was refused is not sent again on its connection") {
+  for (const CopyMoment moment : kMoments) {
+    for (const http::verb method : {http::verb::get, http::verb::post}) {
+      const Play play{.copy = CopyOf("503 Full", CopyId::kFirst),
+                      .moment = moment,
+                      .method = method,
+                      .second_id = "first",
+                      .gap = milliseconds(1)};
+      const Seen seen = Scene(play).Run();
+      CheckNoFalsePromise(play, seen);
+      CHECK(seen.verdicts.back() == Verdict::kRan);
+    }
+  }
+}
+
 // Guards against false promises that depend on when exactly a copy arrives, in
 // particular between the look at the idle connection and the write.
 TEST_CASE("No moment of a repeated refusal makes a false promise") {
@@ -288,6 +305,7 @@
         .copy = CopyOf(status, static_cast<CopyId>(draw(3))),
         .moment = draw(2) == 0 ? CopyMoment::kWhileIdle : kMoments[draw(4)],
         .method = draw(2) == 0 ? http::verb::get : http::verb::post,
+        .second_id = draw(3) == 0 ? "first" : "second",
         .copy_delay = microseconds(draw(kMaxPauseUs)),
         .gap = microseconds(draw(kMaxPauseUs))};
     CheckNoFalsePromise(play, Scene(play).Run());
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -9,8 +9,6 @@
 
 #include "kumquatmoor/transport/exchange.h"
 
-#include <netinet/tcp.h>
-
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -30,6 +28,7 @@
 #include "transport/backend_verdict.h"
 #include "transport/body_reader.h"
 #include "transport/paced_write.h"
+#include "transport/peer_loss.h"
 
 namespace kumquatmoor {
 namespace {
@@ -46,16 +45,6 @@
 // Maximum number of late responses to earlier requests, and of interim
 // responses, that are discarded before the response to a request.
 constexpr int kMaxSkippedResponses = 3;
-// TCP_USER_TIMEOUT: a peer that does not acknowledge sent bytes for this time
-// counts as lost, because a host that lost power sends no reset. The value
-// tolerates two consecutive losses of a packet, which take 600 ms.
-constexpr int kUnackedTimeoutMs = 900;
-// TCP keep-alive detects the loss of a peer that has acknowledged the request
-// but sends no response: the connection counts as lost after this many probes
-// without a reply. The first probe is sent after the idle time.
-constexpr int kKeepAliveIdleS = 1;
-constexpr int kKeepAliveIntervalS = 1;
-constexpr int kKeepAliveProbes = 2;
 constexpr unsigned kInterimStatusClass = 1;
 constexpr unsigned kSuccessStatusClass = 2;
 
@@ -84,21 +73,6 @@
   co_return true;
 }
 
-// Makes the kernel close the connection if the host of the peer is lost.
-void EnablePeerLossDetection(asio::ip::tcp::socket& socket) {
-  using asio::detail::socket_option::integer;
-  Error ignored;
-  socket.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(kUnackedTimeoutMs),
-                    ignored);
-  socket.set_option(asio::socket_base::keep_alive(true), ignored);
-  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(kKeepAliveIdleS),
-                    ignored);
-  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(kKeepAliveIntervalS),
-                    ignored);
-  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(kKeepAliveProbes),
-                    ignored);
-}
-
 asio::awaitable<Error> Connect(UpstreamConnection& connection,
                                const ForwardOptions& options) {
   const auto endpoint = TcpEndpoint(options.address);
@@ -369,7 +343,8 @@
   const std::string request_id(options.head[options.headers->request_id]);
   const bool is_head_request = options.head.method() == http::verb::head;
   Error error;
-  result.connection = pool.TakeIdle(options.address, options.max_idle_age);
+  result.connection =
+      pool.TakeIdle(options.address, options.max_idle_age, request_id);
   if (result.connection == nullptr) {
     result.connection = pool.MakeNew(options.address);
     error = co_await Connect(*result.connection, options);
@@ -445,6 +420,9 @@
   if (options.to_backend) {
     result.offered = true;
     result.verdict = backend_verdict;
+    if (result.verdict == Verdict::kNotRun) {
+      result.connection->refused_ids.insert(request_id);
+    }
   }
   co_return result;
 }
--- a/src/transport/upstream_pool.cc
+++ b/src/transport/upstream_pool.cc
@@ -30,7 +30,8 @@
 }  // namespace
 
 std::unique_ptr<UpstreamConnection> UpstreamPool::TakeIdle(
-    const std::string& address, std::chrono::milliseconds max_age) {
+    const std::string& address, std::chrono::milliseconds max_age,
+    const std::string& request_id) {
   auto found = m_idle.find(address);
   if (found == m_idle.end()) return nullptr;
   const auto now = std::chrono::steady_clock::now();
@@ -43,7 +44,8 @@
         now - connection->idle_since <= kMaxIdleAge &&
         now - connection->idle_since <=
             connection->peer_idle_timeout - kPeerIdleTimeoutMargin;
-    if (recent && IsOpenAndIdle(connection->stream)) {
+    const bool refused = connection->refused_ids.count(request_id) > 0;
+    if (recent && !refused && IsOpenAndIdle(connection->stream)) {
       connection->reused = true;
       return connection;
     }
@@ -59,6 +61,7 @@
 }
 
 void UpstreamPool::ReturnIdle(std::unique_ptr<UpstreamConnection> connection) {
+  if (connection->refused_ids.size() > kMaxRefusedIds) return;
   connection->idle_since = std::chrono::steady_clock::now();
   connection->stream.expires_never();
   ShrinkIdleBuffer(&connection->buffer);
