Refuse ids and names that other nodes could not read

What callers saw: after one PUT or DELETE /-/instances/ID whose id has bytes that are not UTF-8, the other nodes took the node for dead, and its backend server got no requests, for as long as the id was among the last four that left. An id or version of thousands of bytes kept the node's record out of every datagram, so that changes of it were no longer pushed.

Cause and class: input that is valid for its reader and poison for the next one. The id is taken from the path unchecked and becomes a protobuf string in the member record. Serializing does not fail, but every receiver rejects the whole datagram, and each probe of the node carries its own record.

Ruled out: checking in the replica as well, as the parsers are the only way in; bytes in service and version, since the JSON parser rejects them.

--- a/include/kumquatmoor/node/backend_registry.h
+++ b/include/kumquatmoor/node/backend_registry.h
@@ -59,6 +59,10 @@
   kStale     // Older than the announcement on record; ignored.
 };
 
+// Returns true for 1 to kMaxNameBytes visible ASCII characters. Other nodes
+// discard a datagram with an id that is not valid text.
+bool IsInstanceId(std::string_view text);
+
 // Parses an announcement from JSON. Fails with kInvalid and names the key that
 // is wrong.
 Result<Announcement> ParseAnnouncement(std::string_view json);
--- a/include/kumquatmoor/protocol/json_reader.h
+++ b/include/kumquatmoor/protocol/json_reader.h
@@ -31,6 +31,10 @@
 
 namespace kumquatmoor {
 
+// Limit for the names that a backend server gives itself. The member record of
+// its node has to fit into a datagram.
+inline constexpr size_t kMaxNameBytes = 128;
+
 // Default and inclusive bounds of an integer field.
 struct IntegerField {
   int64_t fallback = 0;
@@ -54,6 +58,8 @@
 
   // A string that must be present and not empty.
   std::string RequiredString(std::string_view key);
+  // A required string of at most kMaxNameBytes bytes.
+  std::string RequiredName(std::string_view key);
   std::string String(std::string_view key, std::string_view fallback);
   // A required address, as accepted by IsAddress.
   std::string RequiredAddress(std::string_view key);
--- a/src/node/backend_registry.cc
+++ b/src/node/backend_registry.cc
@@ -20,6 +20,12 @@
 
 }  // namespace
 
+bool IsInstanceId(std::string_view text) {
+  const auto is_visible = [](char c) { return c > ' ' && c <= '~'; };
+  return !text.empty() && text.size() <= kMaxNameBytes &&
+         std::all_of(text.begin(), text.end(), is_visible);
+}
+
 Result<Announcement> ParseAnnouncement(std::string_view text) {
   boost::json::error_code error;
   const auto value = boost::json::parse(text, error);
@@ -27,8 +33,8 @@
   std::vector<std::string> problems;
   JsonReader reader(value, "", &problems);
   Announcement announcement;
-  announcement.service = reader.RequiredString("service");
-  announcement.version = reader.RequiredString("version");
+  announcement.service = reader.RequiredName("service");
+  announcement.version = reader.RequiredName("version");
   announcement.address = reader.RequiredAddress("address");
   announcement.slots = static_cast<uint32_t>(reader.Integer(
       "slots", {.fallback = 1, .minimum = 1, .maximum = kMaxSlots}));
--- a/src/protocol/json_reader.cc
+++ b/src/protocol/json_reader.cc
@@ -74,6 +74,12 @@
   return text;
 }
 
+std::string JsonReader::RequiredName(std::string_view key) {
+  std::string text = RequiredString(key);
+  if (text.size() > kMaxNameBytes) AddProblem(key, "is too long");
+  return text;
+}
+
 std::string JsonReader::String(std::string_view key,
                                std::string_view fallback) {
   const auto* value = Find(key);
