Back off when a listing of the platform finds no entry

What callers saw: with a head entry that names a batch which does not exist, each gateway read the platform without any pause and wrote a log line each time, which takes the call limit of the store from all other nodes.

Cause and class: a retry without backoff on one of several error codes. The gateway took kNotFound as "the history of the watch is lost, read a listing" also when the listing itself had failed with it.

Evidence: "A gateway backs off when a listing finds no entry" failed before with CHECK( source.Loads() < 20 ) 105228 < 20 (20166 and 45940 in two more runs, and 20 in the first one on a busy machine, within 600 ms). Now 5 loads in each of three runs.

Ruled out: an exception that ends the process. "A gateway whose source throws reads again" passed before the change: Attempt turns an exception of a reader into a failure with kUnknown, on which the gateway backs off. It stays as a guard.

Why it works: kNotFound leads to a listing only from a watch; the failure of a listing is handled like any other one, with backoff and one line when the platform is lost.

--- a/src/node/gateway.cc
+++ b/src/node/gateway.cc
@@ -86,7 +86,7 @@
                     : m_source->Load();
   });
   if (const auto* failure = std::get_if<Failure>(&update)) {
-    if (failure->code == FailureCode::kNotFound) {
+    if (m_loaded && failure->code == FailureCode::kNotFound) {
       spdlog::warn("gateway: event=history_lost reason=\"{}\"",
                    failure->message);
       m_loaded = false;
