Give routes visible names only

What callers saw: without configured routes (tables of kumquatmoorctl), one request with a path such as /\xff made the outcome counts of its target unreadable, so the canary analyzers lost the evidence of that target and version for as long as the route was counted.

The name of a route is a part of the path, cut after 48 bytes, and becomes a protobuf string; receivers reject a datagram with a string that is not UTF-8.

Evidence: "A route has visible characters only" failed before with CHECK( Evidence().ParseFromString(counts.SerializeAsString()) ) false for "/\xff\xfe/x", "/a\xc3" and for a character that the limit cuts in two.

Ruled out: configured routes, whose names come from JSON, which is checked.

Why it works: every byte that is not visible ASCII becomes "?", so that each part of a name is valid text. Paths that differ in such bytes alone share their counts.

--- a/include/kumquatmoor/state/outcome_counters.h
+++ b/include/kumquatmoor/state/outcome_counters.h
@@ -57,7 +57,7 @@
 };
 
 // Returns the method and the first path segment: "GET /search" for "GET" and
-// "/search/x?y=1".
+// "/search/x?y=1". Bytes that are not visible ASCII characters are replaced.
 std::string RouteOf(std::string_view method, std::string_view path);
 
 // ReportPacer: decides when the outcome counts of one target are sent to its
--- a/src/state/outcome_counters.cc
+++ b/src/state/outcome_counters.cc
@@ -33,8 +33,12 @@
   path = path.substr(0, path.find('?'));
   if (!path.empty()) path = path.substr(0, path.find('/', 1));
   constexpr size_t kMaxRouteBytes = 48;
-  return std::string(method) + " " +
-         std::string(path.substr(0, kMaxRouteBytes));
+  std::string route =
+      std::string(method) + " " + std::string(path.substr(0, kMaxRouteBytes));
+  // Other nodes discard a message with a string that is not valid UTF-8.
+  const auto is_invisible = [](char c) { return c < ' ' || c > '~'; };
+  std::replace_if(route.begin(), route.end(), is_invisible, '?');
+  return route;
 }
 
 ReportPacer::Sums ReportPacer::SumsOf(const Evidence& counts) {
--- a/src/state/outcome_counters_test.cc
+++ b/src/state/outcome_counters_test.cc
@@ -104,5 +104,24 @@
   CHECK(pacer.Take(report, now));
 }
 
+// Guards against a path with bytes that are not text: other nodes discard a
+// datagram with the name of such a route.
+TEST_CASE("A route has visible characters only", "[odd]") {
+  for (const std::string path :
+       {"/\xff\xfe/x", "/a\xc3", "/caf\xc3\xa9", "/a\x01\x7f"}) {
+    Evidence counts;
+    counts.add_routes()->set_route(RouteOf("GET", path));
+    CHECK(Evidence().ParseFromString(counts.SerializeAsString()));
+    for (const char c : counts.routes(0).route()) {
+      CHECK((c >= ' ' && c <= '~'));
+    }
+  }
+  const std::string long_path = "/" + std::string(46, 'a') + "\xc3\xa9";
+  Evidence counts;
+  counts.add_routes()->set_route(RouteOf("GET", long_path));
+  CHECK(Evidence().ParseFromString(counts.SerializeAsString()));
+  CHECK(RouteOf("GET", "/search/7?q=1") == "GET /search");
+}
+
 }  // namespace
 }  // namespace kumquatmoor
