Log and count each response of 3xx or 4xx by who made it and by what

A rejection logged its status and a fixed text, neither the host and path that no route matched, nor the revision and number of routes in force, nor the error of the HTTP parser and the limits; a 3xx or 4xx of a backend server was one attempt among all others.

Each such response now has a line of a kind of its own, within the budget of the other kinds, with origin node or backend, the check, its inputs and whether the backend server signed it, and kumquatmoor_denied_total counts them by status and origin. No request is served differently. Proxy::Reject and the attempt's struct moved to files of their own, so that proxy_calls.cc does not grow.

Test: denied_request_test, the log line and the counter of each origin, and 16 forms of proper requests that are accepted by the code as it was (port and case of the host, folded fields, chunks with extensions and trailers, bodies and heads of exactly the limit, requests that arrive together, HTTP/1.0).

--- a/include/kumquatmoor/node/call_metrics.h
+++ b/include/kumquatmoor/node/call_metrics.h
@@ -12,7 +12,9 @@
 #include <array>
 #include <boost/histogram.hpp>
 #include <cstdint>
+#include <map>
 #include <string>
+#include <utility>
 
 #include "kumquatmoor/protocol/attempt_kind.h"
 #include "kumquatmoor/protocol/verdict.h"
@@ -23,6 +25,8 @@
  public:
   using Runs = std::array<uint64_t, 3>;  // Indexed by AttemptKind.
 
+  enum class Origin { kNode, kBackend };  // What made a response.
+
   CallMetrics();
 
   // Counts a caller's request that ended, with all its retries.
@@ -41,6 +45,10 @@
   // Counts a request whose response would not have got through the host's link
   // in time.
   void OnLinkRefusal() { ++m_link_refusals; }
+  // Counts a response with a status of 3xx or 4xx to a caller.
+  void OnDenied(unsigned status, Origin origin) {
+    ++m_denied[{status, origin}];
+  }
   // Counts bytes that the link carried of a response that was not completed.
   void OnWastedBytes(size_t bytes) { m_wasted_bytes += bytes; }
   // Counts an outcome that was dropped because the ring to the control thread
@@ -65,6 +73,7 @@
   uint64_t m_blocked = 0;
   uint64_t m_link_refusals = 0;
   uint64_t m_wasted_bytes = 0;
+  std::map<std::pair<unsigned, Origin>, uint64_t> m_denied;
   boost::histogram::histogram<std::tuple<Axis>> m_latency;
   double m_latency_sum_ms = 0;
 };
--- a/include/kumquatmoor/node/log_budget.h
+++ b/include/kumquatmoor/node/log_budget.h
@@ -24,6 +24,7 @@
   kRefused,    // Requests that a node or a target refused.
   kFailed,     // Requests that failed or whose outcome is unknown.
   kAdmission,  // Admission decisions of the node at the target's host.
+  kDenied,     // Requests that got a status of 3xx or 4xx.
 };
 
 inline std::string_view LogKindName(LogKind kind) {
@@ -36,6 +37,8 @@
       return "failed";
     case LogKind::kAdmission:
       return "admission";
+    case LogKind::kDenied:
+      return "denied";
   }
   return "";
 }
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -136,6 +136,14 @@
   // be closed.
   boost::asio::awaitable<bool> Reject(InboundRequest& inbound, unsigned status,
                                       std::string reason);
+  // Log a response with a status of 3xx or 4xx to a caller, and count it by who
+  // made it: this node, or a backend server.
+  void ReportRejection(const InboundRequest& inbound, unsigned status,
+                       std::string_view reason);
+  void ReportBackendDenial(const InboundRequest& inbound,
+                           const Attempt& attempt);
+  // The configuration by which a request is routed, for the log.
+  std::string ConfigurationText() const;
   // Sends the request to one target after another until an attempt succeeds or
   // no retry is allowed. `attempt` has the result of the last attempt.
   boost::asio::awaitable<void> TryTargets(InboundRequest& inbound,
@@ -209,6 +217,7 @@
   UpstreamPool m_pool;  // Connections to other nodes.
   LinkPacer m_pacer;    // Of messages that leave by the host's link.
   std::shared_ptr<const RouteTable> m_routes;
+  TimePoint m_revision_since;  // Since when the revision is in force.
   std::shared_ptr<const CrashSuspects> m_crashes =
       std::make_shared<const CrashSuspects>();
   CallerBounds m_bounds;
--- a/include/kumquatmoor/state/http_routes.h
+++ b/include/kumquatmoor/state/http_routes.h
@@ -35,6 +35,7 @@
   const HttpRoute* Find(std::string_view host, std::string_view target) const;
   // True if the batch has no routes by host and path.
   bool IsEmpty() const { return m_by_host.empty(); }
+  size_t Size() const { return m_routes.size(); }
   // The batch's limits on callers' connections; a field that is 0 was not set.
   const CallerLimits& Limits() const { return m_limits; }
 
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -89,6 +89,9 @@
       std::function<void()> on_first_byte = {});
   // The HTTP status for a rejected request: 400, 408, 413 or 431.
   unsigned RejectionStatus() const { return m_rejection_status; }
+  // The error that caused the rejection.
+  std::string RejectionReason() const { return m_rejection.message(); }
+  const CallerBounds& Bounds() const { return m_bounds; }
   // Reads the next part of the body into `chunk`, which is empty at the end of
   // the body. Throws boost::system::system_error on failure.
   boost::asio::awaitable<void> ReadChunk(std::string* chunk);
@@ -118,6 +121,7 @@
   std::string m_buffered_body;
   bool m_fully_buffered = false;
   unsigned m_rejection_status = 0;
+  boost::system::error_code m_rejection;
 };
 
 // Watches a caller's connection while the response is awaited, and calls
--- a/src/node/call_metrics.cc
+++ b/src/node/call_metrics.cc
@@ -35,6 +35,13 @@
                         AttemptKindName(kind),
                         m_local_runs[static_cast<size_t>(kind)]);
   }
+  text += "# TYPE kumquatmoor_denied_total counter\n";
+  for (const auto& [key, count] : m_denied) {
+    const auto& [status, origin] = key;
+    text += fmt::format(
+        "kumquatmoor_denied_total{{status=\"{}\",origin=\"{}\"}} {}\n", status,
+        origin == Origin::kNode ? "node" : "backend", count);
+  }
   const auto counter = [&](const char* name, uint64_t value) {
     text += fmt::format("# TYPE {} counter\n{} {}\n", name, name, value);
   };
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -99,6 +99,9 @@
 
 void Proxy::SetRoutes(std::shared_ptr<const RouteTable> routes) {
   asio::post(m_context, [this, routes = std::move(routes)]() mutable {
+    if (m_routes == nullptr || m_routes->revision != routes->revision) {
+      m_revision_since = Clock::now();
+    }
     m_routes = std::move(routes);
     m_runner->GetAdmission().SetRoutes(*m_routes);
     if (m_routes->http_routes != nullptr) {
@@ -282,8 +285,9 @@
         co_await inbound.ReadHead([&caller] { caller.idle_since.reset(); });
     if (read == ReadOutcome::kClosed) break;
     if (read == ReadOutcome::kRejected) {
-      co_await Reject(inbound, inbound.RejectionStatus(),
-                      "the request is not within the bounds");
+      co_await Reject(
+          inbound, inbound.RejectionStatus(),
+          "the request is not accepted: " + inbound.RejectionReason());
       break;
     }
     try {
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -20,6 +20,7 @@
 #include "kumquatmoor/protocol/headers.h"
 #include "node/call.h"
 #include "node/local_runner.h"
+#include "node/proxy_attempt.h"
 
 namespace kumquatmoor {
 namespace {
@@ -41,8 +42,6 @@
 // age of load reports, the upper bound a restart.
 constexpr milliseconds kMinRetryAfter{50};
 constexpr milliseconds kMaxRetryAfter{1'000};
-// Retry-After of a node that has no configuration yet.
-constexpr milliseconds kNotReadyRetryAfter{300};
 // Lowest HTTP status of responses that say nothing of the size of others.
 constexpr unsigned kFirstErrorStatus = 300;
 
@@ -77,40 +76,6 @@
 
 }  // namespace
 
-// The attempts to serve one request: totals, and the result of the last one.
-struct Proxy::Attempt {
-  Call call;  // With the version of the current target.
-  ForwardResult result;
-  std::optional<LocalRun> local;
-  TimePoint started;          // Start of the current attempt.
-  bool leaving = false;       // As in AdmissionResult.
-  bool limited = false;       // As in AdmissionResult.
-  bool retry_denied = false;  // As in AdmissionResult.
-  bool link_full = false;     // As in AdmissionResult.
-  bool blocked = false;       // As in AdmissionResult.
-  bool crashed = false;       // The backend server of this attempt crashed.
-  uint32_t crashes = 0;       // Backend servers that crashed, in all attempts.
-  int64_t offers = 0;         // Attempts that may have arrived.
-  int refusals = 0;           // Nodes that refused the request.
-  int unreachable = 0;        // Nodes that could not be connected to.
-  milliseconds retry_after{0};
-
-  // True if this attempt may have reached a backend server.
-  bool MayHaveArrived() const {
-    const bool outcome_unknown =
-        !result.answered && result.verdict == Verdict::kMayHaveRun;
-    return result.offered || outcome_unknown;
-  }
-  // The next attempt, with the totals of this one.
-  Attempt Next() const {
-    return {.call = call,
-            .crashes = crashes,
-            .offers = offers,
-            .refusals = refusals,
-            .unreachable = unreachable};
-  }
-};
-
 std::string Proxy::NewRequestId() {
   return fmt::format("{:016x}{:016x}", m_rng(), m_rng());
 }
@@ -235,25 +200,6 @@
                      });
 }
 
-asio::awaitable<bool> Proxy::Reject(InboundRequest& inbound, unsigned status,
-                                    std::string reason) {
-  LocalReply answer;
-  answer.status = status;
-  answer.verdict = Verdict::kNotRun;
-  answer.request_id =
-      std::string(Text(inbound.Head()[m_options.headers.request_id]));
-  answer.request_id_header = m_options.headers.request_id;
-  answer.reason = std::move(reason);
-  if (status == 503) answer.retry_after = kNotReadyRetryAfter;
-  answer.close = m_draining;
-  if (m_log_budget.Allow(LogKind::kRefused, Clock::now())) {
-    spdlog::info("route: event=rejected request={} status={} reason=\"{}\"",
-                 answer.request_id, status, answer.reason);
-  }
-  co_await WriteLocalReply(inbound, answer);
-  co_return inbound.KeepAlive() && inbound.IsFullyBuffered() && !answer.close;
-}
-
 asio::awaitable<bool> Proxy::ServeCaller(InboundRequest& inbound) {
   Call call;
   auto rejection = ReadCallerCall(inbound, &call);
@@ -535,6 +481,7 @@
 asio::awaitable<bool> Proxy::Answer(InboundRequest& inbound, Attempt& attempt) {
   const Verdict verdict = attempt.result.verdict;
   const unsigned status = attempt.result.head.result_int();
+  ReportBackendDenial(inbound, attempt);
   attempt.result.head.set(m_options.headers.request_id,
                           attempt.call.request_id);
   attempt.result.head.erase(headers::kLoad);
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -90,6 +90,7 @@
 
 ReadOutcome InboundRequest::Reject(const Error& error) {
   if (error == http::error::end_of_stream) return ReadOutcome::kClosed;
+  m_rejection = error;
   if (error == beast::error::timeout) {
     m_rejection_status = 408;
   } else if (error == http::error::header_limit) {
