Take a 3xx or 4xx without the signature for a damaged response

Cause: the validation of a backend server's response demanded the deployment's signature of a 2xx only. A damaged status line, or a response that another program wrote on the backend server's address, passed as the backend server's own statement that the request is wrong. Class: a check of one kind of final response that others lack as well. A 3xx or 4xx is as final as a success.

Evidence, before the fix (denied_request_test, 'A denial without the signature is no response'): 404 (0x194) == 502 (0x1f6) with message: 404 No 400 (0x190) == 502 (0x1f6) with message: 400 No 301 (0x12d) == 502 (0x1f6) with message: 301 Moved 431 (0x1af) == 502 (0x1f6) with message: 431 No

Ruled out by the same test on the old code: 421, 429 and not-run 400 without signature are refusals (503), 429 without the not-run header is a 502.

The fix works since the response now counts as none: the request may have run, so an idempotent one is tried elsewhere and any other ends with 502, which promises nothing. A 5xx without signature is passed on as before: it denies nothing, and whether backend servers sign their 5xx is not known.

--- a/src/node/denied_request_test.cc
+++ b/src/node/denied_request_test.cc
@@ -267,6 +267,37 @@
   for (int i = 0; i < 3; ++i) CHECK(caller.Status() == 200);
 }
 
+// Guards against a damaged response of a backend server that reaches the caller
+// as a statement that its request is wrong, so that it is not sent again.
+TEST_CASE_METHOD(DenialFixture,
+                 "A denial without the signature is no response") {
+  struct Case {
+    const char* head;
+    unsigned status;
+  };
+  const Case cases[] = {
+      {"404 No\r\n", 502},
+      {"400 No\r\n", 502},
+      {"301 Moved\r\nLocation: /b/\r\n", 502},
+      {"431 No\r\n", 502},
+      {"429 Busy\r\n", 502},
+      {"404 No\r\nSigned: y\r\n", 404},
+      {"301 Moved\r\nSigned: y\r\n", 301},
+      // A refusal is not signed.
+      {"421 Other\r\n", 503},
+      {"429 Busy\r\nNot-Run: 1\r\n", 503},
+      {"400 No id\r\nNot-Run: 1\r\n", 503},
+      {"500 Failed\r\n", 500},
+  };
+  for (const auto& c : cases) {
+    INFO(c.head);
+    reply = std::string("HTTP/1.1 ") + c.head + "Content-Length: 0\r\n\r\n";
+    RawCaller caller;
+    caller.Send({Head("GET /a/1 HTTP/1.1") + "\r\n"});
+    CHECK(caller.Status() == c.status);
+  }
+}
+
 // Guards against a 3xx or 4xx that the log and the metrics do not explain.
 TEST_CASE_METHOD(DenialFixture, "Each denial is logged and counted by origin") {
   std::ostringstream log;
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -29,6 +29,7 @@
 #include "kumquatmoor/transport/endpoint_address.h"
 #include "transport/body_reader.h"
 #include "transport/paced_write.h"
+#include "transport/response_checks.h"
 
 namespace kumquatmoor {
 namespace {
@@ -56,7 +57,6 @@
 constexpr int kKeepAliveIntervalS = 1;
 constexpr int kKeepAliveProbes = 2;
 constexpr unsigned kInterimStatusClass = 1;
-constexpr unsigned kSuccessStatusClass = 2;
 
 // A completion token that stores the error instead of throwing it.
 auto Into(Error& error) {
@@ -249,32 +249,6 @@
   }
 }
 
-// Returns why a backend server's response is invalid, or an empty text if it is
-// valid.
-std::string_view ResponseViolation(const http::response_header<>& response,
-                                   const CallHeaders& names) {
-  if (response.count(http::field::content_encoding) > 0) {
-    return "answer with an encoding that was not asked for";
-  }
-  const bool success = response.result_int() / 100 == kSuccessStatusClass;
-  if (success && !names.signature.empty() &&
-      response.count(names.signature) == 0) {
-    return "successful answer without a signature";
-  }
-  return {};
-}
-
-// The verdict of a backend server's response: 421 (Misdirected Request) and the
-// deployment's not-run header state that the request was not executed.
-Verdict BackendVerdict(const http::response_header<>& response,
-                       const CallHeaders& names) {
-  const bool misdirected =
-      response.result() == http::status::misdirected_request;
-  const bool not_run =
-      !names.not_run.empty() && response.count(names.not_run) > 0;
-  return misdirected || not_run ? Verdict::kNotRun : Verdict::kRan;
-}
-
 // Returns the timeout parameter of the response's Keep-Alive header, if
 // present.
 std::optional<std::chrono::seconds> KeepAliveTimeout(
--- /dev/null
+++ b/src/transport/response_checks.h
@@ -0,0 +1,33 @@
+#ifndef KUMQUATMOOR_SRC_TRANSPORT_RESPONSE_CHECKS_H_
+#define KUMQUATMOOR_SRC_TRANSPORT_RESPONSE_CHECKS_H_
+
+// What the head of a backend server's response says: whether it is a response
+// of that server at all, and whether the request was executed.
+//
+//   if (!ResponseViolation(head, names).empty()) ...  // Not its response.
+//   const Verdict verdict = BackendVerdict(head, names);
+
+#include <boost/beast/http/message.hpp>
+#include <string_view>
+
+#include "kumquatmoor/protocol/headers.h"
+#include "kumquatmoor/protocol/verdict.h"
+
+namespace kumquatmoor {
+
+using ResponseHead = boost::beast::http::response_header<>;
+
+// Returns why a backend server's response is invalid, or an empty text if it is
+// valid. If the deployment has a signature, a response needs it to be a
+// success, or to state that the request is wrong (3xx and 4xx): callers accept
+// both as final. Refusals are not signed.
+std::string_view ResponseViolation(const ResponseHead& response,
+                                   const CallHeaders& names);
+
+// The verdict of a backend server's response: 421 (Misdirected Request) and the
+// deployment's not-run header state that the request was not executed.
+Verdict BackendVerdict(const ResponseHead& response, const CallHeaders& names);
+
+}  // namespace kumquatmoor
+
+#endif  // KUMQUATMOOR_SRC_TRANSPORT_RESPONSE_CHECKS_H_
