Size the buffer of a connection by the limits in force

Cause: the buffer's maximum size was computed from the limits in force when the connection was accepted, the parser's limits from those of each request. Class: a value derived once from configuration that changes later. The head overflowed the buffer (buffer_overflow), which counts as malformed.

Evidence, before the fix (denied_request_test, 'Limits that grow hold on open connections', a head of 398,000 bytes after the limit became 400,000): 400 (0x190) == 200

The fix works since SetBounds sets the parser's limits and the buffer's size together. Connections of other nodes have constant bounds: a head of more than 16 KiB still does not get from node to node, which ends as 502 and not as a denial (open).

--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -81,6 +81,9 @@
                  boost::beast::flat_buffer& buffer,
                  const CallerBounds& bounds = {});
 
+  // Replaces the bounds, and the maximum size of the buffer, which exceeds the
+  // largest head. Call before ReadHead, or in its `on_first_byte`.
+  void SetBounds(const CallerBounds& bounds);
   // Reads the head and the buffered part of the body: all of it if it is small.
   // Calls `on_first_byte` once the first byte has arrived, and sends 100
   // Continue if the caller expects it. Throws boost::system::system_error if
--- a/src/node/denied_request_test.cc
+++ b/src/node/denied_request_test.cc
@@ -197,6 +197,14 @@
   return head + std::string(size - head.size() - 4, 'p') + "\r\n\r\n";
 }
 
+// `head`, extended by fields of 1,000 bytes to about `size` bytes.
+std::string LargeHead(std::string head, size_t size) {
+  while (head.size() < size) {
+    head += "Pad: " + std::string(993, 'p') + "\r\n";
+  }
+  return head + "\r\n";
+}
+
 std::string Chunk(size_t size, const std::string& extension = "") {
   std::ostringstream text;
   text << std::hex << size << extension << "\r\n"
@@ -267,6 +275,21 @@
   for (int i = 0; i < 3; ++i) CHECK(caller.Status() == 200);
 }
 
+// Guards against limits on an open connection that are not those in force.
+TEST_CASE_METHOD(DenialFixture, "Limits that grow hold on open connections") {
+  constexpr uint32_t kLargeHeader = 400'000;
+  RawCaller open;
+  open.Send({Head("GET /a/1 HTTP/1.1") + "\r\n"});
+  REQUIRE(open.Status() == 200);
+  SetLimits(2, {.header = kLargeHeader});
+  Metrics();
+  // The wait for this request began with the earlier limits.
+  open.Send({Head("GET /a/1 HTTP/1.1") + "\r\n"});
+  REQUIRE(open.Status() == 200);
+  open.Send({LargeHead(Head("GET /a/1 HTTP/1.1"), kLargeHeader - 2'000)});
+  CHECK(open.Status() == 200);
+}
+
 // Guards against a damaged response of a backend server that reaches the caller
 // as a statement that its request is wrong, so that it is not sent again.
 TEST_CASE_METHOD(DenialFixture,
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -276,7 +276,7 @@
   const std::unique_ptr<CallerConnection, decltype(unregister)> registration(
       &caller, unregister);
   m_callers->insert(&caller);
-  beast::flat_buffer buffer(kMaxUnparsedBytes + m_bounds.max_header_bytes);
+  beast::flat_buffer buffer;
   bool keep_open = true;
   while (keep_open) {
     InboundRequest inbound(caller.stream, buffer, m_bounds);
@@ -301,7 +301,7 @@
 
 asio::awaitable<void> Proxy::DataSession(asio::ip::tcp::socket socket) {
   beast::tcp_stream stream(std::move(socket));
-  beast::flat_buffer buffer(kMaxUnparsedBytes);
+  beast::flat_buffer buffer;
   bool keep_open = true;
   while (keep_open) {
     InboundRequest inbound(stream, buffer);
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -66,9 +66,15 @@
 InboundRequest::InboundRequest(beast::tcp_stream& stream,
                                beast::flat_buffer& buffer,
                                const CallerBounds& bounds)
-    : m_stream(stream), m_buffer(buffer), m_bounds(bounds) {
+    : m_stream(stream), m_buffer(buffer) {
+  SetBounds(bounds);
+}
+
+void InboundRequest::SetBounds(const CallerBounds& bounds) {
+  m_bounds = bounds;
   m_parser.header_limit(bounds.max_header_bytes);
   m_parser.body_limit(bounds.max_body_bytes);
+  m_buffer.max_size(kMaxUnparsedBytes + bounds.max_header_bytes);
 }
 
 // Waits for the first byte of the request, which ends the idle time. Returns at
