Apply the limits in force at a request's first byte

Cause: the bounds of a request were copied before the wait for its first byte, which lasts up to the idle timeout (a minute by default). Each idle connection thus held one request to limits that were no longer in force.

Evidence, before the fix (denied_request_test, 'A request has the limits of its arrival'): 413 (0x19d) == 200

Ruled out: the body limit itself and its counting, by bodies of exactly the limit, with a length and in chunks. The fix works since the callback for the first byte sets the bounds, before the parser sees a byte. The idle timeout itself is still that of the wait's start: a longer one holds from the next request on (closes an idle connection, no denial; left as it is).

--- a/src/node/denied_request_test.cc
+++ b/src/node/denied_request_test.cc
@@ -290,6 +290,22 @@
   CHECK(open.Status() == 200);
 }
 
+// Guards against a 413 by the earlier limits for the first request that follows
+// on a connection which was idle while the limits were raised.
+TEST_CASE_METHOD(DenialFixture, "A request has the limits of its arrival") {
+  constexpr uint64_t kLargerBody = 2 * kBodyLimit;
+  RawCaller idle;
+  idle.Send({Head("GET /a/1 HTTP/1.1") + "\r\n"});
+  REQUIRE(idle.Status() == 200);
+  SetLimits(2, {.body = kLargerBody});
+  Metrics();
+  idle.Send(
+      {Head("POST /a/1 HTTP/1.1",
+            "Content-Length: " + std::to_string(kLargerBody) + "\r\n\r\n") +
+       std::string(kLargerBody, 'b')});
+  CHECK(idle.Status() == 200);
+}
+
 // Guards against a damaged response of a backend server that reaches the caller
 // as a statement that its request is wrong, so that it is not sent again.
 TEST_CASE_METHOD(DenialFixture,
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -282,7 +282,10 @@
     InboundRequest inbound(caller.stream, buffer, m_bounds);
     caller.idle_since = Clock::now();
     const ReadOutcome read =
-        co_await inbound.ReadHead([&caller] { caller.idle_since.reset(); });
+        co_await inbound.ReadHead([this, &caller, &inbound] {
+          caller.idle_since.reset();
+          inbound.SetBounds(m_bounds);
+        });
     if (read == ReadOutcome::kClosed) break;
     if (read == ReadOutcome::kRejected) {
       co_await Reject(
