Close a connection that ends inside a request, without a 400

Callers do not send a request again after a 400, but they may if the connection was closed before the request was read.

Cause: every error of the HTTP parser but two limits counted as malformed, also partial_message, which says that the connection ended early. Class: a default branch that takes in errors of another kind.

Evidence, before the fix (denied_request_test, 'A request that ends early is not counted as malformed', three cases: in the request line, in the fields, in the body): 400 (0x190) == 0

Ruled out: a connection that is reset, which was closed before as well. The fix works since partial_message is handled as end_of_stream: no byte has been passed on by then, as bodies are only streamed after ReadHead.

--- a/src/node/denied_request_test.cc
+++ b/src/node/denied_request_test.cc
@@ -306,6 +306,22 @@
   CHECK(idle.Status() == 200);
 }
 
+// Guards against a 400 for a request of which only a part arrived.
+TEST_CASE_METHOD(DenialFixture,
+                 "A request that ends early is not counted as malformed") {
+  const std::string body =
+      Head("POST /a/1 HTTP/1.1", "Content-Length: 9\r\n\r\n") + "abc";
+  const std::string cases[] = {"GET /a/1 HT", Head("GET /a/1 HTTP/1.1"), body};
+  for (const auto& bytes : cases) {
+    INFO(bytes);
+    RawCaller caller;
+    caller.Send({bytes});
+    caller.CloseForWriting();
+    CHECK(caller.Status() == 0);
+  }
+  CHECK(Metrics().find("status=\"400\"") == std::string::npos);
+}
+
 // Guards against a damaged response of a backend server that reaches the caller
 // as a statement that its request is wrong, so that it is not sent again.
 TEST_CASE_METHOD(DenialFixture,
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -95,7 +95,10 @@
 }
 
 ReadOutcome InboundRequest::Reject(const Error& error) {
-  if (error == http::error::end_of_stream) return ReadOutcome::kClosed;
+  if (error == http::error::end_of_stream ||
+      error == http::error::partial_message) {
+    return ReadOutcome::kClosed;
+  }
   m_rejection = error;
   if (error == beast::error::timeout) {
     m_rejection_status = 408;
