Refuse a header field that the HTTP library cannot store

What callers saw: the node ended while others were served, if one of them sent a header field of more than 65,533 bytes and the operators' maxHeaderBytes allowed that much.

Cause: the library throws std::length_error out of the parser. Thrown while the composed read is resumed by the io_context, it does not reach the session that waits for the read but leaves io_context::run, and the process ends. Class: an exception that escapes from an asynchronous operation, past its caller.

Evidence, before the fix (denied_request_test, 'A huge header field ends its request only'): terminate called after throwing an instance of 'boost::wrapexcept<std::length_error>' what(): field value too large SIGABRT - Abort (abnormal termination) signal

Ruled out: the limits themselves; a head of 398,000 bytes in many fields is accepted. The fix works since the session now reads and passes the bytes to the parser itself, so that the exception is caught where it is thrown and becomes the error of a head over the limit (431).

--- a/src/node/denied_request_test.cc
+++ b/src/node/denied_request_test.cc
@@ -322,6 +322,20 @@
   CHECK(Metrics().find("status=\"400\"") == std::string::npos);
 }
 
+// Guards against a node that ends since a header field exceeds what the HTTP
+// library can store, though the operators' limit allows it.
+TEST_CASE_METHOD(DenialFixture, "A huge header field ends its request only") {
+  SetLimits(2, {.header = 400'000});
+  Metrics();
+  RawCaller caller;
+  const std::string head = PaddedHead(Head("GET /a/1 HTTP/1.1"), 100'000);
+  caller.Send({head.substr(0, 50'000), head.substr(50'000)});
+  CHECK(caller.Status() == 431);
+  RawCaller other;
+  other.Send({Head("GET /a/1 HTTP/1.1") + "\r\n"});
+  CHECK(other.Status() == 200);
+}
+
 // Guards against a damaged response of a backend server that reaches the caller
 // as a statement that its request is wrong, so that it is not sent again.
 TEST_CASE_METHOD(DenialFixture,
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -4,6 +4,7 @@
 // request that is outside the bounds is rejected with the status of the bound
 // it violates.
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -12,6 +13,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <stdexcept>
 #include <utility>
 
 #include "kumquatmoor/transport/exchange.h"
@@ -27,6 +29,8 @@
 
 // For each part of the body.
 constexpr std::chrono::seconds kCallerBodyTimeout{30};
+// Bytes of a head that are read at a time.
+constexpr size_t kHeadReadBytes = 4'096;
 
 // A completion token that stores the error instead of throwing it.
 auto Into(Error& error) {
@@ -38,6 +42,40 @@
   return stream.socket().available(error) > 0 && !error;
 }
 
+// Passes the buffered bytes to the parser of a head. The library throws if a
+// field is larger than it can store, whatever the limit of the head is.
+Error ParseHead(beast::flat_buffer& buffer,
+                http::request_parser<http::buffer_body>& parser) {
+  Error error;
+  try {
+    buffer.consume(parser.put(buffer.data(), error));
+  } catch (const std::length_error&) {
+    error = http::error::header_limit;
+  }
+  return error;
+}
+
+// Reads a head, of which the buffer has the first bytes. An exception that the
+// parser throws in http::async_read_header would end the process.
+asio::awaitable<Error> ReadWholeHead(
+    beast::tcp_stream& stream, beast::flat_buffer& buffer,
+    http::request_parser<http::buffer_body>& parser) {
+  Error error = ParseHead(buffer, parser);
+  while (error == http::error::need_more ||
+         (!error && !parser.is_header_done())) {
+    const size_t room =
+        std::min(kHeadReadBytes, buffer.max_size() - buffer.size());
+    if (room == 0) co_return http::error::header_limit;
+    const size_t size =
+        co_await stream.async_read_some(buffer.prepare(room), Into(error));
+    buffer.commit(size);
+    if (error == asio::error::eof) co_return http::error::partial_message;
+    if (error) co_return error;
+    error = ParseHead(buffer, parser);
+  }
+  co_return error;
+}
+
 }  // namespace
 
 CallerWatch::CallerWatch(beast::tcp_stream& caller,
@@ -81,14 +119,13 @@
 // once if the buffer already has bytes of a pipelined request. If the wait is
 // cancelled while bytes arrive, they are read.
 asio::awaitable<Error> InboundRequest::AwaitFirstByte() {
-  constexpr size_t kFirstReadBytes = 4'096;
   Error error;
   if (m_buffer.size() > 0) co_return error;
   m_stream.expires_after(m_bounds.idle_timeout);
   do {
     error = {};
     const size_t size = co_await m_stream.async_read_some(
-        m_buffer.prepare(kFirstReadBytes), Into(error));
+        m_buffer.prepare(kHeadReadBytes), Into(error));
     m_buffer.commit(size);
   } while (error == asio::error::operation_aborted && HasBytesToRead(m_stream));
   co_return error;
@@ -125,7 +162,7 @@
   if (error) throw boost::system::system_error(error);
   if (on_first_byte) on_first_byte();
   m_stream.expires_after(m_bounds.header_timeout);
-  co_await http::async_read_header(m_stream, m_buffer, m_parser, Into(error));
+  error = co_await ReadWholeHead(m_stream, m_buffer, m_parser);
   if (error) co_return Reject(error);
   if (Head()[http::field::expect] == "100-continue") {
     http::response<http::string_body> continue_response(http::status::continue_,
