Refuse a trailer that the HTTP library cannot store

What callers saw: the node ended while others were served, if one of them, or a backend server, sent a chunked body with a trailer field of more than 65,533 bytes. No limit of the operators prevents it.

Bodies are read by http::async_read, out of which the parser's std::length_error reaches io_context::run; trailers are bounded by the connection's buffer of 256 KiB only.

Evidence, before the fix (denied_request_test, 'A huge trailer ends its request only', a caller's trailer of 100,000 bytes): terminate called after throwing an instance of 'boost::wrapexcept<std::length_error>' what(): field value too large SIGABRT - Abort (abnormal termination) signal The test's part with a backend server's trailer was not reached by the old code, so for that side only the result after the fix is shown (502 or 504).

Ruled out: heads of backend servers, whose limit of 65,536 bytes for all fields leaves less than the library can store. The fix works since bodies are now read by a loop of our own that passes the bytes to the parser and catches the exception there; body_reader_test holds the number of reads as before (its changed line includes a header that it uses itself).

--- a/src/node/denied_request_test.cc
+++ b/src/node/denied_request_test.cc
@@ -336,6 +336,33 @@
   CHECK(other.Status() == 200);
 }
 
+// Guards against the same by the trailer of a chunked body.
+TEST_CASE_METHOD(DenialFixture, "A huge trailer ends its request only") {
+  const std::string body =
+      Head("POST /a/1 HTTP/1.1", "Transfer-Encoding: chunked\r\n\r\n") +
+      "0\r\n";
+  const std::string trailer = "T: " + std::string(100'000, 't') + "\r\n\r\n";
+  for (const auto& parts :
+       {std::vector{body + trailer}, std::vector{body, trailer},
+        std::vector{body + trailer.substr(0, 50'000),
+                    trailer.substr(50'000)}}) {
+    RawCaller caller;
+    caller.Send(parts);
+    CHECK(caller.Status() == 431);
+  }
+  RawCaller other;
+  other.Send({Head("GET /a/1 HTTP/1.1") + "\r\n"});
+  CHECK(other.Status() == 200);
+  // A trailer in the response.
+  reply =
+      "HTTP/1.1 200 OK\r\nSigned: y\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n0\r\n" +
+      trailer;
+  RawCaller third;
+  third.Send({Head("GET /a/1 HTTP/1.1") + "\r\n"});
+  CHECK(third.Status() >= 502);
+}
+
 // Guards against a damaged response of a backend server that reaches the caller
 // as a statement that its request is wrong, so that it is not sent again.
 TEST_CASE_METHOD(DenialFixture,
--- a/src/transport/body_reader.h
+++ b/src/transport/body_reader.h
@@ -10,10 +10,11 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <cstddef>
+#include <stdexcept>
 #include <string>
 
 namespace kumquatmoor {
@@ -34,6 +35,60 @@
   return static_cast<size_t>(std::clamp<uint64_t>(*left, 1, kMaxBodyReadBytes));
 }
 
+// Passes buffered bytes to the parser. The library throws if a header field or
+// a trailer is larger than it can store, whatever the limit of the head is. In
+// an asynchronous read of the library, that would end the process.
+template <typename Parser>
+boost::system::error_code ParseBuffered(boost::beast::flat_buffer& buffer,
+                                        Parser& parser) {
+  boost::system::error_code error;
+  try {
+    buffer.consume(parser.put(buffer.data(), error));
+  } catch (const std::length_error&) {
+    error = boost::beast::http::error::header_limit;
+  }
+  return error;
+}
+
+// Reads more bytes of a message into the buffer. Tells the parser if the
+// connection has ended.
+template <typename Parser>
+boost::asio::awaitable<boost::system::error_code> ReadMore(
+    boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
+    Parser& parser) {
+  boost::system::error_code error;
+  const size_t room = boost::beast::read_size(buffer, kMaxBodyReadBytes);
+  if (room == 0) co_return boost::beast::http::error::buffer_overflow;
+  const size_t size = co_await stream.async_read_some(
+      buffer.prepare(room),
+      boost::asio::redirect_error(boost::asio::use_awaitable, error));
+  buffer.commit(size);
+  if (error == boost::asio::error::eof) {
+    error = {};
+    parser.put_eof(error);
+  }
+  co_return error;
+}
+
+// Reads until the message is complete or the parser's body is full.
+template <typename Parser>
+boost::asio::awaitable<boost::system::error_code> ReadBody(
+    boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
+    Parser& parser) {
+  parser.eager(true);
+  boost::system::error_code error;
+  while (!error && !parser.is_done()) {
+    if (buffer.size() > 0) error = ParseBuffered(buffer, parser);
+    const bool needs_more =
+        error == boost::beast::http::error::need_more || buffer.size() == 0;
+    if (error == boost::beast::http::error::need_more) error = {};
+    if (needs_more && !error && !parser.is_done()) {
+      error = co_await ReadMore(stream, buffer, parser);
+    }
+  }
+  co_return error;
+}
+
 // Reads the next part of the body and appends it to `body`. `parser` has a
 // buffer_body.
 template <typename Parser>
@@ -46,10 +101,7 @@
   body->resize(start + room);
   parser.get().body().data = body->data() + start;
   parser.get().body().size = room;
-  boost::system::error_code error;
-  co_await boost::beast::http::async_read(
-      stream, buffer, parser,
-      boost::asio::redirect_error(boost::asio::use_awaitable, error));
+  boost::system::error_code error = co_await ReadBody(stream, buffer, parser);
   body->resize(start + room - parser.get().body().size);
   if (error == boost::beast::http::error::need_buffer) error = {};
   co_return error;
--- a/src/transport/body_reader_test.cc
+++ b/src/transport/body_reader_test.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
 #include <catch2/catch.hpp>
 #include <string>
 
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -10,10 +10,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
-#include <stdexcept>
 #include <utility>
 
 #include "kumquatmoor/transport/exchange.h"
@@ -42,25 +40,11 @@
   return stream.socket().available(error) > 0 && !error;
 }
 
-// Passes the buffered bytes to the parser of a head. The library throws if a
-// field is larger than it can store, whatever the limit of the head is.
-Error ParseHead(beast::flat_buffer& buffer,
-                http::request_parser<http::buffer_body>& parser) {
-  Error error;
-  try {
-    buffer.consume(parser.put(buffer.data(), error));
-  } catch (const std::length_error&) {
-    error = http::error::header_limit;
-  }
-  return error;
-}
-
-// Reads a head, of which the buffer has the first bytes. An exception that the
-// parser throws in http::async_read_header would end the process.
+// Reads a head, of which the buffer has the first bytes.
 asio::awaitable<Error> ReadWholeHead(
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
     http::request_parser<http::buffer_body>& parser) {
-  Error error = ParseHead(buffer, parser);
+  Error error = ParseBuffered(buffer, parser);
   while (error == http::error::need_more ||
          (!error && !parser.is_header_done())) {
     const size_t room =
@@ -71,7 +55,7 @@
     buffer.commit(size);
     if (error == asio::error::eof) co_return http::error::partial_message;
     if (error) co_return error;
-    error = ParseHead(buffer, parser);
+    error = ParseBuffered(buffer, parser);
   }
   co_return error;
 }
