--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -81,6 +81,9 @@
                  boost::beast::flat_buffer& buffer,
                  const CallerBounds& bounds = {});
 
+  // Replaces the bounds, and the maximum size of the buffer, which exceeds the
+  // largest head. Call before ReadHead, or in its `on_first_byte`.
+  void SetBounds(const CallerBounds& bounds);
   // Reads the head and the buffered part of the body: all of it if it is small.
   // Calls `on_first_byte` once the first byte has arrived, and sends 100
   // Continue if the caller expects it. Throws boost::system::system_error if
@@ -89,6 +92,9 @@
       std::function<void()> on_first_byte = {});
   // The HTTP status for a rejected request: 400, 408, 413 or 431.
   unsigned RejectionStatus() const { return m_rejection_status; }
+  // The error that caused the rejection.
+  std::string RejectionReason() const { return m_rejection.message(); }
+  const CallerBounds& Bounds() const { return m_bounds; }
   // Reads the next part of the body into `chunk`, which is empty at the end of
   // the body. Throws boost::system::system_error on failure.
   boost::asio::awaitable<void> ReadChunk(std::string* chunk);
@@ -118,6 +124,7 @@
   std::string m_buffered_body;
   bool m_fully_buffered = false;
   unsigned m_rejection_status = 0;
+  boost::system::error_code m_rejection;
 };
 
 // Watches a caller's connection while the response is awaited, and calls
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -99,6 +99,9 @@
 
 void Proxy::SetRoutes(std::shared_ptr<const RouteTable> routes) {
   asio::post(m_context, [this, routes = std::move(routes)]() mutable {
+    if (m_routes == nullptr || m_routes->revision != routes->revision) {
+      m_revision_since = Clock::now();
+    }
     m_routes = std::move(routes);
     m_runner->GetAdmission().SetRoutes(*m_routes);
     if (m_routes->http_routes != nullptr) {
@@ -273,17 +276,21 @@
   const std::unique_ptr<CallerConnection, decltype(unregister)> registration(
       &caller, unregister);
   m_callers->insert(&caller);
-  beast::flat_buffer buffer(kMaxUnparsedBytes + m_bounds.max_header_bytes);
+  beast::flat_buffer buffer;
   bool keep_open = true;
   while (keep_open) {
     InboundRequest inbound(caller.stream, buffer, m_bounds);
     caller.idle_since = Clock::now();
     const ReadOutcome read =
-        co_await inbound.ReadHead([&caller] { caller.idle_since.reset(); });
+        co_await inbound.ReadHead([this, &caller, &inbound] {
+          caller.idle_since.reset();
+          inbound.SetBounds(m_bounds);
+        });
     if (read == ReadOutcome::kClosed) break;
     if (read == ReadOutcome::kRejected) {
-      co_await Reject(inbound, inbound.RejectionStatus(),
-                      "the request is not within the bounds");
+      co_await Reject(
+          inbound, inbound.RejectionStatus(),
+          "the request is not accepted: " + inbound.RejectionReason());
       break;
     }
     try {
@@ -297,7 +304,7 @@
 
 asio::awaitable<void> Proxy::DataSession(asio::ip::tcp::socket socket) {
   beast::tcp_stream stream(std::move(socket));
-  beast::flat_buffer buffer(kMaxUnparsedBytes);
+  beast::flat_buffer buffer;
   bool keep_open = true;
   while (keep_open) {
     InboundRequest inbound(stream, buffer);
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -25,10 +25,10 @@
 
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/transport/endpoint_address.h"
-#include "transport/backend_verdict.h"
 #include "transport/body_reader.h"
 #include "transport/paced_write.h"
 #include "transport/peer_loss.h"
+#include "transport/response_checks.h"
 
 namespace kumquatmoor {
 namespace {
@@ -46,7 +46,6 @@
 // responses, that are discarded before the response to a request.
 constexpr int kMaxSkippedResponses = 3;
 constexpr unsigned kInterimStatusClass = 1;
-constexpr unsigned kSuccessStatusClass = 2;
 
 // A completion token that stores the error instead of throwing it.
 auto Into(Error& error) {
@@ -224,21 +223,6 @@
   }
 }
 
-// Returns why a backend server's response is invalid, or an empty text if it is
-// valid.
-std::string_view ResponseViolation(const http::response_header<>& response,
-                                   const CallHeaders& names) {
-  if (response.count(http::field::content_encoding) > 0) {
-    return "answer with an encoding that was not asked for";
-  }
-  const bool success = response.result_int() / 100 == kSuccessStatusClass;
-  if (success && !names.signature.empty() &&
-      response.count(names.signature) == 0) {
-    return "successful answer without a signature";
-  }
-  return {};
-}
-
 // Returns the timeout parameter of the response's Keep-Alive header, if
 // present.
 std::optional<std::chrono::seconds> KeepAliveTimeout(
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -4,12 +4,12 @@
 // request that is outside the bounds is rejected with the status of the bound
 // it violates.
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
@@ -27,6 +27,8 @@
 
 // For each part of the body.
 constexpr std::chrono::seconds kCallerBodyTimeout{30};
+// Bytes of a head that are read at a time.
+constexpr size_t kHeadReadBytes = 4'096;
 
 // A completion token that stores the error instead of throwing it.
 auto Into(Error& error) {
@@ -38,6 +40,26 @@
   return stream.socket().available(error) > 0 && !error;
 }
 
+// Reads a head, of which the buffer has the first bytes.
+asio::awaitable<Error> ReadWholeHead(
+    beast::tcp_stream& stream, beast::flat_buffer& buffer,
+    http::request_parser<http::buffer_body>& parser) {
+  Error error = ParseBuffered(buffer, parser);
+  while (error == http::error::need_more ||
+         (!error && !parser.is_header_done())) {
+    const size_t room =
+        std::min(kHeadReadBytes, buffer.max_size() - buffer.size());
+    if (room == 0) co_return http::error::header_limit;
+    const size_t size =
+        co_await stream.async_read_some(buffer.prepare(room), Into(error));
+    buffer.commit(size);
+    if (error == asio::error::eof) co_return http::error::partial_message;
+    if (error) co_return error;
+    error = ParseBuffered(buffer, parser);
+  }
+  co_return error;
+}
+
 }  // namespace
 
 CallerWatch::CallerWatch(beast::tcp_stream& caller,
@@ -66,30 +88,39 @@
 InboundRequest::InboundRequest(beast::tcp_stream& stream,
                                beast::flat_buffer& buffer,
                                const CallerBounds& bounds)
-    : m_stream(stream), m_buffer(buffer), m_bounds(bounds) {
+    : m_stream(stream), m_buffer(buffer) {
+  SetBounds(bounds);
+}
+
+void InboundRequest::SetBounds(const CallerBounds& bounds) {
+  m_bounds = bounds;
   m_parser.header_limit(bounds.max_header_bytes);
   m_parser.body_limit(bounds.max_body_bytes);
+  m_buffer.max_size(kMaxUnparsedBytes + bounds.max_header_bytes);
 }
 
 // Waits for the first byte of the request, which ends the idle time. Returns at
 // once if the buffer already has bytes of a pipelined request. If the wait is
 // cancelled while bytes arrive, they are read.
 asio::awaitable<Error> InboundRequest::AwaitFirstByte() {
-  constexpr size_t kFirstReadBytes = 4'096;
   Error error;
   if (m_buffer.size() > 0) co_return error;
   m_stream.expires_after(m_bounds.idle_timeout);
   do {
     error = {};
     const size_t size = co_await m_stream.async_read_some(
-        m_buffer.prepare(kFirstReadBytes), Into(error));
+        m_buffer.prepare(kHeadReadBytes), Into(error));
     m_buffer.commit(size);
   } while (error == asio::error::operation_aborted && HasBytesToRead(m_stream));
   co_return error;
 }
 
 ReadOutcome InboundRequest::Reject(const Error& error) {
-  if (error == http::error::end_of_stream) return ReadOutcome::kClosed;
+  if (error == http::error::end_of_stream ||
+      error == http::error::partial_message) {
+    return ReadOutcome::kClosed;
+  }
+  m_rejection = error;
   if (error == beast::error::timeout) {
     m_rejection_status = 408;
   } else if (error == http::error::header_limit) {
@@ -115,7 +146,7 @@
   if (error) throw boost::system::system_error(error);
   if (on_first_byte) on_first_byte();
   m_stream.expires_after(m_bounds.header_timeout);
-  co_await http::async_read_header(m_stream, m_buffer, m_parser, Into(error));
+  error = co_await ReadWholeHead(m_stream, m_buffer, m_parser);
   if (error) co_return Reject(error);
   if (Head()[http::field::expect] == "100-continue") {
     http::response<http::string_body> continue_response(http::status::continue_,
