--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -86,6 +86,21 @@
   uint64_t failed = 0;  // No ACK within the probe interval.
 };
 
+// The path by which a batch reached this node.
+enum class BatchPath {
+  kPushedDelta,  // A delta in a datagram.
+  kSyncBatch,    // The whole batch, by a synchronisation.
+  kOffered,      // Read from the platform by this node, or offered by a client.
+};
+
+// How this node got its current batch.
+struct BatchArrival {
+  BatchPath path = BatchPath::kOffered;
+  // When a digest first showed that another node held a newer batch than the
+  // previous one; empty if none did.
+  std::optional<TimePoint> behind_since;
+};
+
 enum class OfferOutcome {
   kApplied,
   kOld,       // Not newer than the current batch.
@@ -107,7 +122,7 @@
 
   // Applies `batch` if it is valid and newer than the current one, and pushes
   // it to other members.
-  OfferOutcome Offer(const Batch& batch);
+  OfferOutcome Offer(const Batch& batch, BatchPath path = BatchPath::kOffered);
   // Joins `mark` into the marks and pushes the result. Returns false if nothing
   // changed or if the mark is obsolete: a later move has replaced its move, or
   // the service was removed.
@@ -151,6 +166,7 @@
 
   const Batch& CurrentBatch() const { return *m_batch; }
   std::shared_ptr<const Batch> SharedBatch() const { return m_batch; }
+  const BatchArrival& Arrival() const { return m_arrival; }
   const MarkSet& Marks() const { return m_marks; }
   const CrashSuspects& Crashes() const { return m_crashes; }
   const MemberList& Members() const { return m_members; }
@@ -182,6 +198,11 @@
   const std::vector<std::string>& Warnings() const { return m_warnings; }
 
  private:
+  // The key of a batch's update in the outbox.
+  static constexpr char kBatchUpdateKey[] = "batch";
+  // Time between the two pushes of a batch.
+  static constexpr std::chrono::milliseconds kBatchRepeatDelay{250};
+
   struct Update {
     Rumour rumour;
     // Identifies what the update is about. A newer update of the same key
@@ -222,7 +243,7 @@
                     TimePoint now);
   void MergeMember(const MemberRecord& record, TimePoint now);
   void HandleDelta(const BatchDelta& delta, const Datagram& datagram);
-  void ApplyBatch(Batch batch);
+  void ApplyBatch(Batch batch, BatchPath path);
   void Refute(const MemberRecord& claim, TimePoint now);
   void Suspect(const std::string& id, TimePoint now);
   void QueueUpdate(Rumour rumour, std::string key);
@@ -238,6 +259,7 @@
   std::shared_ptr<const Batch> m_batch;
   uint64_t m_batch_digest = 0;
   uint64_t m_batch_bytes = 0;
+  BatchArrival m_arrival;
   MarkSet m_marks;
   CrashSuspects m_crashes;
   MemberList m_members;
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -174,6 +174,9 @@
   void OnVersionClosed(const std::string& service, const std::string& version);
   bool IsIsolated() const;
   void LogChanges();
+  // Logs the revision in force, by which path it came and for how long the node
+  // had been behind.
+  void LogBatchInForce() const;
   // Logs how long probes took, how late ticks came, and for how long other
   // members have held a newer batch.
   void LogDelays(TimePoint now);
--- a/include/kumquatmoor/transport/http_call.h
+++ b/include/kumquatmoor/transport/http_call.h
@@ -35,6 +35,8 @@
 struct HttpCallResponse {
   unsigned status = 0;
   std::string body;
+  // From the first part of the response until its end.
+  std::chrono::milliseconds transfer{0};
 };
 
 // Opens a connection of its own, which is closed after the response. A response
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -6,7 +6,8 @@
 // is not pushed. The datagram then carries only the digest, and the receiver
 // pulls the update by a synchronisation.
 //
-// Failure detection is in replica_probe.cc, synchronisation in replica_sync.cc.
+// Batches are in replica_batch.cc, failure detection in replica_probe.cc and
+// synchronisation in replica_sync.cc.
 
 #include "kumquatmoor/coordination/replica.h"
 
@@ -23,9 +24,6 @@
 // Limit for the rumours in one datagram, which keeps the datagram with its
 // header below 1400 bytes.
 constexpr size_t kMaxRumourBytes = 1'100;
-// Time between the two pushes of a batch.
-constexpr std::chrono::milliseconds kBatchRepeatDelay{250};
-constexpr char kBatchKey[] = "batch";
 constexpr size_t kMaxRecentUpdates = 32;
 constexpr size_t kMaxWarnings = 16;
 // In a mesh of up to this size, SampleMembers() draws from a list of all
@@ -128,18 +126,6 @@
   return out;
 }
 
-void Replica::RepeatBatchPush(TimePoint now) {
-  if (!m_repeat_batch_at || now < *m_repeat_batch_at) return;
-  m_repeat_batch_at.reset();
-  const auto pushed = std::find_if(
-      m_recent.begin(), m_recent.end(),
-      [](const Update& update) { return update.key == kBatchKey; });
-  if (pushed == m_recent.end()) return;
-  m_outbox.push_back(std::move(*pushed));
-  m_outbox.back().is_repeat = true;
-  m_recent.erase(pushed);
-}
-
 void Replica::PushUpdates(TimePoint now, std::vector<OutgoingDatagram>* out) {
   if (m_outbox.empty()) return;
   const auto peers = SampleMembers(m_options.fanout, "");
@@ -154,7 +140,8 @@
         *datagram.add_rumours() = m_outbox.front().rumour;
         bytes += size;
       }
-      if (m_outbox.front().key == kBatchKey && !m_outbox.front().is_repeat) {
+      if (m_outbox.front().key == kBatchUpdateKey &&
+          !m_outbox.front().is_repeat) {
         m_repeat_batch_at = now + kBatchRepeatDelay;
       }
       m_recent.push_front(std::move(m_outbox.front()));
@@ -200,16 +187,6 @@
   }
 }
 
-bool Replica::IsBehindFor(std::chrono::milliseconds time, TimePoint now) const {
-  return m_behind_since && now - *m_behind_since >= time;
-}
-
-std::chrono::milliseconds Replica::TimeBehind(TimePoint now) const {
-  if (!m_behind_since) return std::chrono::milliseconds(0);
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now -
-                                                               *m_behind_since);
-}
-
 void Replica::CompareDigest(const Datagram& datagram, TimePoint now) {
   const Digest& received = datagram.digest();
   const Digest own = MakeDigest();
@@ -278,51 +255,6 @@
   QueueMemberUpdate(record.id());
 }
 
-void Replica::HandleDelta(const BatchDelta& delta, const Datagram& datagram) {
-  if (delta.revision() <= m_batch->revision()) return;
-  auto batch = ApplyDelta(*m_batch, delta);
-  if (!batch || !CheckBatch(*batch).empty()) {
-    ScheduleSync(datagram.from());
-    return;
-  }
-  ApplyBatch(std::move(*batch));
-}
-
-OfferOutcome Replica::Offer(const Batch& batch) {
-  if (batch.revision() < m_batch->revision()) return OfferOutcome::kOld;
-  if (batch.revision() == m_batch->revision()) {
-    if (BatchDigest(batch) == m_batch_digest) return OfferOutcome::kOld;
-    AddWarning(fmt::format("was offered another batch {}", batch.revision()));
-    return OfferOutcome::kConflict;
-  }
-  const auto problems = CheckBatch(batch);
-  if (!problems.empty()) {
-    AddWarning(fmt::format("refused batch {}: {}", batch.revision(),
-                           problems.front()));
-    return OfferOutcome::kInvalid;
-  }
-  ApplyBatch(batch);
-  return OfferOutcome::kApplied;
-}
-
-void Replica::ApplyBatch(Batch batch) {
-  Rumour rumour;
-  *rumour.mutable_delta() = MakeDelta(*m_batch, batch);
-  for (const auto& service : rumour.delta().changed()) {
-    m_changed_services.insert(service.service());
-  }
-  m_changed_services.insert(rumour.delta().removed().begin(),
-                            rumour.delta().removed().end());
-  m_batch = std::make_shared<const Batch>(std::move(batch));
-  m_behind_since.reset();
-  m_newer_batch_bytes = 0;
-  m_batch_digest = BatchDigest(*m_batch);
-  m_batch_bytes = m_batch->ByteSizeLong();
-  m_marks.Prune(*m_batch);
-  ++m_change_count;
-  QueueUpdate(std::move(rumour), kBatchKey);
-}
-
 bool Replica::JoinMark(const MoveMark& mark) {
   const ServiceConfig* config = FindService(*m_batch, mark.service());
   // A mark is obsolete once its service has a later move or is removed.
--- /dev/null
+++ b/src/coordination/replica_batch.cc
@@ -0,0 +1,83 @@
+// Batches of Replica. A new batch arrives as a delta in a datagram, in the
+// reply to a synchronisation, or is offered by a gateway. The replica checks
+// it, replaces its own by it and pushes the delta between the two.
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "kumquatmoor/coordination/replica.h"
+#include "kumquatmoor/state/batch.h"
+
+namespace kumquatmoor {
+
+void Replica::HandleDelta(const BatchDelta& delta, const Datagram& datagram) {
+  if (delta.revision() <= m_batch->revision()) return;
+  auto batch = ApplyDelta(*m_batch, delta);
+  if (!batch || !CheckBatch(*batch).empty()) {
+    ScheduleSync(datagram.from());
+    return;
+  }
+  ApplyBatch(std::move(*batch), BatchPath::kPushedDelta);
+}
+
+OfferOutcome Replica::Offer(const Batch& batch, BatchPath path) {
+  if (batch.revision() < m_batch->revision()) return OfferOutcome::kOld;
+  if (batch.revision() == m_batch->revision()) {
+    if (BatchDigest(batch) == m_batch_digest) return OfferOutcome::kOld;
+    AddWarning(fmt::format("was offered another batch {}", batch.revision()));
+    return OfferOutcome::kConflict;
+  }
+  const auto problems = CheckBatch(batch);
+  if (!problems.empty()) {
+    AddWarning(fmt::format("refused batch {}: {}", batch.revision(),
+                           problems.front()));
+    return OfferOutcome::kInvalid;
+  }
+  ApplyBatch(batch, path);
+  return OfferOutcome::kApplied;
+}
+
+void Replica::ApplyBatch(Batch batch, BatchPath path) {
+  Rumour rumour;
+  *rumour.mutable_delta() = MakeDelta(*m_batch, batch);
+  for (const auto& service : rumour.delta().changed()) {
+    m_changed_services.insert(service.service());
+  }
+  m_changed_services.insert(rumour.delta().removed().begin(),
+                            rumour.delta().removed().end());
+  m_batch = std::make_shared<const Batch>(std::move(batch));
+  m_arrival = {.path = path,
+               .behind_since = std::exchange(m_behind_since, std::nullopt)};
+  m_newer_batch_bytes = 0;
+  m_batch_digest = BatchDigest(*m_batch);
+  m_batch_bytes = m_batch->ByteSizeLong();
+  m_marks.Prune(*m_batch);
+  ++m_change_count;
+  QueueUpdate(std::move(rumour), kBatchUpdateKey);
+}
+
+void Replica::RepeatBatchPush(TimePoint now) {
+  if (!m_repeat_batch_at || now < *m_repeat_batch_at) return;
+  m_repeat_batch_at.reset();
+  const auto pushed = std::find_if(
+      m_recent.begin(), m_recent.end(),
+      [](const Update& update) { return update.key == kBatchUpdateKey; });
+  if (pushed == m_recent.end()) return;
+  m_outbox.push_back(std::move(*pushed));
+  m_outbox.back().is_repeat = true;
+  m_recent.erase(pushed);
+}
+
+bool Replica::IsBehindFor(std::chrono::milliseconds time, TimePoint now) const {
+  return m_behind_since && now - *m_behind_since >= time;
+}
+
+std::chrono::milliseconds Replica::TimeBehind(TimePoint now) const {
+  if (!m_behind_since) return std::chrono::milliseconds(0);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                               *m_behind_since);
+}
+
+}  // namespace kumquatmoor
--- a/src/coordination/replica_sync.cc
+++ b/src/coordination/replica_sync.cc
@@ -81,7 +81,7 @@
 
 std::optional<SyncRequest> Replica::HandleSyncReply(const SyncReply& reply,
                                                     TimePoint now) {
-  if (reply.has_batch()) Offer(reply.batch());
+  if (reply.has_batch()) Offer(reply.batch(), BatchPath::kSyncBatch);
   MarkSet peer_marks;
   for (const auto& mark : reply.marks()) {
     peer_marks.Join(mark);
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -20,7 +20,6 @@
 constexpr milliseconds kTickInterval{50};
 constexpr milliseconds kMoveUpdateInterval{250};
 constexpr milliseconds kAckUpdateInterval{500};
-constexpr milliseconds kDelayLogInterval{5'000};
 // Fewer bytes of datagrams do not delay anything noticeably.
 constexpr uint64_t kMinChargedBytes = 4'096;
 
@@ -523,47 +522,4 @@
   m_accepts_callers = revision > 0 && !m_draining;
 }
 
-void ControlLoop::LogChanges() {
-  const uint64_t revision = m_replica.CurrentBatch().revision();
-  if (revision != m_logged_revision) {
-    m_logged_revision = revision;
-    spdlog::info("batch: event=in_force revision={} author=\"{}\"", revision,
-                 m_replica.CurrentBatch().author());
-  }
-  const auto& warnings = m_replica.Warnings();
-  for (; m_logged_warnings < warnings.size(); ++m_logged_warnings) {
-    spdlog::warn("batch: event=warning message=\"{}\"",
-                 warnings[m_logged_warnings]);
-  }
-}
-
-void ControlLoop::LogDelays(TimePoint now) {
-  if (now < m_next_delay_log) return;
-  m_next_delay_log = now + kDelayLogInterval;
-  const ProbeDelays probes = m_replica.TakeProbeDelays();
-  const milliseconds tick_delay = std::exchange(m_max_tick_delay, {});
-  spdlog::info(
-      "control: event=delays max_round_trip_ms={} probes_acknowledged={} "
-      "probes_failed={} max_tick_delay_ms={} behind_ms={}",
-      probes.max_round_trip.count(), probes.acknowledged, probes.failed,
-      tick_delay.count(), m_replica.TimeBehind(now).count());
-}
-
-std::string ControlLoop::ControlMetrics() const {
-  const auto line = [](const char* name, uint64_t value) {
-    return fmt::format("{} {}\n", name, value);
-  };
-  return line("kumquatmoor_revision", m_published_revision) +
-         line("kumquatmoor_in_force_since_ms",
-              static_cast<uint64_t>(m_in_force_ms)) +
-         line("kumquatmoor_members", m_replica.Members().size()) +
-         line("kumquatmoor_ready", m_ready ? 1 : 0) +
-         line("kumquatmoor_control_sent_bytes_total", m_socket.BytesSent()) +
-         line("kumquatmoor_control_received_bytes_total",
-              m_socket.BytesReceived()) +
-         line("kumquatmoor_crash_suspects", m_replica.Crashes().All().size()) +
-         line("kumquatmoor_blocked_keys", m_replica.Crashes().BlockedCount()) +
-         line("kumquatmoor_control_sent_total", m_socket.DatagramsSent());
-}
-
 }  // namespace kumquatmoor
--- a/src/node/sync_worker.cc
+++ b/src/node/sync_worker.cc
@@ -171,8 +171,10 @@
     SleepWithJitter(milliseconds(reply.retry_after_ms()));
     return false;
   }
-  spdlog::info("sync: event=completed peer={} elapsed_ms={} newer_revision={}",
-               peer.address, elapsed.count(), reply.batch().revision());
+  spdlog::info(
+      "sync: event=completed peer={} elapsed_ms={} newer_revision={} bytes={}",
+      peer.address, elapsed.count(), reply.batch().revision(),
+      reply.ByteSizeLong());
   using SyncOffer = std::optional<SyncRequest>;
   const auto offer =
       m_loop->Run<SyncOffer>([reply = std::move(reply)](ControlLoop& loop) {
--- a/src/transport/http_call.cc
+++ b/src/transport/http_call.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <exception>
+#include <optional>
 
 #include "kumquatmoor/transport/endpoint_address.h"
 
@@ -72,13 +73,18 @@
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxResponseBodyBytes);
+  std::optional<std::chrono::steady_clock::time_point> begun;
   while (!parser.is_done()) {
     timer.Restart(stream);
     co_await http::async_read_some(*stream, buffer, parser,
                                    asio::use_awaitable);
+    if (!begun) begun = std::chrono::steady_clock::now();
   }
-  co_return HttpCallResponse{.status = parser.get().result_int(),
-                             .body = std::move(parser.get().body())};
+  co_return HttpCallResponse{
+      .status = parser.get().result_int(),
+      .body = std::move(parser.get().body()),
+      .transfer = std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::steady_clock::now() - *begun)};
 }
 
 asio::awaitable<void> RunCall(const HttpCallOptions& options,
