Synchronise by the changes since the requester's revision

One of the paths: a node that misses a push, or whose change does not fit a datagram, synchronises, and the reply carried the whole batch though the node lacked one change of it.

Cause: a reply's size follows the whole state, not what the requester lacks. Class: cost of a change that grows with the size of the state.

A node now keeps the deltas between its latest batches (32 at most, in bytes no more than the batch itself), merges those since the requester's revision and sends them. The requester checks the digest of the result; if it differs, it asks the same peer for the whole batch at once. A new field of the request says that a delta is understood, so nodes of the release before and after understand each other.

Ruled out: remembering old batches instead of deltas, which would cost a node of 160 MB several whole configurations. The digest of a new batch is taken from the delta that was just made, as computing it again serialises everything once more.

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -39,6 +39,7 @@
 #include "control.pb.h"
 #include "kumquatmoor/coordination/member_list.h"
 #include "kumquatmoor/state/crash_suspects.h"
+#include "kumquatmoor/state/delta_history.h"
 #include "kumquatmoor/state/limits.h"
 #include "kumquatmoor/state/marks.h"
 
@@ -89,6 +90,7 @@
 // The path by which a batch reached this node.
 enum class BatchPath {
   kPushedDelta,  // A delta in a datagram.
+  kSyncDelta,    // A delta, by a synchronisation.
   kSyncBatch,    // The whole batch, by a synchronisation.
   kOffered,      // Read from the platform by this node, or offered by a client.
 };
@@ -167,6 +169,9 @@
   const Batch& CurrentBatch() const { return *m_batch; }
   std::shared_ptr<const Batch> SharedBatch() const { return m_batch; }
   const BatchArrival& Arrival() const { return m_arrival; }
+  // True if a delta did not give the batch that its writer made. The next
+  // synchronisation then asks for the whole batch.
+  bool NeedsWholeBatch() const { return m_needs_whole_batch; }
   const MarkSet& Marks() const { return m_marks; }
   const CrashSuspects& Crashes() const { return m_crashes; }
   const MemberList& Members() const { return m_members; }
@@ -243,6 +248,10 @@
                     TimePoint now);
   void MergeMember(const MemberRecord& record, TimePoint now);
   void HandleDelta(const BatchDelta& delta, const Datagram& datagram);
+  void HandleSyncDelta(const BatchDelta& delta);
+  // Adds to the reply what the requester's batch lacks: a delta if this node
+  // knows the requester's batch, otherwise the whole batch.
+  void AddNewerBatch(const SyncRequest& request, SyncReply* reply) const;
   void ApplyBatch(Batch batch, BatchPath path);
   void Refute(const MemberRecord& claim, TimePoint now);
   void Suspect(const std::string& id, TimePoint now);
@@ -260,6 +269,8 @@
   uint64_t m_batch_digest = 0;
   uint64_t m_batch_bytes = 0;
   BatchArrival m_arrival;
+  DeltaHistory m_deltas;  // Between the latest batches of this node.
+  bool m_needs_whole_batch = false;
   MarkSet m_marks;
   CrashSuspects m_crashes;
   MemberList m_members;
--- a/include/kumquatmoor/node/sync_worker.h
+++ b/include/kumquatmoor/node/sync_worker.h
@@ -65,6 +65,7 @@
   void SyncWithUnknownSeed();
   std::vector<ControlPeer> SeedPeers();
   bool IsStoreLoaded();
+  bool NeedsWholeBatch();
   std::vector<ControlPeer> OtherZonePeers();
   void SleepWithJitter(std::chrono::milliseconds max_duration);
 
--- a/src/coordination/replica_batch.cc
+++ b/src/coordination/replica_batch.cc
@@ -22,6 +22,19 @@
   ApplyBatch(std::move(*batch), BatchPath::kPushedDelta);
 }
 
+// A delta from another batch than the current one is not damaged: a newer batch
+// has come into force since the request was sent.
+void Replica::HandleSyncDelta(const BatchDelta& delta) {
+  if (delta.revision() <= m_batch->revision() ||
+      delta.base_revision() != m_batch->revision()) {
+    return;
+  }
+  auto batch = ApplyDelta(*m_batch, delta);
+  m_needs_whole_batch = !batch || !CheckBatch(*batch).empty();
+  if (m_needs_whole_batch) return;
+  ApplyBatch(std::move(*batch), BatchPath::kSyncDelta);
+}
+
 OfferOutcome Replica::Offer(const Batch& batch, BatchPath path) {
   if (batch.revision() < m_batch->revision()) return OfferOutcome::kOld;
   if (batch.revision() == m_batch->revision()) {
@@ -51,8 +64,12 @@
   m_arrival = {.path = path,
                .behind_since = std::exchange(m_behind_since, std::nullopt)};
   m_newer_batch_bytes = 0;
-  m_batch_digest = BatchDigest(*m_batch);
+  m_needs_whole_batch = false;
+  m_batch_digest = rumour.delta().digest();
   m_batch_bytes = m_batch->ByteSizeLong();
+  if (rumour.delta().base_revision() > 0) {
+    m_deltas.Add(rumour.delta(), m_batch_bytes);
+  }
   m_marks.Prune(*m_batch);
   ++m_change_count;
   QueueUpdate(std::move(rumour), kBatchUpdateKey);
--- a/src/coordination/replica_sync.cc
+++ b/src/coordination/replica_sync.cc
@@ -1,6 +1,7 @@
 // Anti-entropy synchronisation of Replica. The requester sends one hash per
 // bucket of its member list. The peer replies with its batch if that is newer,
-// with its marks, and with the members of the buckets whose hashes differ. The
+// or with the changes since the requester's batch if it knows that one, with
+// its marks, and with the members of the buckets whose hashes differ. The
 // requester then sends, in a second request, the members and marks that the
 // peer's reply shows to be missing or older there, so that both hold the same
 // state after the two calls.
@@ -40,6 +41,7 @@
   request.set_zone(m_options.zone);
   request.set_have_revision(m_batch->revision());
   request.set_joining(joining);
+  request.set_accepts_delta(!m_needs_whole_batch);
   for (uint64_t hash : m_members.BucketHashes()) {
     request.add_bucket_hashes(hash);
   }
@@ -61,7 +63,7 @@
     }
   }
   if (m_batch->revision() > request.have_revision()) {
-    *reply.mutable_batch() = *m_batch;
+    AddNewerBatch(request, &reply);
   }
   for (auto& mark : m_marks.All()) *reply.add_marks() = std::move(mark);
   const auto& own_hashes = m_members.BucketHashes();
@@ -79,8 +81,21 @@
   return reply;
 }
 
+void Replica::AddNewerBatch(const SyncRequest& request,
+                            SyncReply* reply) const {
+  if (request.accepts_delta()) {
+    auto delta = m_deltas.Since(request.have_revision());
+    if (delta && delta->ByteSizeLong() < m_batch_bytes) {
+      *reply->mutable_delta() = std::move(*delta);
+      return;
+    }
+  }
+  *reply->mutable_batch() = *m_batch;
+}
+
 std::optional<SyncRequest> Replica::HandleSyncReply(const SyncReply& reply,
                                                     TimePoint now) {
+  if (reply.has_delta()) HandleSyncDelta(reply.delta());
   if (reply.has_batch()) Offer(reply.batch(), BatchPath::kSyncBatch);
   MarkSet peer_marks;
   for (const auto& mark : reply.marks()) {
--- a/src/coordination/replica_test.cc
+++ b/src/coordination/replica_test.cc
@@ -535,6 +535,82 @@
   CHECK_FALSE(receiver.PopSyncPeer());
 }
 
+Batch BatchOfRoutes(uint64_t revision, int routes) {
+  Batch batch = BuildBatch({}, std::vector<TableRow>{{"a", "v1", 100}}, {}, {});
+  batch.set_revision(revision);
+  for (int i = 0; i < routes; ++i) {
+    HttpRoute* route = batch.add_routes();
+    route->set_name(fmt::format("route{:06}", i));
+    route->set_host("shop.example");
+    route->set_prefix(fmt::format("/{}/", i));
+    WeightedService* part = route->add_parts();
+    part->set_service("a");
+    part->set_weight(1);
+  }
+  return batch;
+}
+
+// Guards against a synchronisation that takes the time of the whole
+// configuration when the requester lacks one change of it (inc33-config).
+TEST_CASE("A synchronisation carries what changed since the own revision",
+          "[delta]") {
+  const TimePoint now;
+  constexpr int kRoutes = 5'000;
+  Replica peer({.id = "a", .control_address = "a"}, now);
+  Replica behind({.id = "b", .control_address = "b"}, now);
+  Batch batch = BatchOfRoutes(3, kRoutes);
+  REQUIRE(peer.Offer(batch) == OfferOutcome::kApplied);
+  REQUIRE(behind.Offer(batch) == OfferOutcome::kApplied);
+  for (int change = 0; change < 4; ++change) {
+    batch.set_revision(batch.revision() + 2);
+    batch.mutable_routes(change % 3)->set_timeout_ms(change + 1);
+    REQUIRE(peer.Offer(batch) == OfferOutcome::kApplied);
+  }
+  const SyncReply reply =
+      peer.HandleSyncRequest(behind.MakeSyncRequest(false), now);
+  CHECK(reply.ByteSizeLong() < batch.ByteSizeLong() / 100);
+  behind.HandleSyncReply(reply, now);
+  CHECK(behind.CurrentBatch().SerializeAsString() == batch.SerializeAsString());
+}
+
+// Guards against a node that keeps an old batch since the delta to the newer
+// one does not apply to it (inc33-config).
+TEST_CASE("A damaged delta of a synchronisation leads to the whole batch",
+          "[delta]") {
+  const TimePoint now;
+  Replica peer({.id = "a", .control_address = "a"}, now);
+  Replica behind({.id = "b", .control_address = "b"}, now);
+  Batch batch = BatchOfRoutes(3, 100);
+  REQUIRE(peer.Offer(batch) == OfferOutcome::kApplied);
+  REQUIRE(behind.Offer(BatchOfRoutes(3, 90)) == OfferOutcome::kApplied);
+  batch = BatchOfRoutes(4, 101);
+  REQUIRE(peer.Offer(batch) == OfferOutcome::kApplied);
+  const SyncReply reply =
+      peer.HandleSyncRequest(behind.MakeSyncRequest(false), now);
+  REQUIRE(reply.has_delta());
+  behind.HandleSyncReply(reply, now);
+  CHECK(behind.CurrentBatch().revision() == 3);
+  CHECK(behind.NeedsWholeBatch());
+  behind.HandleSyncReply(
+      peer.HandleSyncRequest(behind.MakeSyncRequest(false), now), now);
+  CHECK(behind.CurrentBatch().SerializeAsString() == batch.SerializeAsString());
+  CHECK_FALSE(behind.NeedsWholeBatch());
+}
+
+// During a rolling update, nodes of both releases synchronise with each other.
+TEST_CASE("A requester that does not accept deltas gets the whole batch",
+          "[delta]") {
+  const TimePoint now;
+  Replica peer({.id = "a", .control_address = "a"}, now);
+  REQUIRE(peer.Offer(BatchOfRoutes(3, 100)) == OfferOutcome::kApplied);
+  REQUIRE(peer.Offer(BatchOfRoutes(4, 101)) == OfferOutcome::kApplied);
+  SyncRequest request;
+  request.set_have_revision(3);
+  const SyncReply reply = peer.HandleSyncRequest(request, now);
+  CHECK(reply.batch().revision() == 4);
+  CHECK_FALSE(reply.has_delta());
+}
+
 TEST_CASE("A replica measures how long it has missed a newer batch") {
   Replica replica({.id = "n", .control_address = "n"}, {});
   const TimePoint start = TimePoint() + std::chrono::hours(1);
--- a/src/node/control_loop_log.cc
+++ b/src/node/control_loop_log.cc
@@ -18,6 +18,8 @@
   switch (path) {
     case BatchPath::kPushedDelta:
       return "pushed_delta";
+    case BatchPath::kSyncDelta:
+      return "sync_delta";
     case BatchPath::kSyncBatch:
       return "sync_batch";
     case BatchPath::kOffered:
--- a/src/node/sync_worker.cc
+++ b/src/node/sync_worker.cc
@@ -133,6 +133,13 @@
       .value_or(false);
 }
 
+bool SyncWorker::NeedsWholeBatch() {
+  return m_loop
+      ->Run<bool>(
+          [](ControlLoop& loop) { return loop.GetReplica().NeedsWholeBatch(); })
+      .value_or(false);
+}
+
 // Returns one live member of each other zone, so that the node gets state from
 // more than one part of the mesh.
 std::vector<ControlPeer> SyncWorker::OtherZonePeers() {
@@ -172,8 +179,13 @@
     return false;
   }
   spdlog::info(
-      "sync: event=completed peer={} elapsed_ms={} newer_revision={} bytes={}",
-      peer.address, elapsed.count(), reply.batch().revision(),
+      "sync: event=completed peer={} elapsed_ms={} newer_revision={} form={} "
+      "bytes={}",
+      peer.address, elapsed.count(),
+      std::max(reply.batch().revision(), reply.delta().revision()),
+      reply.has_delta()   ? "delta"
+      : reply.has_batch() ? "batch"
+                          : "none",
       reply.ByteSizeLong());
   using SyncOffer = std::optional<SyncRequest>;
   const auto offer =
@@ -181,6 +193,10 @@
         return loop.GetReplica().HandleSyncReply(reply, Clock::now());
       });
   if (!offer) return false;
+  // The peer's delta did not give its batch, so its reply to a second request
+  // has the whole batch.
+  if (NeedsWholeBatch() && !request->accepts_delta()) return false;
+  if (NeedsWholeBatch()) return SyncWith(peer, joining);
   if (*offer && !joining) {
     Attempt([&] { return m_client->Sync(peer, **offer); });
   }
