Read responses of the store in large parts

A node that reads the configuration from the store, as a gateway or because it is behind, gets 1 to 1.4 MB on a host with a tenth of a core.

Cause: HttpCall read through a buffer without capacity, and Beast then reads 512 bytes at a time and never enlarges a buffer whose bytes are parsed at once: one system call, one wake-up and one timer for each 512 bytes. Class: work per byte where work per message was meant. The proxy had the same fault before and got body_reader.h for it; HttpCall is the second place. Others were looked for: the buffered sessions of http_server read requests only, which are small.

Evidence: the new test on the code before: http_call_test.cc:115: FAILED: CHECK( std::get<HttpCallResponse>(outcome).reads < 400 ) with expansion: 2736 < 400

Why it works: the buffer is given room for the rest of the body, 64 KB at most, before each read, so a read takes whatever the kernel holds.

--- a/include/kumquatmoor/transport/http_call.h
+++ b/include/kumquatmoor/transport/http_call.h
@@ -11,6 +11,7 @@
 // Thread-safe.
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 
 #include "kumquatmoor/protocol/failure.h"
@@ -37,6 +38,7 @@
   std::string body;
   // From the first part of the response until its end.
   std::chrono::milliseconds transfer{0};
+  size_t reads = 0;  // System calls that returned a part of the response.
 };
 
 // Opens a connection of its own, which is closed after the response. A response
--- a/src/transport/body_reader.h
+++ b/src/transport/body_reader.h
@@ -34,6 +34,12 @@
   return static_cast<size_t>(std::clamp<uint64_t>(*left, 1, kMaxBodyReadBytes));
 }
 
+// Makes the next read take up to `bytes`.
+inline void ReserveForRead(size_t bytes, boost::beast::flat_buffer* buffer) {
+  if (buffer->size() >= bytes) return;
+  buffer->reserve(std::min(bytes, buffer->max_size()));
+}
+
 // Reads the next part of the body and appends it to `body`. `parser` has a
 // buffer_body.
 template <typename Parser>
@@ -42,7 +48,7 @@
     Parser& parser, std::string* body) {
   const size_t start = body->size();
   const size_t room = NextBodyReadBytes(parser);
-  if (buffer.size() < room) buffer.reserve(std::min(room, buffer.max_size()));
+  ReserveForRead(room, &buffer);
   body->resize(start + room);
   parser.get().body().data = body->data() + start;
   parser.get().body().size = room;
--- a/src/transport/http_call.cc
+++ b/src/transport/http_call.cc
@@ -14,6 +14,7 @@
 #include <optional>
 
 #include "kumquatmoor/transport/endpoint_address.h"
+#include "transport/body_reader.h"
 
 namespace kumquatmoor {
 namespace {
@@ -74,17 +75,23 @@
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxResponseBodyBytes);
   std::optional<std::chrono::steady_clock::time_point> begun;
+  size_t reads = 0;
   while (!parser.is_done()) {
     timer.Restart(stream);
+    if (parser.is_header_done()) {
+      ReserveForRead(NextBodyReadBytes(parser), &buffer);
+    }
     co_await http::async_read_some(*stream, buffer, parser,
                                    asio::use_awaitable);
+    ++reads;
     if (!begun) begun = std::chrono::steady_clock::now();
   }
   co_return HttpCallResponse{
       .status = parser.get().result_int(),
       .body = std::move(parser.get().body()),
       .transfer = std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::steady_clock::now() - *begun)};
+          std::chrono::steady_clock::now() - *begun),
+      .reads = reads};
 }
 
 asio::awaitable<void> RunCall(const HttpCallOptions& options,
--- a/src/transport/http_call_test.cc
+++ b/src/transport/http_call_test.cc
@@ -102,6 +102,19 @@
   CHECK(call.elapsed > 2 * kTimeout);
 }
 
+// Guards against a host with little processor time that wakes up for each 512
+// bytes of a configuration (inc33-config).
+TEST_CASE("A response of a megabyte is read in few system calls",
+          "[large-response]") {
+  constexpr size_t kBytes = 1'400'000;
+  const SlowServer server({.piece_bytes = kBytes});
+  const auto outcome =
+      Attempt([&] { return HttpCall({.address = kAddress, .method = "GET"}); });
+  REQUIRE(std::holds_alternative<HttpCallResponse>(outcome));
+  CHECK(std::get<HttpCallResponse>(outcome).body.size() == kBytes);
+  CHECK(std::get<HttpCallResponse>(outcome).reads < 400);
+}
+
 TEST_CASE("A response whose bytes stop ends after the timeout") {
   const SlowServer server({.pieces = 12, .sent = 2, .pause = kTimeout / 4});
   const TimedCall call = CallServer({});
