Ask another peer when a synchronisation stalls, fails or finds a busy peer

Cause: one thread synchronises with one peer at a time. A peer that accepts the call and does not reply held it up for 0.6 s plus 1 s per 500 KB of the batch, 3 s at most; a busy one for a sleep of up to 0.4 s; the next peer was the sender of the latest digest, also the one that had just failed. Class: a single worker behind a peer of unknown state (head-of-line blocking).

Now a second thread asks another peer while a synchronisation takes longer than 300 ms and the node is behind. A replica remembers the members whose digests showed a newer batch; one of these is asked at once in place of a peer that failed (not asked again for 2 s) or was busy (for the time that it named). Entries of the queue that waited for a batch that has arrived meanwhile are dropped: each cost both sides a call for nothing.

The timeout stays as it is: a large batch on a slow link needs it.

Ruled out: a peer that accepts the connection only, such as a frozen process.

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -197,6 +197,9 @@
   // Time since a digest first showed that another node holds a newer batch; 0
   // if this node holds the newest one known.
   std::chrono::milliseconds TimeBehind(TimePoint now) const;
+  // The live members whose latest digests showed a newer batch than this node
+  // holds, the most recent first.
+  std::vector<SyncPeer> PeersAhead() const;
   ProbeDelays TakeProbeDelays();
   Digest MakeDigest() const;
   // The latest warnings for operators, oldest first.
@@ -260,6 +263,8 @@
   void QueueCrashRecords(std::vector<CrashRecord> records);
   void QueueMemberUpdate(const std::string& id);
   void ScheduleSync(const std::string& id);
+  SyncPeer PeerOf(const MemberRecord& member) const;
+  void NotePeerAhead(const std::string& id);
   void AddChangedServices(const MemberRecord& member);
   void AddWarning(std::string text);
 
@@ -291,6 +296,7 @@
   // batch is the newest known.
   std::optional<TimePoint> m_behind_since;
   uint64_t m_newer_batch_bytes = 0;  // Size of that batch, 0 if there is none.
+  std::deque<std::string> m_peers_ahead;  // Ids, the most recent first.
   std::optional<std::string> m_sync_peer;
   uint64_t m_change_count = 0;
   std::set<std::string> m_changed_services;
--- a/include/kumquatmoor/node/sync_worker.h
+++ b/include/kumquatmoor/node/sync_worker.h
@@ -19,11 +19,22 @@
 // `syncs`. It also synchronises regularly with a seed that is no live member,
 // which merges meshes that formed separately.
 //
+// A peer that does not reply must not keep the node from a newer batch. A
+// second thread therefore asks another peer while a synchronisation takes
+// longer than kStallTime. A peer that failed or was busy is not asked again for
+// a while; another one that holds the newer batch is asked in its place at
+// once.
+//
 // Start and Stop must be called from one thread, Start once. The destructor
 // calls Stop. Everything passed by pointer must outlive the worker.
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
+#include <list>
+#include <map>
+#include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -58,10 +69,43 @@
   void Stop();
 
  private:
+  enum class SyncOutcome { kCompleted, kFailed, kBusy };
+  struct ActiveCall {
+    std::string address;
+    std::chrono::steady_clock::time_point since;
+  };
+  // Lists a synchronisation among those under way as long as it exists.
+  class Call {
+   public:
+    Call(SyncWorker* worker, const std::string& address);
+    ~Call();
+    Call(const Call&) = delete;
+    Call& operator=(const Call&) = delete;
+
+   private:
+    SyncWorker* m_worker;
+    std::list<ActiveCall>::iterator m_position;
+  };
+
   void Run();
+  // Body of the second thread.
+  void RunBackup();
+  // True if the oldest synchronisation under way stalls. Otherwise waits until
+  // it may have stalled.
+  bool AwaitStall();
+  // Synchronises with `peer`, or with others ahead of this node if that fails.
+  void SyncWithScheduled(SyncPeer peer);
+  SyncOutcome SyncWith(const SyncPeer& peer);
+  // Returns a peer with a newer batch that no thread synchronises with and that
+  // did not fail recently.
+  std::optional<SyncPeer> PickPeerAhead();
+  bool IsBehind();
+  bool IsInCall(const std::string& address);
+  bool IsPaused(const std::string& address);
+  void PausePeer(const std::string& address, std::chrono::milliseconds time);
   bool TryJoin();
   size_t SyncWithPeers(std::vector<ControlPeer> peers);
-  bool SyncWith(const ControlPeer& peer, bool joining);
+  SyncOutcome SyncWith(const ControlPeer& peer, bool joining);
   void SyncWithUnknownSeed();
   std::vector<ControlPeer> SeedPeers();
   bool IsStoreLoaded();
@@ -76,6 +120,12 @@
   std::mt19937_64 m_rng;
   std::atomic<bool> m_stopping{false};
   std::thread m_thread;
+  std::thread m_backup_thread;
+  std::mutex m_mutex;  // Guards the members below.
+  std::condition_variable m_call_started;
+  std::list<ActiveCall> m_calls;  // Oldest first.
+  // Addresses of peers that failed or were busy, until when they are not asked.
+  std::map<std::string, std::chrono::steady_clock::time_point> m_paused;
 };
 
 }  // namespace kumquatmoor
--- a/src/coordination/replica_batch.cc
+++ b/src/coordination/replica_batch.cc
@@ -64,6 +64,7 @@
   m_arrival = {.path = path,
                .behind_since = std::exchange(m_behind_since, std::nullopt)};
   m_newer_batch_bytes = 0;
+  m_peers_ahead.clear();
   m_needs_whole_batch = false;
   m_batch_digest = rumour.delta().digest();
   m_batch_bytes = m_batch->ByteSizeLong();
--- a/src/coordination/replica_sync.cc
+++ b/src/coordination/replica_sync.cc
@@ -12,6 +12,12 @@
 #include "kumquatmoor/coordination/replica.h"
 
 namespace kumquatmoor {
+namespace {
+
+// Members remembered to hold a newer batch.
+constexpr size_t kMaxPeersAhead = 8;
+
+}  // namespace
 
 void Replica::ScheduleSync(const std::string& id) {
   if (m_members.Find(id) != nullptr) m_sync_peer = id;
@@ -29,10 +35,30 @@
   const MemberRecord* member = m_members.Find(*m_sync_peer);
   m_sync_peer.reset();
   if (member == nullptr || member->status() != ALIVE) return std::nullopt;
-  return SyncPeer{.id = member->id(),
-                  .zone = member->zone(),
-                  .address = member->control_address(),
-                  .expected_bytes = m_newer_batch_bytes};
+  return PeerOf(*member);
+}
+
+SyncPeer Replica::PeerOf(const MemberRecord& member) const {
+  return {.id = member.id(),
+          .zone = member.zone(),
+          .address = member.control_address(),
+          .expected_bytes = m_newer_batch_bytes};
+}
+
+void Replica::NotePeerAhead(const std::string& id) {
+  std::erase(m_peers_ahead, id);
+  m_peers_ahead.push_front(id);
+  if (m_peers_ahead.size() > kMaxPeersAhead) m_peers_ahead.pop_back();
+}
+
+std::vector<SyncPeer> Replica::PeersAhead() const {
+  std::vector<SyncPeer> peers;
+  for (const auto& id : m_peers_ahead) {
+    const MemberRecord* member = m_members.Find(id);
+    if (member == nullptr || member->status() != ALIVE) continue;
+    peers.push_back(PeerOf(*member));
+  }
+  return peers;
 }
 
 SyncRequest Replica::MakeSyncRequest(bool joining) const {
--- a/src/node/sync_worker.cc
+++ b/src/node/sync_worker.cc
@@ -13,6 +13,13 @@
 
 constexpr milliseconds kPollInterval{200};
 constexpr milliseconds kSeedCheckInterval{2'000};
+// A synchronisation that takes longer is backed up by one with another peer.
+constexpr milliseconds kStallTime{300};
+constexpr milliseconds kBackupPollInterval{50};
+// Time for which a peer that failed is not asked again.
+constexpr milliseconds kFailurePause{2'000};
+// Peers that are asked in the place of one that failed.
+constexpr int kMaxOtherPeers = 3;
 // A node that joins does not know how large the configuration is. This is the
 // size of one with 4,000 routes.
 constexpr uint64_t kExpectedBytesOfJoin = 512'000;
@@ -31,11 +38,14 @@
 
 void SyncWorker::Start() {
   m_thread = std::thread([this] { Run(); });
+  m_backup_thread = std::thread([this] { RunBackup(); });
 }
 
 void SyncWorker::Stop() {
   m_stopping = true;
+  m_call_started.notify_all();
   if (m_thread.joinable()) m_thread.join();
+  if (m_backup_thread.joinable()) m_backup_thread.join();
 }
 
 void SyncWorker::SleepWithJitter(milliseconds max_duration) {
@@ -59,18 +69,112 @@
   auto next_seed_check = std::chrono::steady_clock::now();
   while (!m_stopping) {
     const auto peer = m_syncs->PopFor(kPollInterval);
-    if (peer) {
-      SyncWith({.address = peer->address,
-                .zone = peer->zone,
-                .expected_bytes = peer->expected_bytes},
-               false);
-    }
+    if (peer) SyncWithScheduled(*peer);
     if (std::chrono::steady_clock::now() < next_seed_check) continue;
     next_seed_check = std::chrono::steady_clock::now() + kSeedCheckInterval;
     SyncWithUnknownSeed();
   }
 }
 
+SyncWorker::Call::Call(SyncWorker* worker, const std::string& address)
+    : m_worker(worker) {
+  const std::lock_guard lock(m_worker->m_mutex);
+  m_position = m_worker->m_calls.insert(
+      m_worker->m_calls.end(),
+      {.address = address, .since = std::chrono::steady_clock::now()});
+  m_worker->m_call_started.notify_all();
+}
+
+SyncWorker::Call::~Call() {
+  const std::lock_guard lock(m_worker->m_mutex);
+  m_worker->m_calls.erase(m_position);
+}
+
+bool SyncWorker::AwaitStall() {
+  std::unique_lock lock(m_mutex);
+  if (m_calls.empty()) {
+    m_call_started.wait_for(lock, kPollInterval);
+    return false;
+  }
+  const auto stalls_at = m_calls.front().since + kStallTime;
+  if (std::chrono::steady_clock::now() >= stalls_at) return true;
+  m_call_started.wait_until(lock, stalls_at);
+  return false;
+}
+
+void SyncWorker::RunBackup() {
+  while (!m_stopping) {
+    if (!AwaitStall() || !IsBehind()) continue;
+    auto peer = m_syncs->TryPop();
+    if (!peer) peer = PickPeerAhead();
+    if (peer) {
+      SyncWithScheduled(*peer);
+    } else {
+      std::this_thread::sleep_for(kBackupPollInterval);
+    }
+  }
+}
+
+// A peer that was scheduled because it held a newer batch is not asked if that
+// batch has arrived meanwhile.
+void SyncWorker::SyncWithScheduled(SyncPeer peer) {
+  const bool wants_batch = peer.expected_bytes > 0;
+  for (int others = 0; others <= kMaxOtherPeers && !m_stopping; ++others) {
+    if (wants_batch && !IsBehind()) return;
+    if (!IsPaused(peer.address) && SyncWith(peer) == SyncOutcome::kCompleted) {
+      return;
+    }
+    auto other = PickPeerAhead();
+    if (!other) return;
+    peer = std::move(*other);
+  }
+}
+
+SyncWorker::SyncOutcome SyncWorker::SyncWith(const SyncPeer& peer) {
+  return SyncWith({.address = peer.address,
+                   .zone = peer.zone,
+                   .expected_bytes = peer.expected_bytes},
+                  false);
+}
+
+std::optional<SyncPeer> SyncWorker::PickPeerAhead() {
+  auto peers = m_loop->Run<std::vector<SyncPeer>>(
+      [](ControlLoop& loop) { return loop.GetReplica().PeersAhead(); });
+  if (!peers) return std::nullopt;
+  for (auto& peer : *peers) {
+    if (!IsPaused(peer.address) && !IsInCall(peer.address)) return peer;
+  }
+  return std::nullopt;
+}
+
+bool SyncWorker::IsBehind() {
+  return m_loop
+      ->Run<bool>([](ControlLoop& loop) {
+        return loop.GetReplica().IsBehindFor(milliseconds(0), Clock::now());
+      })
+      .value_or(false);
+}
+
+bool SyncWorker::IsInCall(const std::string& address) {
+  const std::lock_guard lock(m_mutex);
+  return std::any_of(m_calls.begin(), m_calls.end(),
+                     [&](const auto& call) { return call.address == address; });
+}
+
+bool SyncWorker::IsPaused(const std::string& address) {
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_paused.find(address);
+  return found != m_paused.end() &&
+         std::chrono::steady_clock::now() < found->second;
+}
+
+void SyncWorker::PausePeer(const std::string& address, milliseconds time) {
+  const auto now = std::chrono::steady_clock::now();
+  const std::lock_guard lock(m_mutex);
+  std::erase_if(m_paused, [&](const auto& item) { return item.second <= now; });
+  m_paused[address] = now + time;
+}
+
 // Synchronises with a seed that is not among the live members. Nodes that start
 // at the same moment may find each other's addresses not yet bound and form
 // several meshes. A seed that is not a live member indicates this, and the
@@ -112,7 +216,7 @@
   size_t answered = 0;
   for (const auto& peer : peers) {
     if (m_stopping || answered >= m_options.peers_to_ask) break;
-    if (SyncWith(peer, answered == 0)) ++answered;
+    if (SyncWith(peer, answered == 0) == SyncOutcome::kCompleted) ++answered;
   }
   return answered;
 }
@@ -156,27 +260,32 @@
   return peers.value_or(std::vector<ControlPeer>());
 }
 
-bool SyncWorker::SyncWith(const ControlPeer& peer, bool joining) {
+SyncWorker::SyncOutcome SyncWorker::SyncWith(const ControlPeer& peer,
+                                             bool joining) {
   const auto request = m_loop->Run<SyncRequest>([joining](ControlLoop& loop) {
     return loop.GetReplica().MakeSyncRequest(joining);
   });
-  if (!request) return false;
+  if (!request) return SyncOutcome::kFailed;
   ControlPeer sized = peer;
   if (joining) sized.expected_bytes = kExpectedBytesOfJoin;
   const auto started = std::chrono::steady_clock::now();
-  auto outcome = Attempt([&] { return m_client->Sync(sized, *request); });
+  auto outcome = Attempt([&] {
+    const Call call(this, peer.address);
+    return m_client->Sync(sized, *request);
+  });
   const auto elapsed = std::chrono::duration_cast<milliseconds>(
       std::chrono::steady_clock::now() - started);
   if (auto* failure = std::get_if<Failure>(&outcome)) {
     spdlog::info("sync: event=failed peer={} elapsed_ms={} reason=\"{}\"",
                  peer.address, elapsed.count(), failure->message);
-    return false;
+    PausePeer(peer.address, kFailurePause);
+    return SyncOutcome::kFailed;
   }
   SyncReply& reply = std::get<SyncReply>(outcome);
   if (reply.retry_after_ms() > 0) {
     spdlog::info("sync: event=peer_busy peer={}", peer.address);
-    SleepWithJitter(milliseconds(reply.retry_after_ms()));
-    return false;
+    PausePeer(peer.address, milliseconds(reply.retry_after_ms()));
+    return SyncOutcome::kBusy;
   }
   spdlog::info(
       "sync: event=completed peer={} elapsed_ms={} newer_revision={} form={} "
@@ -192,15 +301,17 @@
       m_loop->Run<SyncOffer>([reply = std::move(reply)](ControlLoop& loop) {
         return loop.GetReplica().HandleSyncReply(reply, Clock::now());
       });
-  if (!offer) return false;
+  if (!offer) return SyncOutcome::kFailed;
   // The peer's delta did not give its batch, so its reply to a second request
   // has the whole batch.
-  if (NeedsWholeBatch() && !request->accepts_delta()) return false;
+  if (NeedsWholeBatch() && !request->accepts_delta()) {
+    return SyncOutcome::kFailed;
+  }
   if (NeedsWholeBatch()) return SyncWith(peer, joining);
   if (*offer && !joining) {
     Attempt([&] { return m_client->Sync(peer, **offer); });
   }
-  return true;
+  return SyncOutcome::kCompleted;
 }
 
 }  // namespace kumquatmoor
