Read the complete state after a long time without a read

One of the last paths to a newer one is that a node behind for 600 ms, or one whose zone's gateway left, reads the store itself.

Cause: its watch began at its last read, as old as its start. The response is every version of the configuration since, 1 MB each with 4,200 routes, or a refusal as the history is gone, which costs a call before the read of the complete state. Class: a cursor that is kept for longer than the history it refers to is worth.

Now a node that has not been a gateway for 3 s begins with the complete state. A gateway reads all the time and keeps its watch.

Ruled out: reading only the key of the configuration. A batch also has the moves, and two nodes must build the same batch from one revision, so it would need consistent reads of three prefixes.

--- a/include/kumquatmoor/node/gateway.h
+++ b/include/kumquatmoor/node/gateway.h
@@ -22,6 +22,9 @@
 // any other node is its own gateway. A gateway whose calls to the platform fail
 // announces this to the mesh, and another node of its zone takes its place.
 //
+// A node that has not read the platform for long begins with the complete state
+// when it becomes a gateway, since the changes since its last read are larger.
+//
 // All pointers must outlive the gateway. Start and Stop are called by one
 // thread.
 
--- a/src/node/gateway.cc
+++ b/src/node/gateway.cc
@@ -13,6 +13,9 @@
 // Interval at which the thread checks whether the node is a gateway, and
 // whether it has to stop.
 constexpr milliseconds kPollInterval{100};
+// After a longer time without a read, a watch would return every version of the
+// configuration since, or fail as the history is gone.
+constexpr milliseconds kMaxTimeUnread{3'000};
 
 }  // namespace
 
@@ -63,11 +66,15 @@
 }
 
 void Gateway::Run() {
+  auto last_read = std::chrono::steady_clock::now();
   while (!m_stopping) {
     if (IsSelected()) {
       SyncWithPlatform();
+      last_read = std::chrono::steady_clock::now();
     } else {
       SleepFor(kPollInterval);
+      const auto unread = std::chrono::steady_clock::now() - last_read;
+      if (unread > kMaxTimeUnread) m_loaded = false;
     }
   }
 }
