Parse a configuration without a set of strings for each object

A node that reads the store is the first to have a new configuration, and all others wait for it.

Cause: JsonReader, made for settings files, copied each key that it looked up into a set of strings, for each of 5,000 routes, though only settings ask which keys were not read. Class: work per item of a large input in code written for a small one.

It now notes the values that it found, without copies. No red test: behaviour is the same, json_reader_test covers the unknown keys.

--- a/include/kumquatmoor/protocol/json_reader.h
+++ b/include/kumquatmoor/protocol/json_reader.h
@@ -19,10 +19,10 @@
 // The reader keeps pointers to the value and to `problems`; both must outlive
 // it. Not thread-safe.
 
+#include <boost/container/small_vector.hpp>
 #include <boost/json.hpp>
 #include <cstdint>
 #include <limits>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -78,7 +78,8 @@
   const boost::json::object* m_object;
   std::string m_path;
   std::vector<std::string>* m_problems;
-  std::set<std::string, std::less<>> m_read_keys;
+  // Values that were read, of the keys that the object has.
+  boost::container::small_vector<const boost::json::value*, 16> m_read;
 };
 
 // Returns true for "IP:PORT" with a numeric IP address and a port that is not
--- a/src/protocol/json_reader.cc
+++ b/src/protocol/json_reader.cc
@@ -1,5 +1,6 @@
 #include "kumquatmoor/protocol/json_reader.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <fstream>
@@ -59,8 +60,9 @@
 }
 
 const boost::json::value* JsonReader::Find(std::string_view key) {
-  m_read_keys.emplace(key);
-  return m_object->if_contains(key);
+  const auto* value = m_object->if_contains(key);
+  if (value != nullptr) m_read.push_back(value);
+  return value;
 }
 
 std::string JsonReader::RequiredString(std::string_view key) {
@@ -160,8 +162,9 @@
 
 void JsonReader::RejectUnknownKeys() {
   for (const auto& entry : *m_object) {
-    const std::string key(entry.key());
-    if (m_read_keys.count(key) == 0) AddProblem(key, "unknown key");
+    const bool is_read =
+        std::find(m_read.begin(), m_read.end(), &entry.value()) != m_read.end();
+    if (!is_read) AddProblem(entry.key(), "unknown key");
   }
 }
 
