--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -39,6 +39,7 @@
 #include "control.pb.h"
 #include "kumquatmoor/coordination/member_list.h"
 #include "kumquatmoor/state/crash_suspects.h"
+#include "kumquatmoor/state/delta_history.h"
 #include "kumquatmoor/state/limits.h"
 #include "kumquatmoor/state/marks.h"
 
@@ -86,6 +87,22 @@
   uint64_t failed = 0;  // No ACK within the probe interval.
 };
 
+// The path by which a batch reached this node.
+enum class BatchPath {
+  kPushedDelta,  // A delta in a datagram.
+  kSyncDelta,    // A delta, by a synchronisation.
+  kSyncBatch,    // The whole batch, by a synchronisation.
+  kOffered,      // Read from the platform by this node, or offered by a client.
+};
+
+// How this node got its current batch.
+struct BatchArrival {
+  BatchPath path = BatchPath::kOffered;
+  // When a digest first showed that another node held a newer batch than the
+  // previous one; empty if none did.
+  std::optional<TimePoint> behind_since;
+};
+
 enum class OfferOutcome {
   kApplied,
   kOld,       // Not newer than the current batch.
@@ -107,7 +124,7 @@
 
   // Applies `batch` if it is valid and newer than the current one, and pushes
   // it to other members.
-  OfferOutcome Offer(const Batch& batch);
+  OfferOutcome Offer(const Batch& batch, BatchPath path = BatchPath::kOffered);
   // Joins `mark` into the marks and pushes the result. Returns false if nothing
   // changed or if the mark is obsolete: a later move has replaced its move, or
   // the service was removed.
@@ -151,6 +168,10 @@
 
   const Batch& CurrentBatch() const { return *m_batch; }
   std::shared_ptr<const Batch> SharedBatch() const { return m_batch; }
+  const BatchArrival& Arrival() const { return m_arrival; }
+  // True if a delta did not give the batch that its writer made. The next
+  // synchronisation then asks for the whole batch.
+  bool NeedsWholeBatch() const { return m_needs_whole_batch; }
   const MarkSet& Marks() const { return m_marks; }
   const CrashSuspects& Crashes() const { return m_crashes; }
   const MemberList& Members() const { return m_members; }
@@ -176,12 +197,20 @@
   // Time since a digest first showed that another node holds a newer batch; 0
   // if this node holds the newest one known.
   std::chrono::milliseconds TimeBehind(TimePoint now) const;
+  // The live members whose latest digests showed a newer batch than this node
+  // holds, the most recent first.
+  std::vector<SyncPeer> PeersAhead() const;
   ProbeDelays TakeProbeDelays();
   Digest MakeDigest() const;
   // The latest warnings for operators, oldest first.
   const std::vector<std::string>& Warnings() const { return m_warnings; }
 
  private:
+  // The key of a batch's update in the outbox.
+  static constexpr char kBatchUpdateKey[] = "batch";
+  // Time between the two pushes of a batch.
+  static constexpr std::chrono::milliseconds kBatchRepeatDelay{250};
+
   struct Update {
     Rumour rumour;
     // Identifies what the update is about. A newer update of the same key
@@ -222,7 +251,11 @@
                     TimePoint now);
   void MergeMember(const MemberRecord& record, TimePoint now);
   void HandleDelta(const BatchDelta& delta, const Datagram& datagram);
-  void ApplyBatch(Batch batch);
+  void HandleSyncDelta(const BatchDelta& delta);
+  // Adds to the reply what the requester's batch lacks: a delta if this node
+  // knows the requester's batch, otherwise the whole batch.
+  void AddNewerBatch(const SyncRequest& request, SyncReply* reply) const;
+  void ApplyBatch(Batch batch, BatchPath path);
   void Refute(const MemberRecord& claim, TimePoint now);
   void Suspect(const std::string& id, TimePoint now);
   void QueueUpdate(Rumour rumour, std::string key);
@@ -230,6 +263,8 @@
   void QueueCrashRecords(std::vector<CrashRecord> records);
   void QueueMemberUpdate(const std::string& id);
   void ScheduleSync(const std::string& id);
+  SyncPeer PeerOf(const MemberRecord& member) const;
+  void NotePeerAhead(const std::string& id);
   void AddChangedServices(const MemberRecord& member);
   void AddWarning(std::string text);
 
@@ -238,6 +273,9 @@
   std::shared_ptr<const Batch> m_batch;
   uint64_t m_batch_digest = 0;
   uint64_t m_batch_bytes = 0;
+  BatchArrival m_arrival;
+  DeltaHistory m_deltas;  // Between the latest batches of this node.
+  bool m_needs_whole_batch = false;
   MarkSet m_marks;
   CrashSuspects m_crashes;
   MemberList m_members;
@@ -258,6 +296,7 @@
   // batch is the newest known.
   std::optional<TimePoint> m_behind_since;
   uint64_t m_newer_batch_bytes = 0;  // Size of that batch, 0 if there is none.
+  std::deque<std::string> m_peers_ahead;  // Ids, the most recent first.
   std::optional<std::string> m_sync_peer;
   uint64_t m_change_count = 0;
   std::set<std::string> m_changed_services;
--- a/include/kumquatmoor/transport/http_call.h
+++ b/include/kumquatmoor/transport/http_call.h
@@ -11,6 +11,7 @@
 // Thread-safe.
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -40,6 +41,9 @@
 struct HttpCallResponse {
   unsigned status = 0;
   std::string body;
+  // From the first part of the response until its end.
+  std::chrono::milliseconds transfer{0};
+  size_t reads = 0;  // System calls that returned a part of the response.
 };
 
 // Opens a connection of its own, which is closed after the response. A response
--- a/src/transport/body_reader.h
+++ b/src/transport/body_reader.h
@@ -89,6 +89,12 @@
   co_return error;
 }
 
+// Makes the next read take up to `bytes`.
+inline void ReserveForRead(size_t bytes, boost::beast::flat_buffer* buffer) {
+  if (buffer->size() >= bytes) return;
+  buffer->reserve(std::min(bytes, buffer->max_size()));
+}
+
 // Reads the next part of the body and appends it to `body`. `parser` has a
 // buffer_body.
 template <typename Parser>
@@ -97,7 +103,7 @@
     Parser& parser, std::string* body) {
   const size_t start = body->size();
   const size_t room = NextBodyReadBytes(parser);
-  if (buffer.size() < room) buffer.reserve(std::min(room, buffer.max_size()));
+  ReserveForRead(room, &buffer);
   body->resize(start + room);
   parser.get().body().data = body->data() + start;
   parser.get().body().size = room;
--- a/src/transport/http_call.cc
+++ b/src/transport/http_call.cc
@@ -11,8 +11,10 @@
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <exception>
+#include <optional>
 
 #include "kumquatmoor/transport/endpoint_address.h"
+#include "transport/body_reader.h"
 
 namespace kumquatmoor {
 namespace {
@@ -68,13 +70,24 @@
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxCallResponseBytes);
+  std::optional<std::chrono::steady_clock::time_point> begun;
+  size_t reads = 0;
   while (!parser.is_done()) {
     timer.Restart(stream);
+    if (parser.is_header_done()) {
+      ReserveForRead(NextBodyReadBytes(parser), &buffer);
+    }
     co_await http::async_read_some(*stream, buffer, parser,
                                    asio::use_awaitable);
+    ++reads;
+    if (!begun) begun = std::chrono::steady_clock::now();
   }
-  co_return HttpCallResponse{.status = parser.get().result_int(),
-                             .body = std::move(parser.get().body())};
+  co_return HttpCallResponse{
+      .status = parser.get().result_int(),
+      .body = std::move(parser.get().body()),
+      .transfer = std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::steady_clock::now() - *begun),
+      .reads = reads};
 }
 
 asio::awaitable<void> RunCall(const HttpCallOptions& options,
--- a/standins/load.cc
+++ b/standins/load.cc
@@ -175,7 +175,7 @@
     const size_t first = m_rng() % m_nodes.size();
     for (size_t i = 0; i < m_nodes.size() && connection == nullptr; ++i) {
       const std::string& node = m_nodes[(first + i) % m_nodes.size()];
-      connection = m_pool.TakeIdle(node, milliseconds(5'000));
+      connection = m_pool.TakeIdle(node, milliseconds(5'000), id);
       if (connection != nullptr) break;
       connection = m_pool.MakeNew(node);
       const auto endpoint = kumquatmoor::TcpEndpoint(node);
