Tell other hosts in refusals what a backend server said

What callers saw: a request reaches a backend server that has said that it leaves (Server-Leaving), after a restart of the node beside it.

Cause, and its class (knowledge kept by too few): only hosts that passed on a response with the notice remembered it. The node beside the backend server refuses everybody else from then on, and its refusals carried no notice, so most hosts knew nothing to bring along to the restarted node.

Logs of a failed run (refusals without the notice): responses with it went to hosts 0, 2 and 3; host 1 had 5 refusals, and its request 1-313 reached the server 2.15 s after the notice. The hosts that had passed on the notice sent nothing more.

Ruled out: load as the cause; forgetting by a host that had passed on the notice. Not shown: that a whole node ever sent such a request. The test has proxies only, without the gossip that also carries the notice, and it holds all hosts to what the rule asks of the hosts that passed the notice on.

Why it works: every reply that a node writes itself carries what its backend server last said, a leaving or a limit, with the process it is about; the callers' nodes remember it like a response (RememberedNotices, split from proxy_calls.cc) and bring it along. The same cause elsewhere: a limit was lost in the same way, and a failed request, answered by the node itself, withdrew a remembered limit; both are mended by the same change. The notice headers are taken out of what goes to callers.

--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -108,6 +108,7 @@
   std::chrono::milliseconds wait{0};  // Estimated time until a slot is free.
   std::chrono::milliseconds run_time{0};  // Expected.
   std::string instance;                   // Of the backend server.
+  BackendNotice notice;                   // Of the backend server.
   std::string address;                    // Of the backend server.
   // Requests that run or wait; includes this one if it is admitted or queued.
   uint32_t in_flight = 0;
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -36,6 +36,7 @@
 #include "kumquatmoor/node/admission.h"
 #include "kumquatmoor/node/call_metrics.h"
 #include "kumquatmoor/node/log_budget.h"
+#include "kumquatmoor/node/remembered_notices.h"
 #include "kumquatmoor/protocol/verdict.h"
 #include "kumquatmoor/state/crash_suspects.h"
 #include "kumquatmoor/state/outcome_counters.h"
@@ -181,11 +182,9 @@
   // Reads what the node beside a target says of its load.
   void ReadLoad(const std::string& member_id, const std::string& route,
                 const boost::beast::http::fields& response);
-  // Remembers what the backend server of a target says of itself in a response.
+  // Remembers what a response of a target's node says of the backend server.
   void RememberNotice(const std::string& member_id,
-                      const boost::beast::http::fields& response);
-  // Adds what is remembered of the target's backend server to a request.
-  void AddNotice(const std::string& member_id, RequestHead* head) const;
+                      const ForwardResult& result);
   std::string NewRequestId();
   // Ends sessions that have been idle for some time.
   void CloseIdleCallers();
@@ -218,13 +217,7 @@
   LogBudget m_log_budget;
   TargetLoads m_loads;
   ResponseSizes m_response_sizes;  // Of responses to callers.
-  // What the backend servers of other hosts said in their last response, if it
-  // was anything. By member id.
-  struct RememberedNotice {
-    std::string instance;
-    BackendNotice notice;
-  };
-  std::map<std::string, RememberedNotice> m_notices;
+  RememberedNotices m_notices;     // Of the backend servers of other hosts.
   TypicalDeadlines m_typical_deadlines;
   std::mt19937_64 m_rng;
   // Connections of callers. Shared with the sessions, whose coroutine frames
--- a/include/kumquatmoor/protocol/headers.h
+++ b/include/kumquatmoor/protocol/headers.h
@@ -52,11 +52,12 @@
 // Request and response between nodes: the process of the backend server that
 // the headers about a backend server's notice are about.
 inline constexpr char kInstance[] = "Kumquatmoor-Instance";
-// Request between nodes: the limit that the backend server named in its last
-// response to the sender; see BackendNotice.
+// Request between nodes, and reply of a node to another: the limit that the
+// backend server named in the last response that the sender knows of; see
+// BackendNotice.
 inline constexpr char kBackendLimit[] = "Kumquatmoor-Backend-Limit";
-// Request between nodes: "1" if the backend server has told the sender that it
-// leaves.
+// Request between nodes, and reply of a node to another: "1" if the backend
+// server has said that it leaves.
 inline constexpr char kBackendLeaving[] = "Kumquatmoor-Backend-Leaving";
 // Response between nodes: "1" if the request was refused because of the limit
 // that the backend server names. Retry-After has the time until the next one is
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -38,6 +38,7 @@
 #include <string>
 #include <string_view>
 
+#include "kumquatmoor/protocol/backend_notice.h"
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/protocol/verdict.h"
 #include "kumquatmoor/transport/fault_plan.h"
@@ -197,6 +198,13 @@
 void SetLinkWait(std::chrono::milliseconds wait,
                  boost::beast::http::fields* head);
 
+// Sets the headers that tell another node what the process `instance` of a
+// backend server last said of itself, and removes those that say nothing.
+void SetNoticeHeaders(const std::string& instance, const BackendNotice& notice,
+                      boost::beast::http::fields* head);
+// Reads the notice from these headers.
+BackendNotice ReadNoticeHeaders(const boost::beast::http::fields& head);
+
 // Sends the request and reads the head of the response and the buffered part of
 // its body. Ends early if the caller closes its connection. Failures of a
 // connection are reported in the result.
@@ -250,6 +258,9 @@
   bool link_full = false;     // The host's link has no room in time.
   // As in headers::kLinkWaitMs.
   std::chrono::milliseconds link_wait{0};
+  // What the process `instance` of the backend server last said of itself.
+  std::string instance;
+  BackendNotice notice;
   bool close = false;  // Close the connection after the reply.
 };
 
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -131,6 +131,7 @@
   AdmissionResult result;
   result.slots = entry.backend.slots;
   result.instance = entry.backend.instance;
+  result.notice = entry.notice;
   result.address = entry.backend.address;
   result.in_flight =
       entry.queue.Running() + static_cast<uint32_t>(entry.queue.Waiting());
--- a/src/node/backend_notice_test.cc
+++ b/src/node/backend_notice_test.cc
@@ -170,7 +170,8 @@
   CheckNoLateArrivals();
 }
 
-// A test of its own in ctest: it is listed in KNOWN-RED.txt.
+// Guards against a backend server that gets requests after a restart of its
+// node from hosts that had only refusals. A test of its own in ctest.
 TEST_CASE_METHOD(
     LeavingFixture,
     "A leaving backend server gets no requests after a restart of its node",
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -378,35 +378,14 @@
 }
 
 void Proxy::RememberNotice(const std::string& member_id,
-                           const http::fields& response) {
-  const auto found = m_notices.find(member_id);
-  const BackendNotice notice = KeepValidLimit(
-      NoticeOf(response, m_options.headers),
-      found == m_notices.end() ? BackendNotice() : found->second.notice);
-  if (notice == BackendNotice()) {
-    // A response may be older than the one that said that the process leaves.
-    if (found != m_notices.end() && !found->second.notice.leaving) {
-      m_notices.erase(found);
-    }
+                           const ForwardResult& result) {
+  if (result.head.count(headers::kServedBy) == 0) {
+    m_notices.OnNodeReply(member_id, result.head);
     return;
   }
-  m_notices[member_id] = {
-      .instance = std::string(Text(response[headers::kInstance])),
-      .notice = notice};
-}
-
-void Proxy::AddNotice(const std::string& member_id, RequestHead* head) const {
-  head->erase(headers::kInstance);
-  head->erase(headers::kBackendLimit);
-  head->erase(headers::kBackendLeaving);
-  const auto found = m_notices.find(member_id);
-  if (found == m_notices.end()) return;
-  const RememberedNotice& known = found->second;
-  head->set(headers::kInstance, known.instance);
-  if (known.notice.limit) {
-    head->set(headers::kBackendLimit, fmt::format("{}", *known.notice.limit));
-  }
-  if (known.notice.leaving) head->set(headers::kBackendLeaving, "1");
+  m_notices.OnResponse(member_id,
+                       std::string(Text(result.head[headers::kInstance])),
+                       NoticeOf(result.head, m_options.headers));
 }
 
 void Proxy::ReadLoad(const std::string& member_id, const std::string& route,
@@ -453,7 +432,7 @@
   options.address = pick.target->data_address;
   options.zone = pick.target->zone;
   options.head = HeadForNode(inbound, call);
-  AddNotice(pick.target->member_id, &options.head);
+  m_notices.AddTo(pick.target->member_id, &options.head);
   options.deadline = call.deadline;
   options.max_idle_age = call.MaxIdleAge();
   options.faults = m_faults;
@@ -467,7 +446,7 @@
   if (!attempt.result.answered) co_return;
   const auto& head = attempt.result.head;
   ReadLoad(pick.target->member_id, call.route, head);
-  if (attempt.result.offered) RememberNotice(pick.target->member_id, head);
+  RememberNotice(pick.target->member_id, attempt.result);
   attempt.crashed = head.count(headers::kCrashed) > 0;
   if (attempt.result.verdict == Verdict::kNotRun) {
     attempt.result.reason = std::string(Text(head[headers::kReason]));
@@ -540,7 +519,7 @@
   attempt.result.head.erase(headers::kLoad);
   attempt.result.head.erase(headers::kOffered);
   attempt.result.head.erase(headers::kCrashed);
-  attempt.result.head.erase(headers::kInstance);
+  SetNoticeHeaders("", {}, &attempt.result.head);
   attempt.result.head.erase(headers::kLinkWaitMs);
   attempt.result.head.erase(headers::kRunTimeMs);
   const auto size = BodyBytes(attempt.result);
@@ -623,9 +602,7 @@
   }
   m_runner->GetAdmission().OnRememberedNotice(
       call.service, call.version, std::string(Text(head[headers::kInstance])),
-      {.limit = ParseRate(Text(head[headers::kBackendLimit])),
-       .leaving = head[headers::kBackendLeaving] == "1"},
-      call.started);
+      ReadNoticeHeaders(head), call.started);
   LocalRun run;
   co_await m_runner->Run(inbound, head, call, run);
   if (run.result.answered) {
@@ -658,6 +635,8 @@
   } else if (!run.admission.leaving) {
     answer.retry_after = std::max(run.admission.wait, kMinRetryAfter);
   }
+  answer.instance = run.admission.instance;
+  answer.notice = run.admission.notice;
   answer.limited = run.admission.limited;
   answer.retry_denied = run.admission.retry_denied;
   answer.link_full = run.admission.link_full;
--- a/src/transport/relay.cc
+++ b/src/transport/relay.cc
@@ -113,6 +113,25 @@
   }
 }
 
+void SetNoticeHeaders(const std::string& instance, const BackendNotice& notice,
+                      http::fields* head) {
+  head->erase(headers::kInstance);
+  head->erase(headers::kBackendLimit);
+  head->erase(headers::kBackendLeaving);
+  if (notice == BackendNotice()) return;
+  head->set(headers::kInstance, instance);
+  if (notice.limit) {
+    head->set(headers::kBackendLimit, fmt::format("{}", *notice.limit));
+  }
+  if (notice.leaving) head->set(headers::kBackendLeaving, "1");
+}
+
+BackendNotice ReadNoticeHeaders(const http::fields& head) {
+  const auto limit = head[headers::kBackendLimit];
+  return {.limit = ParseRate({limit.data(), limit.size()}),
+          .leaving = head[headers::kBackendLeaving] == "1"};
+}
+
 void ReleaseConnection(ForwardResult& result, UpstreamPool& pool) {
   if (result.connection == nullptr) return;
   // Bytes after the response belong to no request.
@@ -159,6 +178,7 @@
   if (reply.blocked) response.set(headers::kBlocked, "1");
   if (reply.link_full) response.set(headers::kLinkFull, "1");
   SetLinkWait(reply.link_wait, &response);
+  SetNoticeHeaders(reply.instance, reply.notice, &response);
   if (reply.offered) response.set(headers::kOffered, "1");
   if (reply.retry_after.count() > 0) {
     const double seconds =
