--- a/include/kumquatmoor/coordination/canary_analyzer.h
+++ b/include/kumquatmoor/coordination/canary_analyzer.h
@@ -175,6 +175,9 @@
   const std::string& StageHoldReason() const { return m_stage_hold_reason; }
 
  private:
+  // Minimum regression score at which the stage does not rise.
+  static constexpr double kHoldScore = 0.5;
+
   using ReporterKey = std::pair<std::string, std::string>;  // Version, node.
   using RouteKey = std::pair<std::string, std::string>;     // Version, route.
 
