--- a/src/coordination/canary_analyzer.cc
+++ b/src/coordination/canary_analyzer.cc
@@ -17,7 +17,6 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
-#include <iterator>
 #include <numeric>
 
 #include "kumquatmoor/state/batch.h"
@@ -32,53 +31,20 @@
 // limits.
 constexpr double kSlowFraction = 0.25;
 constexpr double kTailFraction = 0.01;
-// Minimum regression score at which the stage does not rise.
-constexpr double kHoldScore = 0.5;
-// Time without requests on a route after which its score no longer holds the
-// stage.
-constexpr std::chrono::seconds kScoreLifetime{8};
 // Ticks of cumulative baseline counts to keep. Reports on the same moment may
 // arrive this many ticks apart, so the baseline requests that a test is
 // compared with begin at the oldest tick kept.
 constexpr size_t kHistoryTicks = 3;
-// Requests to the baseline versions that an error comparison needs, and the
-// bounds of the time that the analyzer waits for them. Failures are reported
-// within 250 ms, so those of the baseline versions have arrived after the
-// minimum.
-constexpr uint64_t kMinComparedRequests = 4;
-constexpr std::chrono::milliseconds kMinComparisonWait{500};
-constexpr std::chrono::milliseconds kMaxComparisonWait{2'000};
-// Time without a request to the baseline versions after which the analyzer does
-// not wait for their counts.
-constexpr std::chrono::milliseconds kBaselineIdleTime{1'500};
+// Requests to the baseline versions on a route that a test needs.
+constexpr uint64_t kMinBaselineRequests = 4;
 // Time after the last request to a baseline version after which latencies are
 // not compared in a short move. The pilot zone has settled by then.
 constexpr std::chrono::milliseconds kLatencyBaselineLifetime{3'000};
-// A fault is common to all versions only if the baseline versions' error rate
-// is at least this fraction of the canary version's.
-constexpr double kCommonFaultFraction = 0.5;
-// A fault is common to all versions only if the baseline versions' error rate
-// has risen by more than this factor since before the test.
-constexpr double kSuddenRiseFactor = 2;
 // One in this many targets, and at least one, may be excluded before their
 // version is recalled.
 constexpr uint32_t kTargetsPerExclusion = 4;
-// Minimum number of requests at a stage whose error rate can hold the stage.
-constexpr uint64_t kMinCallsForErrorRate = 8;
 // Route name of the tests that take every request of a version.
 constexpr char kAllRoutes[] = "all routes";
-// Fraction of the canary versions' slots that a stage may fill.
-constexpr double kMaxSlotUtilization = 0.9;
-
-// Returns the fraction of the remaining time that `stage` may take.
-double FractionOfTimeLeft(uint32_t stage, const StageTimeWeights& weights) {
-  const auto index = static_cast<size_t>(std::distance(
-      std::begin(kStages),
-      std::lower_bound(std::begin(kStages), std::end(kStages), stage)));
-  if (index == 0 || index > weights.size()) return 1;
-  const double* own = weights.data() + index - 1;
-  return *own / std::accumulate(own, weights.data() + weights.size(), 0.0);
-}
 
 }  // namespace
 
@@ -138,6 +104,7 @@
   const TimePoint observed = m_clock.Advance(time.now);
   if (progress.IsRecalled()) return decisions;
   MergeExcluded(progress);
+  m_is_proven = IsProven(progress, targets);
   std::vector<Increment> due;
   due.swap(m_pending);
   CollectIncrements(observed);
@@ -213,14 +180,16 @@
   baseline.AddCanary(increment.tally);
   // With too few baseline requests on a route, it is unknown whether the route
   // fails on every version.
-  if (baseline.Requests() < kMinComparedRequests) return;
+  if (baseline.Requests() < kMinBaselineRequests) return;
   const auto& [version, route] = increment.key;
   for (const std::string& tested : {route, std::string(kAllRoutes)}) {
     RouteTests& tests = m_tests[{version, tested}];
     tests.added_at = now;
     if (tests.errors.Score() <= 0) {
       tests.baseline_at_start = m_baseline_counts.front()[tested];
+      tests.was_proven = m_is_proven;
     }
+    tests.CountSinceFailure(increment.tally, now);
     tests.Add(increment.reporter, increment.tally, baseline,
               m_options.latency_slack_buckets);
   }
@@ -279,6 +248,14 @@
   if (tests->errors.Exceeded()) {
     if (!tests->exceeded_at) tests->exceeded_at = now;
     if (!BaselineHasReported(route, *tests, now)) return std::nullopt;
+    const milliseconds wait = TimeWithoutComparison(route, *tests, targets);
+    if (wait.count() > 0 &&
+        tests->FaultWouldShowIn(tests->requests_since_failure)) {
+      tests->errors = FailureTest();
+      tests->was_pardoned = true;
+      return std::nullopt;
+    }
+    if (now - *tests->exceeded_at < wait) return std::nullopt;
     test = &tests->errors;
     reason = fmt::format("{}: {} of {} requests failed", route,
                          test->Failures(), test->Requests());
@@ -293,45 +270,6 @@
   return RecallVersion{.version = version, .reason = std::move(reason)};
 }
 
-CanaryAnalyzer::RequestCount CanaryAnalyzer::BaselineRequestsSince(
-    const std::string& route, const RouteTests& tests) const {
-  const auto found = m_baseline_counts.back().find(route);
-  if (found == m_baseline_counts.back().end()) return {};
-  return {.total = found->second.total - tests.baseline_at_start.total,
-          .errors = found->second.errors - tests.baseline_at_start.errors};
-}
-
-// A fault that begins on all versions at once is not the canary version's. An
-// error rate that the baseline versions always have does not count here, since
-// it is in the baseline already.
-bool CanaryAnalyzer::IsCommonFault(const std::string& route,
-                                   const RouteTests& tests) const {
-  const RequestCount baseline = BaselineRequestsSince(route, tests);
-  const auto total = static_cast<double>(baseline.total);
-  const auto errors = static_cast<double>(baseline.errors);
-  const auto requests = static_cast<double>(tests.errors.Requests());
-  const auto failures = static_cast<double>(tests.errors.Failures());
-  const auto total_before = static_cast<double>(tests.baseline_at_start.total);
-  const auto errors_before =
-      static_cast<double>(tests.baseline_at_start.errors);
-  const bool similar_rate =
-      errors * requests >= kCommonFaultFraction * failures * total;
-  const bool sudden =
-      errors * total_before > kSuddenRiseFactor * errors_before * total;
-  return errors > 0 && similar_rate && (sudden || total_before <= 0);
-}
-
-bool CanaryAnalyzer::BaselineHasReported(const std::string& route,
-                                         const RouteTests& tests,
-                                         TimePoint now) const {
-  const TimePoint since = *tests.exceeded_at;
-  const bool timed_out = now - since >= kMaxComparisonWait;
-  const bool baseline_idle = now - m_baseline_request_at >= kBaselineIdleTime;
-  if (timed_out || baseline_idle) return true;
-  return now - since >= kMinComparisonWait &&
-         BaselineRequestsSince(route, tests).total >= kMinComparedRequests;
-}
-
 // Analyzers of several zones may each have excluded the only target that they
 // receive counts of, so the merged exclusions can exceed the limit. It may also
 // be that only excluded targets can still be reached.
@@ -359,137 +297,4 @@
   return std::max(1U, targets.canary_targets / kTargetsPerExclusion);
 }
 
-double CanaryAnalyzer::RegressionScore(TimePoint now) const {
-  double highest = 0;
-  for (const auto& [route, tests] : m_tests) {
-    // Without the limit, a target that gets no more requests would hold the
-    // stage forever.
-    if (now - tests.added_at > kScoreLifetime) continue;
-    highest = std::max(highest, tests.Score());
-  }
-  return highest / SequentialTest::kThreshold;
-}
-
-void CanaryAnalyzer::DecideOnStage(ClockReading time, TimePoint observed,
-                                   const MoveProgress& progress,
-                                   const ReachableTargetCounts& targets,
-                                   std::vector<CanaryDecision>* decisions) {
-  const uint32_t stage = progress.StageOf(m_options.zone);
-  if (stage != m_stage) {
-    m_stage = stage;
-    m_stage_since = observed;
-    m_calls_at_stage = 0;
-    m_errors_at_stage = 0;
-  }
-  const auto at_stage = observed - m_stage_since;
-  m_stage_hold_reason.clear();
-  if (RegressionScore(observed) >= kHoldScore) {
-    m_stage_hold_reason = "the evidence is not clear yet";
-  } else if (stage >= kFullStage) {
-    const bool follows_pilot =
-        HasPilot(targets) && m_options.zone != targets.pilot_zone;
-    if (!m_settled &&
-        at_stage >= (follows_pilot ? kFollowerSettle : m_options.settle)) {
-      m_settled = true;
-      decisions->emplace_back(SettleZone{});
-    }
-  } else if (ExceedsMaxErrorRate()) {
-    m_stage_hold_reason = "too many requests fail to raise the share";
-    if (at_stage >= Dwell(time)) {
-      m_stage_since = observed;
-      m_calls_at_stage = 0;
-      m_errors_at_stage = 0;
-    }
-  } else if (targets.canary_slots == 0) {
-    m_stage_hold_reason = "no live target of the new version";
-  } else if (HasPilot(targets) && stage >= kFollowerMaxStage &&
-             m_options.zone != targets.pilot_zone &&
-             progress.settled.count(targets.pilot_zone) == 0) {
-    m_stage_hold_reason = "the pilot zone has not settled";
-  } else if (!HasSlotsForStage(NextStageOfZone(targets), targets)) {
-    m_stage_hold_reason =
-        "the new version has too few slots for its next share";
-  } else if (stage == 0) {
-    decisions->emplace_back(
-        RaiseStage{.stage_permille = NextStage(stage), .reason = "first"});
-  } else if (NextStageOfZone(targets) > NextStage(stage)) {
-    decisions->emplace_back(
-        RaiseStage{.stage_permille = NextStageOfZone(targets),
-                   .reason = targets.pilot_zone + " has settled"});
-  } else {
-    const milliseconds dwell = Dwell(time);
-    const bool enough_calls = m_calls_at_stage >= m_options.min_calls;
-    if (at_stage >= 2 * dwell || (at_stage >= dwell && enough_calls)) {
-      decisions->emplace_back(RaiseStage{
-          .stage_permille = NextStage(stage),
-          .reason =
-              fmt::format("{} requests without a finding", m_calls_at_stage)});
-    }
-  }
-}
-
-bool CanaryAnalyzer::HasPilot(const ReachableTargetCounts& targets) const {
-  return m_options.uses_pilot && !targets.pilot_zone.empty();
-}
-
-bool CanaryAnalyzer::PilotIsAhead(const MoveProgress& progress,
-                                  const ReachableTargetCounts& targets) const {
-  return HasPilot(targets) &&
-         progress.StageOf(targets.pilot_zone) > kFollowerMaxStage;
-}
-
-// Once the pilot zone has settled, the followers skip the stages up to full
-// stage, which the pilot zone has tested.
-uint32_t CanaryAnalyzer::NextStageOfZone(
-    const ReachableTargetCounts& targets) const {
-  const bool follows_pilot =
-      HasPilot(targets) && m_options.zone != targets.pilot_zone;
-  if (follows_pilot && m_stage >= kFollowerMaxStage) return kFullStage;
-  return NextStage(m_stage);
-}
-
-bool CanaryAnalyzer::ExceedsMaxErrorRate() const {
-  return m_calls_at_stage >= kMinCallsForErrorRate &&
-         static_cast<double>(m_errors_at_stage) >
-             m_options.max_error_rate * static_cast<double>(m_calls_at_stage);
-}
-
-milliseconds CanaryAnalyzer::Dwell(ClockReading time) const {
-  const int64_t deadline = MoveDeadline(m_config);
-  int64_t left_ms = deadline - time.unix_ms;
-  if (m_options.deadline) {
-    left_ms =
-        std::chrono::duration_cast<milliseconds>(*m_options.deadline - time.now)
-            .count();
-  } else if (deadline == 0) {
-    return m_options.default_dwell;
-  }
-  // The move should also settle before its deadline: once, or with a pilot zone
-  // twice, as the followers settle after it.
-  const int64_t settle_count = m_options.uses_pilot ? 2 : 1;
-  const auto left = static_cast<double>(
-      std::max<int64_t>(0, left_ms - settle_count * m_options.settle.count()));
-  const milliseconds planned(static_cast<int64_t>(
-      left * m_options.planned_fraction *
-      FractionOfTimeLeft(m_stage, m_options.stage_time_weights)));
-  return std::clamp(planned, m_options.min_dwell, m_options.max_dwell);
-}
-
-bool CanaryAnalyzer::HasSlotsForStage(
-    uint32_t stage, const ReachableTargetCounts& targets) const {
-  double in_flight = 0;
-  double zone_slots = 0;
-  for (const auto& [key, reporter] : m_reporters) {
-    in_flight += reporter.in_flight;
-    zone_slots += reporter.slots;
-  }
-  if (zone_slots <= 0) return true;
-  double share = 0;
-  for (const auto& row : m_config.rows()) {
-    if (IsCanary(row)) share += ShareAt(row, stage, false);
-  }
-  const double demand = in_flight / zone_slots * targets.all_slots;
-  return share * demand <= kMaxSlotUtilization * targets.canary_slots;
-}
-
 }  // namespace kumquatmoor
