Bound the unparsed bytes of requests to the admin and announcement ports

What callers saw: the node ended if a backend server or an operator sent a request with a trailer of more than 65,533 bytes to its own interfaces.

Evidence, before the fix (transport_test, 'A request with a huge trailer ends its connection only'): CHECK_NOTHROW( context.run_for(milliseconds(200)) ) due to unexpected exception with message: field value too large

Ruled out: HttpCall, the client of the platform. Its test 'A response with a huge trailer is a failed call' passed before the fix. The fix works since the library parses a field as a whole: one that does not fit the buffer of 60 KiB ends the read with an error, and the session with it.

--- a/src/transport/http_call_test.cc
+++ b/src/transport/http_call_test.cc
@@ -118,5 +118,58 @@
   CHECK(call.elapsed < 5 * kTimeout);
 }
 
+// A chunked body whose trailer is larger than the HTTP library can store.
+std::string BodyWithHugeTrailer() {
+  return "Transfer-Encoding: chunked\r\n\r\n0\r\nT: " +
+         std::string(100'000, 't') + "\r\n\r\n";
+}
+
+// Guards against a node that ends since the platform's response has a trailer
+// that the HTTP library cannot store.
+TEST_CASE("A response with a huge trailer is a failed call") {
+  asio::io_context context{1};
+  HttpServer server(context, {.address = kAddress},
+                    [](tcp::socket socket) -> asio::awaitable<void> {
+                      const std::string bytes =
+                          "HTTP/1.1 200 OK\r\n" + BodyWithHugeTrailer();
+                      co_await asio::async_write(socket, asio::buffer(bytes),
+                                                 asio::use_awaitable);
+                      char byte = 0;
+                      while (true) {
+                        co_await socket.async_read_some(asio::buffer(&byte, 1),
+                                                        asio::use_awaitable);
+                      }
+                    });
+  REQUIRE_FALSE(server.Start());
+  std::thread thread([&] { context.run(); });
+  bool complete = true;
+  CHECK_NOTHROW(complete = CallServer({}).complete);
+  context.stop();
+  thread.join();
+  CHECK_FALSE(complete);
+}
+
+// Guards against the same by a request of a backend server or an operator.
+TEST_CASE("A request with a huge trailer ends its connection only") {
+  asio::io_context context{1};
+  HttpServer server(
+      context, {.address = kAddress},
+      MakeBufferedSession(
+          {}, [](HttpRequest&, tcp::socket&) -> asio::awaitable<HttpResponse> {
+            co_return MakeResponse(200, "", "text/plain");
+          }));
+  REQUIRE_FALSE(server.Start());
+  asio::io_context caller_context;
+  tcp::socket caller(caller_context);
+  caller.connect({asio::ip::make_address("127.40.0.1"), 8300});
+  boost::system::error_code error;
+  asio::write(
+      caller,
+      asio::buffer("POST / HTTP/1.1\r\nHost: h\r\n" + BodyWithHugeTrailer()),
+      error);
+  CHECK_NOTHROW(context.run_for(milliseconds(200)));
+  CHECK(server.Connections() == 0);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -25,6 +25,10 @@
 constexpr std::chrono::milliseconds kAcceptBackoff{20};
 // For the head of the next request, including the idle time before it.
 constexpr std::chrono::seconds kIdleTimeout{60};
+// Bytes of a request that are buffered without being parsed. The HTTP library
+// throws out of io_context::run if a field, which it parses as a whole, is
+// larger than 65,533 bytes.
+constexpr size_t kMaxUnparsedRequestBytes = 61'440;
 // For the body of a request, and again for writing the response.
 constexpr std::chrono::seconds kRequestTimeout{30};
 
@@ -108,7 +112,7 @@
     std::shared_ptr<RequestHandler> handle;
     handle = shared;
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxUnparsedRequestBytes);
     bool keep_alive = true;
     while (keep_alive) {
       http::request_parser<http::string_body> parser;
