Ignore empty lines before a request

Cause: RFC 9112, section 2.2, asks servers to ignore at least one empty line where a request line is expected. The HTTP library does not, and its error 'bad method' counted as malformed. Class: input that the protocol tells to tolerate was left to a parser that does not.

Evidence, before the fix (denied_request_test, 'Every form of a proper request is accepted'): for 'an empty line first', 'an empty line in pieces' and a request that follows a body and a line end 400 (0x190) == 200

Ruled out by the other cases of that test: fields, chunks, lengths. The fix works since such lines are consumed in the wait for the first byte. They do not end it, so neither the header timeout starts nor an idle connection stays open for them.

--- a/src/node/denied_request_test.cc
+++ b/src/node/denied_request_test.cc
@@ -245,6 +245,8 @@
        {"GET /a/1 HTTP/1.1\r\nHost: HUTS.example:8080\r\nId: p1\r\n\r\n"}},
       {"a query", {Head("GET /a/?x=/b/ HTTP/1.1") + "\r\n"}},
       {"byte by byte", bytes},
+      {"an empty line first", {"\r\n" + Head(get) + "\r\n"}},
+      {"an empty line in pieces", {"\r", "\n", Head(get) + "\r\n"}},
       {"a folded field", {Head(get, "Folded: a\r\n b\r\n") + "\r\n"}},
       {"many fields", {Head(get, many_fields) + "\r\n"}},
       {"a head of the limit", {PaddedHead(Head(get), kHeaderLimit)}},
@@ -268,9 +270,9 @@
     caller.Send(c.parts);
     CHECK(caller.Status() == 200);
   }
-  // Requests that arrive together.
+  // Requests that arrive together, one of them with a line end after its body.
   RawCaller caller;
-  caller.Send({Head(post, sized(3)) + "abc" + Head(get) + "\r\n" +
+  caller.Send({Head(post, sized(3)) + "abc\r\n" + Head(get) + "\r\n" +
                PaddedHead(Head(get), kHeaderLimit)});
   for (int i = 0; i < 3; ++i) CHECK(caller.Status() == 200);
 }
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <string_view>
 #include <utility>
 
 #include "kumquatmoor/transport/exchange.h"
@@ -40,6 +41,22 @@
   return stream.socket().available(error) > 0 && !error;
 }
 
+std::string_view Unread(const beast::flat_buffer& buffer) {
+  const auto bytes = buffer.data();
+  return {static_cast<const char*>(bytes.data()), bytes.size()};
+}
+
+// Empty lines before a request are ignored (RFC 9112, section 2.2): some
+// callers write one after the body of the request before.
+void SkipEmptyLines(beast::flat_buffer& buffer) {
+  while (Unread(buffer).starts_with("\r\n")) buffer.consume(2);
+}
+
+// True if no byte of a request has arrived, at most half of an empty line.
+bool IsBlank(const beast::flat_buffer& buffer) {
+  return buffer.size() == 0 || Unread(buffer) == "\r";
+}
+
 // Reads a head, of which the buffer has the first bytes.
 asio::awaitable<Error> ReadWholeHead(
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
@@ -104,14 +121,20 @@
 // cancelled while bytes arrive, they are read.
 asio::awaitable<Error> InboundRequest::AwaitFirstByte() {
   Error error;
-  if (m_buffer.size() > 0) co_return error;
+  SkipEmptyLines(m_buffer);
+  if (!IsBlank(m_buffer)) co_return error;
   m_stream.expires_after(m_bounds.idle_timeout);
-  do {
+  bool again = true;
+  while (again) {
     error = {};
     const size_t size = co_await m_stream.async_read_some(
         m_buffer.prepare(kHeadReadBytes), Into(error));
     m_buffer.commit(size);
-  } while (error == asio::error::operation_aborted && HasBytesToRead(m_stream));
+    SkipEmptyLines(m_buffer);
+    again = error ? error == asio::error::operation_aborted &&
+                        HasBytesToRead(m_stream)
+                  : IsBlank(m_buffer);
+  }
   co_return error;
 }
 
