Bound the Retry-After of a response

What callers saw: a backend server or node that answers with Retry-After "inf", "1e18" or a negative number gave a wait outside of int64, whose conversion is undefined, or one in the past, so that a target that had refused because of its limit could get requests at once.

Cause and class: a number of a peer that is converted without a bound.

Evidence: with the function moved unchanged, "ParseRetryAfter bounds every text" failed with -1: -1000ms == 0ms -1e18: -9223372036854775808ms == 0ms inf: 9223372036854775807ms == 0ms 1e300: 9223372036854775807ms == 3600000ms and three more. It passes now, with protocol_test (64 assertions in 7 cases). No request was seen to go wrong: the effect on a mesh was not run.

Ruled out, by reading: Server-Limit, which ParseRate bounds and admission raises to a minimum; Keep-Alive, whose int of seconds fits into nanoseconds.

Why it works: the text is parsed as a rate is, which refuses what is negative, infinite or not a number, and the time is cut to an hour before it becomes an integer. Text after the number, which was ignored before, now reads as 0.

--- a/include/kumquatmoor/protocol/backend_notice.h
+++ b/include/kumquatmoor/protocol/backend_notice.h
@@ -10,6 +10,7 @@
 // leaves does not come back.
 // All functions are pure and safe to call from any thread.
 
+#include <chrono>
 #include <optional>
 #include <string_view>
 
@@ -33,6 +34,13 @@
 // not a number, or is negative, infinite or NaN.
 std::optional<double> ParseRate(std::string_view text);
 
+// The longest time that ParseRetryAfter returns.
+inline constexpr std::chrono::milliseconds kMaxParsedRetryAfter{3'600'000};
+
+// Parses the decimal seconds of a Retry-After header. Returns 0 if the text is
+// not a number, or is negative, infinite or NaN.
+std::chrono::milliseconds ParseRetryAfter(std::string_view text);
+
 }  // namespace kumquatmoor
 
 #endif  // KUMQUATMOOR_PROTOCOL_BACKEND_NOTICE_H_
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "kumquatmoor/node/proxy.h"
+#include "kumquatmoor/protocol/backend_notice.h"
 #include "kumquatmoor/protocol/headers.h"
 #include "node/call.h"
 #include "node/local_runner.h"
@@ -63,13 +64,6 @@
   return count;
 }
 
-// Parses decimal seconds; 0 if there is no number.
-milliseconds ParseRetryAfter(std::string_view text) {
-  double seconds = 0;
-  std::from_chars(text.data(), text.data() + text.size(), seconds);
-  return milliseconds(static_cast<int64_t>(seconds * 1'000));
-}
-
 // True for the statuses that guarantee that the request has not run.
 bool GuaranteesNotRun(unsigned status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
--- a/src/protocol/backend_notice.cc
+++ b/src/protocol/backend_notice.cc
@@ -1,5 +1,6 @@
 #include "kumquatmoor/protocol/backend_notice.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -20,4 +21,11 @@
   return rate;
 }
 
+std::chrono::milliseconds ParseRetryAfter(std::string_view text) {
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  const std::chrono::duration<double> parsed(ParseRate(text).value_or(0));
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::min<Milliseconds>(parsed, kMaxParsedRetryAfter));
+}
+
 }  // namespace kumquatmoor
