Take no response without an id from a peer that echoes ids

Callers could get an earlier response, with its signature and its whole body, as the response to their own request, which a backend server was still executing.

Cause: a response without an id was accepted on any connection, so that an earlier response that is written once more without its id after the look at the idle connection came before the real one.

Evidence: before the fix "A repeated response without an id answers no other request" failed in 8 of 16 plays (200 and 500, GET and POST, the copy after the head or after the whole request) with CHECK(seen.second_body != "first"). The test then took the body also of results that are no answer; it now looks at answers only.

A connection remembers that its peer has echoed an id. From then on a response without one leaves the outcome unknown and closes the connection, since a peer that echoes ids does so in each response. A peer that never echoes them is served as before, except for its refusals.

Ruled out: nodes always echo the id, so nothing changes between nodes. Not covered: a copy without an id on the first use of a connection, and a peer that never echoes ids.

--- a/include/kumquatmoor/transport/upstream_pool.h
+++ b/include/kumquatmoor/transport/upstream_pool.h
@@ -44,6 +44,8 @@
   // Keep-Alive header; one minute if the peer sends none.
   std::chrono::milliseconds peer_idle_timeout{std::chrono::minutes(1)};
   bool reused = false;  // The connection has carried a request before.
+  // The peer has echoed an id, so that a response without one is not valid.
+  bool echoes_ids = false;
   // Ids of the requests that the peer has refused on this connection. The peer
   // may write a refusal twice, and the id cannot tell the second one from the
   // answer to the same request.
--- a/src/transport/backend_refusal_test.cc
+++ b/src/transport/backend_refusal_test.cc
@@ -68,9 +68,11 @@
   kAfterRequest,   // When the second request runs.
 };
 
-// Two requests. The first is refused, the second is executed.
+// Two requests. The first is refused, or gets `first` if that is not empty. The
+// second is executed.
 struct Play {
   std::string status = "503 Full";
+  std::string first = {};
   std::string copy;
   CopyMoment moment = CopyMoment::kAfterRequest;
   http::verb method = http::verb::post;
@@ -83,6 +85,7 @@
   std::vector<Verdict> verdicts;  // In the order of the requests.
   size_t connections = 0;         // To the backend server.
   bool second_ran = false;
+  std::string second_body;  // Of the response to the second request.
 };
 
 class Scene {
@@ -134,7 +137,8 @@
       co_await http::async_read(stream, buffer, request, asio::use_awaitable);
       if (first) {
         m_refused = refused_here = true;
-        std::string bytes = Refusal(m_play.status, "first");
+        std::string bytes = m_play.first;
+        if (bytes.empty()) bytes = Refusal(m_play.status, "first");
         if (m_play.moment == CopyMoment::kWithRefusal) bytes += m_play.copy;
         co_await write(std::move(bytes));
         if (m_play.moment == CopyMoment::kWhileIdle) {
@@ -165,6 +169,7 @@
     options.to_backend = true;
     ForwardResult result = co_await Forward(m_pool, inbound, options);
     m_seen.verdicts.push_back(result.verdict);
+    m_seen.second_body = result.answered ? result.buffered_body : "";
     if (result.answered) {
       co_await RelayResponse(inbound, result, m_pool);
     }
@@ -271,6 +276,30 @@
   }
 }
 
+// Guards against an earlier success or failure that is written once more,
+// without its id, and becomes the response to the next request.
+TEST_CASE("A repeated response without an id answers no other request") {
+  for (const char* status : {"200 OK", "500 No"}) {
+    const std::string copy = std::string("HTTP/1.1 ") + status +
+                             "\r\nContent-Length: 5\r\nSigned: yes\r\n";
+    for (const CopyMoment moment : kMoments) {
+      for (const http::verb method : {http::verb::get, http::verb::post}) {
+        INFO(status << " moment=" << static_cast<int>(moment)
+                    << " method=" << http::to_string(method));
+        const Seen seen = Scene({.first = copy + "Id: first\r\n\r\nfirst",
+                                 .copy = copy + "\r\nfirst",
+                                 .moment = moment,
+                                 .method = method,
+                                 .gap = milliseconds(1)})
+                              .Run();
+        REQUIRE(seen.verdicts.size() == 2);
+        CHECK(seen.verdicts[1] != Verdict::kNotRun);
+        CHECK(seen.second_body != "first");
+      }
+    }
+  }
+}
+
 // Guards against a repeated refusal that has the right id because the request
 // itself was refused before on the connection and is sent again.
 TEST_CASE("A request that was refused is not sent again on its connection") {
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -189,7 +189,7 @@
 }
 
 // Returns true if the response echoes the id of another request. A response
-// without an id is accepted.
+// without an id does not.
 bool IsForOtherRequest(const http::response_header<>& response,
                        const std::string& id_header,
                        const std::string& request_id) {
@@ -319,11 +319,14 @@
         co_await ReadResponse(result, options.deadline, is_head_request);
     if (error) co_return error;
     const auto& response = result.parser->get();
-    // A head that was cut short and the next one may run together.
-    if (response.count(options.headers->request_id) > 1) {
-      co_return http::error::bad_field;
-    }
     const bool interim = response.result_int() / 100 == kInterimStatusClass;
+    const size_t ids = response.count(options.headers->request_id);
+    // A head that was cut short and the next one may run together.
+    if (ids > 1) co_return http::error::bad_field;
+    // May be a copy of an earlier response.
+    bool& echoes_ids = result.connection->echoes_ids;
+    if (ids == 0 && echoes_ids && !interim) co_return http::error::bad_field;
+    echoes_ids = echoes_ids || ids > 0;
     if (!interim &&
         !IsForOtherRequest(response, options.headers->request_id, request_id)) {
       co_return Error();
