--- a/src/transport/http_call_test.cc
+++ b/src/transport/http_call_test.cc
@@ -106,7 +106,8 @@
 // its transfer takes longer than the timeout (incident inc26-config).
 TEST_CASE("A response that arrives steadily is read to its end",
           "[large-response]") {
-  const SlowServer server({.pieces = 12, .sent = 12, .pause = kTimeout / 4});
+  const SlowServer server(
+      SlowBody{.pieces = 12, .sent = 12, .pause = kTimeout / 4});
   const TimedCall call = CallServer({});
   CHECK(call.complete);
   CHECK(call.elapsed > 2 * kTimeout);
@@ -117,7 +118,7 @@
 TEST_CASE("A response of a megabyte is read in few system calls",
           "[large-response]") {
   constexpr size_t kBytes = 1'400'000;
-  const SlowServer server({.piece_bytes = kBytes});
+  const SlowServer server(SlowBody{.piece_bytes = kBytes});
   const auto outcome =
       Attempt([&] { return HttpCall({.address = kAddress, .method = "GET"}); });
   REQUIRE(std::holds_alternative<HttpCallResponse>(outcome));
@@ -126,7 +127,8 @@
 }
 
 TEST_CASE("A response whose bytes stop ends after the timeout") {
-  const SlowServer server({.pieces = 12, .sent = 2, .pause = kTimeout / 4});
+  const SlowServer server(
+      SlowBody{.pieces = 12, .sent = 2, .pause = kTimeout / 4});
   const TimedCall call = CallServer({});
   CHECK_FALSE(call.complete);
   CHECK(call.elapsed < 4 * kTimeout);
