A refusal in the test of unsigned denials names its request

The refusals now echo the id and give 503 as before; the same three without the id are kept and must give 502.

--- a/src/node/denied_request_test.cc
+++ b/src/node/denied_request_test.cc
@@ -382,16 +382,28 @@
       {"404 No\r\nSigned: y\r\n", 404},
       {"301 Moved\r\nSigned: y\r\n", 301},
       // A refusal is not signed.
-      {"421 Other\r\n", 503},
-      {"429 Busy\r\nNot-Run: 1\r\n", 503},
-      {"400 No id\r\nNot-Run: 1\r\n", 503},
+      {"421 Other\r\nId: ID\r\n", 503},
+      {"429 Busy\r\nId: ID\r\nNot-Run: 1\r\n", 503},
+      {"400 No id\r\nId: ID\r\nNot-Run: 1\r\n", 503},
+      // It has to name the request.
+      {"421 Other\r\n", 502},
+      {"429 Busy\r\nNot-Run: 1\r\n", 502},
+      {"400 No id\r\nNot-Run: 1\r\n", 502},
       {"500 Failed\r\n", 500},
   };
   for (const auto& c : cases) {
     INFO(c.head);
-    reply = std::string("HTTP/1.1 ") + c.head + "Content-Length: 0\r\n\r\n";
+    const std::string request = Head("GET /a/1 HTTP/1.1") + "\r\n";
+    const size_t id_at = request.find("Id: ") + 4;
+    const std::string id =
+        request.substr(id_at, request.find("\r\n", id_at) - id_at);
+    std::string head = c.head;
+    if (const size_t at = head.find("ID"); at != std::string::npos) {
+      head.replace(at, 2, id);
+    }
+    reply = "HTTP/1.1 " + head + "Content-Length: 0\r\n\r\n";
     RawCaller caller;
-    caller.Send({Head("GET /a/1 HTTP/1.1") + "\r\n"});
+    caller.Send({request});
     CHECK(caller.Status() == c.status);
   }
 }
