--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -197,6 +197,9 @@
   // Time since a digest first showed that another node holds a newer batch; 0
   // if this node holds the newest one known.
   std::chrono::milliseconds TimeBehind(TimePoint now) const;
+  // When a digest first showed that; empty if this node holds the newest batch
+  // known.
+  std::optional<TimePoint> BehindSince() const { return m_behind_since; }
   // The live members whose latest digests showed a newer batch than this node
   // holds, the most recent first.
   std::vector<SyncPeer> PeersAhead() const;
--- a/include/kumquatmoor/node/call_metrics.h
+++ b/include/kumquatmoor/node/call_metrics.h
@@ -9,8 +9,10 @@
 //
 // Not thread-safe; owned by the proxy thread.
 
+#include <algorithm>
 #include <array>
 #include <boost/histogram.hpp>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -49,6 +51,12 @@
   void OnDenied(unsigned status, Origin origin) {
     ++m_denied[{status, origin}];
   }
+  // Counts a caller's request that was routed while the node had known for
+  // `behind` of a newer configuration than its own.
+  void OnDecidedBehind(std::chrono::nanoseconds behind) {
+    ++m_decided_behind;
+    m_longest_behind = std::max(m_longest_behind, behind);
+  }
   // Counts bytes that the link carried of a response that was not completed.
   void OnWastedBytes(size_t bytes) { m_wasted_bytes += bytes; }
   // Counts an outcome that was dropped because the ring to the control thread
@@ -73,6 +81,8 @@
   uint64_t m_blocked = 0;
   uint64_t m_link_refusals = 0;
   uint64_t m_wasted_bytes = 0;
+  uint64_t m_decided_behind = 0;
+  std::chrono::nanoseconds m_longest_behind{0};
   std::map<std::pair<unsigned, Origin>, uint64_t> m_denied;
   boost::histogram::histogram<std::tuple<Axis>> m_latency;
   double m_latency_sum_ms = 0;
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -157,6 +157,8 @@
   void SendTo(const std::string& member_id, const Datagram& datagram);
   void PublishNewBatch();
   void PublishRoutes();
+  // Tells the proxy since when this node has known of a newer batch.
+  void PublishBehindSince();
   void PublishBackends();
   // Passes changed crash records to the proxy and logs requests that are newly
   // blocked or no longer blocked.
@@ -207,6 +209,7 @@
   bool m_draining = false;
   std::shared_ptr<const RouteTable> m_published;
   uint64_t m_published_change = 0;
+  std::optional<TimePoint> m_published_behind_since;
   uint64_t m_published_crashes = 0;  // Hash of the crash records.
   std::set<std::string> m_blocked;   // Keys of the blocked requests.
   uint64_t m_backend_crashes = 0;    // Of local backend servers.
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -90,6 +90,9 @@
   boost::system::error_code Start();
 
   void SetRoutes(std::shared_ptr<const RouteTable> routes);
+  // Since when this node has known of a newer configuration than that of its
+  // routes; empty if it knows of none.
+  void SetBehindSince(std::optional<TimePoint> since);
   void SetBackends(std::vector<LocalBackend> backends);
   // Counts bytes of control traffic that this host sends, to which messages to
   // other nodes yield the link.
@@ -216,6 +219,7 @@
   UpstreamPool m_pool;  // Connections to other nodes.
   LinkPacer m_pacer;    // Of messages that leave by the host's link.
   std::shared_ptr<const RouteTable> m_routes;
+  std::optional<TimePoint> m_behind_since;
   TimePoint m_revision_since;  // Since when the revision is in force.
   std::shared_ptr<const CrashSuspects> m_crashes =
       std::make_shared<const CrashSuspects>();
--- a/include/kumquatmoor/transport/http_call.h
+++ b/include/kumquatmoor/transport/http_call.h
@@ -10,6 +10,7 @@
 //
 // Thread-safe.
 
+#include <boost/beast/http/fields.hpp>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -40,6 +41,7 @@
 
 struct HttpCallResponse {
   unsigned status = 0;
+  boost::beast::http::fields headers;
   std::string body;
   // From the first part of the response until its end.
   std::chrono::milliseconds transfer{0};
--- a/src/node/call_metrics.cc
+++ b/src/node/call_metrics.cc
@@ -52,6 +52,12 @@
   counter("kumquatmoor_blocked_requests_total", m_blocked);
   counter("kumquatmoor_link_refusals_total", m_link_refusals);
   counter("kumquatmoor_link_wasted_bytes_total", m_wasted_bytes);
+  counter("kumquatmoor_decided_behind_total", m_decided_behind);
+  text += fmt::format(
+      "# TYPE kumquatmoor_decided_behind_max_ms gauge\n"
+      "kumquatmoor_decided_behind_max_ms {}\n",
+      std::chrono::duration_cast<std::chrono::milliseconds>(m_longest_behind)
+          .count());
   text += "# TYPE kumquatmoor_call_ms histogram\n";
   double below = m_latency.at(-1);
   for (auto&& bin : boost::histogram::indexed(m_latency)) {
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -65,6 +65,7 @@
 void ControlLoop::RunPostedCommands() {
   while (auto command = m_commands.TryPop()) (*command)(*this);
   PublishNewBatch();
+  PublishBehindSince();
   PublishCrashes();
 }
 
@@ -101,6 +102,7 @@
   }
   if (auto peer = m_replica.PopSyncPeer()) m_syncs->TryPush(std::move(*peer));
   PublishRoutes();
+  PublishBehindSince();
   PublishCrashes();
   LogChanges();
   LogDelays(now);
@@ -127,6 +129,7 @@
   }
   Send(m_replica.OnDatagram(datagram, now));
   PublishNewBatch();
+  PublishBehindSince();
   PublishCrashes();
 }
 
@@ -492,6 +495,13 @@
   if (revision != m_published_revision) PublishRoutes();
 }
 
+void ControlLoop::PublishBehindSince() {
+  const auto since = m_replica.BehindSince();
+  if (since == m_published_behind_since) return;
+  m_published_behind_since = since;
+  m_proxy->SetBehindSince(since);
+}
+
 void ControlLoop::PublishRoutes() {
   if (!m_ready) return;
   auto unreachable = m_replica.UnreachableZones(Clock::now());
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -110,6 +110,10 @@
   });
 }
 
+void Proxy::SetBehindSince(std::optional<TimePoint> since) {
+  asio::post(m_context, [this, since] { m_behind_since = since; });
+}
+
 void Proxy::SetBackends(std::vector<LocalBackend> backends) {
   asio::post(m_context, [this, backends = std::move(backends)] {
     Admission& admission = m_runner->GetAdmission();
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -119,6 +119,7 @@
   if (m_routes == nullptr) {
     return Rejection{503, "this node holds no configuration yet"};
   }
+  if (m_behind_since) m_metrics.OnDecidedBehind(Clock::now() - *m_behind_since);
   const HttpRouteIndex* index = m_routes->http_routes.get();
   if (index != nullptr && !index->IsEmpty()) {
     if (call->request_id.empty()) return Rejection{400, "no request id"};
--- a/src/node/proxy_errors.cc
+++ b/src/node/proxy_errors.cc
@@ -56,8 +56,11 @@
   const auto* index = m_routes->http_routes.get();
   const auto age =
       std::chrono::duration_cast<milliseconds>(Clock::now() - m_revision_since);
-  return fmt::format("revision={} routes={} in_force_ms={}", m_routes->revision,
-                     index == nullptr ? 0 : index->Size(), age.count());
+  const auto behind = std::chrono::duration_cast<milliseconds>(
+      Clock::now() - m_behind_since.value_or(Clock::now()));
+  return fmt::format("revision={} routes={} in_force_ms={} behind_ms={}",
+                     m_routes->revision, index == nullptr ? 0 : index->Size(),
+                     age.count(), behind.count());
 }
 
 void Proxy::ReportRejection(const InboundRequest& inbound, unsigned status,
--- a/src/transport/http_call.cc
+++ b/src/transport/http_call.cc
@@ -84,6 +84,7 @@
   }
   co_return HttpCallResponse{
       .status = parser.get().result_int(),
+      .headers = parser.get().base(),
       .body = std::move(parser.get().body()),
       .transfer = std::chrono::duration_cast<std::chrono::milliseconds>(
           std::chrono::steady_clock::now() - *begun),
