End a node without a signal while its threads log

After a drain the program has one way out, std::_Exit(0), so it ended by a signal. Cause: main called spdlog::shutdown() while the proxy, control and gateway threads still ran. It destroys the default logger, which they use: a null or dangling logger in the next line that a thread logs. Evidence: the new test ends a child process in the same way while two of its threads log. The proof now prints the exit code. Fix: the sink writes out what it has and ends its thread; the logger stays.

--- a/include/kumquatmoor/node/log_sink.h
+++ b/include/kumquatmoor/node/log_sink.h
@@ -13,6 +13,7 @@
 // number. Thread-safe.
 
 #include <spdlog/sinks/base_sink.h>
+#include <spdlog/spdlog.h>
 
 #include <atomic>
 #include <chrono>
@@ -33,6 +34,10 @@
   BufferedSink(const BufferedSink&) = delete;
   BufferedSink& operator=(const BufferedSink&) = delete;
 
+  // Writes out the collected lines and ends the writer thread. Lines that are
+  // logged later are lost. Called by one thread.
+  void Finish();
+
  protected:
   void sink_it_(const spdlog::details::log_msg& message) override;
   void flush_() override {}
@@ -49,6 +54,10 @@
   std::thread m_thread;
 };
 
+// Writes out what the default logger has collected, before the process ends by
+// std::_Exit. Other threads may go on logging.
+void FinishLogging();
+
 }  // namespace kumquatmoor
 
 #endif  // KUMQUATMOOR_NODE_LOG_SINK_H_
--- a/programs/kumquatmoord.cc
+++ b/programs/kumquatmoord.cc
@@ -124,7 +124,7 @@
     return kExitFailed;
   }
   node.WaitForSignal();
-  spdlog::shutdown();
+  kumquatmoor::FinishLogging();
   // Skips the destructors: joining a thread that waits for a response of the
   // platform could take seconds, and the drain has already ended.
   std::_Exit(0);
--- a/src/node/log_sink.cc
+++ b/src/node/log_sink.cc
@@ -18,7 +18,10 @@
 BufferedSink::BufferedSink(int descriptor)
     : m_descriptor(descriptor), m_thread([this] { WriteLoop(); }) {}
 
-BufferedSink::~BufferedSink() {
+BufferedSink::~BufferedSink() { Finish(); }
+
+void BufferedSink::Finish() {
+  if (!m_thread.joinable()) return;
   m_stopping = true;
   m_thread.join();
   WriteOut(TakeBuffer());
@@ -67,4 +70,12 @@
   }
 }
 
+// spdlog::shutdown would destroy the logger, which other threads still use.
+void FinishLogging() {
+  for (const auto& sink : spdlog::default_logger()->sinks()) {
+    auto* buffered = dynamic_cast<BufferedSink*>(sink.get());
+    if (buffered != nullptr) buffered->Finish();
+  }
+}
+
 }  // namespace kumquatmoor
--- a/src/node/log_sink_test.cc
+++ b/src/node/log_sink_test.cc
@@ -2,12 +2,15 @@
 
 #include <fcntl.h>
 #include <spdlog/spdlog.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <cstdlib>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "kumquatmoor/node/log_budget.h"
 
@@ -58,6 +61,41 @@
   close(ends[1]);
 }
 
+// Ends a child process in the way of kumquatmoord, while `threads` of its
+// threads log. Returns its wait status.
+int EndWhileLogging(int threads) {
+  const pid_t child = fork();
+  if (child == 0) {
+    const int null = open("/dev/null", O_WRONLY | O_CLOEXEC);
+    spdlog::set_default_logger(std::make_shared<spdlog::logger>(
+        "child", std::make_shared<BufferedSink>(null)));
+    spdlog::set_level(spdlog::level::info);
+    for (int i = 0; i < threads; ++i) {
+      std::thread([] {
+        while (true) spdlog::info("a line of another thread");
+      }).detach();
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    FinishLogging();
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    std::_Exit(0);
+  }
+  int status = -1;
+  waitpid(child, &status, 0);
+  return status;
+}
+
+// Guards against a process that ends by a signal at the end of its drain, since
+// a thread logs while the logger is destroyed.
+TEST_CASE("A process whose threads still log ends without a signal") {
+  int ended_well = 0;
+  constexpr int kRuns = 50;
+  for (int i = 0; i < kRuns; ++i) {
+    if (EndWhileLogging(2) == 0) ++ended_well;
+  }
+  CHECK(ended_well == kRuns);
+}
+
 TEST_CASE("A flood of one kind of line does not suppress other kinds") {
   LogBudget budget;
   const TimePoint now = TimePoint() + std::chrono::hours(1);
--- a/tools/proofs.py
+++ b/tools/proofs.py
@@ -513,7 +513,8 @@
         load = cluster.start_load("mixed", MIXED, 100, 60)
         time.sleep(1)
         for host in cluster.hosts[::2]:
-            check(stop_gracefully(host.node) == 0, f"{host.name} did not drain")
+            code = stop_gracefully(host.node)
+            check(code == 0, f"{host.name} ended with exit code {code}")
             cluster.start_node(host)
             cluster.wait(lambda host=host: cluster.metrics(host).get(
                 "kumquatmoor_ready") == 1, f"{host.name} to return")
