Order batches across generations of the store

When the store comes back from an older copy its revisions are given out again. A batch was ordered by the store's revision alone, so a node kept a configuration of before, or took the older one of the copy, by whichever number was higher: callers would see routes of an older version come back into force, and 404 at some nodes for routes that others served.

Between two generations the operators' version of the configuration decides, if both name one: operators only raise it, so the older copy's configuration waits (batch: event=held) until theirs is written again.

Ruled out: comparing the generation alone (the copy's configuration would replace the newer one in force) and the operators' version alone (orders of moves change without it).

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -17,11 +17,11 @@
 // is SWIM: direct probe, indirect probes, suspicion, refutation by a higher
 // incarnation.
 //
-// Guarantees: the revision of the batch never decreases; a batch is applied
-// completely or not at all; marks and members change only by their join, which
-// makes them join semilattices. The class does no I/O: the caller passes the
-// time and sends the datagrams, and the random generator is seeded. Not
-// thread-safe.
+// Guarantees: a batch is only replaced by a newer one (see store_revision.h); a
+// batch is applied completely or not at all; marks and members change only by
+// their join, which makes them join semilattices. The class does no I/O: the
+// caller passes the time and sends the datagrams, and the random generator is
+// seeded. Not thread-safe.
 
 #include <chrono>
 #include <cstdint>
@@ -42,6 +42,7 @@
 #include "kumquatmoor/state/delta_history.h"
 #include "kumquatmoor/state/limits.h"
 #include "kumquatmoor/state/marks.h"
+#include "kumquatmoor/state/store_revision.h"
 
 namespace kumquatmoor {
 
@@ -205,15 +206,18 @@
   std::vector<SyncPeer> PeersAhead() const;
   ProbeDelays TakeProbeDelays();
   Digest MakeDigest() const;
+  // Number of batches of a later generation of the store that were held back,
+  // since their configuration is older than the one in force.
+  uint64_t HeldBackCount() const { return m_held_back_count; }
   // The latest warnings for operators, oldest first.
   const std::vector<std::string>& Warnings() const { return m_warnings; }
 
  private:
-  // A peer whose digest named a newer revision than this node holds.
+  // A peer whose digest named a newer batch than this node holds.
   struct PeerAhead {
     std::string id;
-    uint64_t revision = 0;
-    TimePoint since;  // When the peer first named that revision.
+    BatchStamp stamp;
+    TimePoint since;  // When the peer first named that batch.
   };
   // The key of a batch's update in the outbox.
   static constexpr char kBatchUpdateKey[] = "batch";
@@ -273,7 +277,11 @@
   void QueueMemberUpdate(const std::string& id);
   void ScheduleSync(const std::string& id);
   SyncPeer PeerOf(const MemberRecord& member) const;
-  void NotePeerAhead(const std::string& id, uint64_t revision, TimePoint now);
+  void NotePeerAhead(const std::string& id, const BatchStamp& stamp,
+                     TimePoint now);
+  // Counts a batch of a later generation of the store that is not newer than
+  // the current one, and logs it once.
+  void NoteHeldBack(const BatchStamp& stamp);
   void ForgetPeersReached();
   void AddChangedServices(const MemberRecord& member);
   void AddWarning(std::string text);
@@ -286,6 +294,8 @@
   BatchArrival m_arrival;
   DeltaHistory m_deltas;  // Between the latest batches of this node.
   bool m_needs_whole_batch = false;
+  BatchStamp m_held_back;  // Of the batch that was held back last.
+  uint64_t m_held_back_count = 0;
   MarkSet m_marks;
   CrashSuspects m_crashes;
   MemberList m_members;
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -60,6 +60,8 @@
   digest.set_marks_hash(m_marks.Hash());
   digest.set_batch_bytes(m_batch_bytes);
   digest.set_crashes_hash(m_crashes.Hash());
+  digest.set_config_version(m_batch->config_version());
+  digest.set_carried_moves(m_batch->carried_moves());
   return digest;
 }
 
@@ -190,17 +192,17 @@
 void Replica::CompareDigest(const Datagram& datagram, TimePoint now) {
   const Digest& received = datagram.digest();
   const Digest own = MakeDigest();
-  if (received.revision() > own.revision()) {
+  if (IsNewer(StampOf(received), StampOf(own))) {
     if (!m_behind_since) m_behind_since = now;
     m_newer_batch_bytes = received.batch_bytes();
-    NotePeerAhead(datagram.from(), received.revision(), now);
+    NotePeerAhead(datagram.from(), StampOf(received), now);
     ScheduleSync(datagram.from());
     return;
   }
-  if (received.revision() == own.revision() &&
+  if (StampOf(received) == StampOf(own) &&
       received.batch_digest() != own.batch_digest()) {
     AddWarning(fmt::format("{} holds another batch {}", datagram.from(),
-                           received.revision()));
+                           FormatRevision(received.revision())));
   }
   if (datagram.kind() == Datagram::PUSH) return;
   if (received.members_hash() == own.members_hash() &&
--- a/src/coordination/replica_batch.cc
+++ b/src/coordination/replica_batch.cc
@@ -2,7 +2,7 @@
 // reply to a synchronisation, or is offered by a gateway. The replica checks
 // it, replaces its own by it and pushes the delta between the two.
 
-#include <spdlog/fmt/fmt.h>
+#include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <utility>
@@ -13,7 +13,7 @@
 namespace kumquatmoor {
 
 void Replica::HandleDelta(const BatchDelta& delta, const Datagram& datagram) {
-  if (delta.revision() <= m_batch->revision()) return;
+  if (!IsNewer(StampOf(delta), StampOf(*m_batch))) return;
   auto batch = ApplyDelta(*m_batch, delta);
   if (!batch || !CheckBatch(*batch).empty()) {
     ScheduleSync(datagram.from());
@@ -25,7 +25,7 @@
 // A delta from another batch than the current one is not damaged: a newer batch
 // has come into force since the request was sent.
 void Replica::HandleSyncDelta(const BatchDelta& delta) {
-  if (delta.revision() <= m_batch->revision() ||
+  if (!IsNewer(StampOf(delta), StampOf(*m_batch)) ||
       delta.base_revision() != m_batch->revision()) {
     return;
   }
@@ -36,22 +36,39 @@
 }
 
 OfferOutcome Replica::Offer(const Batch& batch, BatchPath path) {
-  if (batch.revision() < m_batch->revision()) return OfferOutcome::kOld;
-  if (batch.revision() == m_batch->revision()) {
+  const BatchStamp offered = StampOf(batch);
+  const BatchStamp current = StampOf(*m_batch);
+  if (offered == current) {
     if (BatchDigest(batch) == m_batch_digest) return OfferOutcome::kOld;
-    AddWarning(fmt::format("was offered another batch {}", batch.revision()));
+    AddWarning(fmt::format("was offered another batch {}",
+                           FormatRevision(batch.revision())));
     return OfferOutcome::kConflict;
   }
+  if (!IsNewer(offered, current)) {
+    if (IsHeldBack(offered, current)) NoteHeldBack(offered);
+    return OfferOutcome::kOld;
+  }
   const auto problems = CheckBatch(batch);
   if (!problems.empty()) {
-    AddWarning(fmt::format("refused batch {}: {}", batch.revision(),
-                           problems.front()));
+    AddWarning(fmt::format("refused batch {}: {}",
+                           FormatRevision(batch.revision()), problems.front()));
     return OfferOutcome::kInvalid;
   }
   ApplyBatch(batch, path);
   return OfferOutcome::kApplied;
 }
 
+void Replica::NoteHeldBack(const BatchStamp& stamp) {
+  if (stamp == m_held_back) return;
+  m_held_back = stamp;
+  ++m_held_back_count;
+  spdlog::warn(
+      "batch: event=held revision={} config_version={} in_force={} "
+      "in_force_config_version={}",
+      FormatRevision(stamp.revision), stamp.config_version,
+      FormatRevision(m_batch->revision()), m_batch->config_version());
+}
+
 void Replica::ApplyBatch(Batch batch, BatchPath path) {
   Rumour rumour;
   *rumour.mutable_delta() = MakeDelta(*m_batch, batch);
@@ -74,11 +91,11 @@
   QueueUpdate(std::move(rumour), kBatchUpdateKey);
 }
 
-// The node stays behind while it knows of a revision that it still lacks.
+// The node stays behind while it knows of a batch that it still lacks.
 void Replica::ForgetPeersReached() {
   std::erase_if(m_peers_ahead, [&](const PeerAhead& peer) {
     const MemberRecord* member = m_members.Find(peer.id);
-    return peer.revision <= m_batch->revision() || member == nullptr ||
+    return !IsNewer(peer.stamp, StampOf(*m_batch)) || member == nullptr ||
            member->status() != ALIVE;
   });
   m_behind_since.reset();
--- a/src/coordination/replica_sync.cc
+++ b/src/coordination/replica_sync.cc
@@ -49,12 +49,12 @@
           .expected_bytes = m_newer_batch_bytes};
 }
 
-void Replica::NotePeerAhead(const std::string& id, uint64_t revision,
+void Replica::NotePeerAhead(const std::string& id, const BatchStamp& stamp,
                             TimePoint now) {
-  PeerAhead noted{.id = id, .revision = revision, .since = now};
+  PeerAhead noted{.id = id, .stamp = stamp, .since = now};
   std::erase_if(m_peers_ahead, [&](const PeerAhead& peer) {
     if (peer.id != id) return false;
-    if (peer.revision == revision) noted.since = peer.since;
+    if (peer.stamp == stamp) noted.since = peer.since;
     return true;
   });
   m_peers_ahead.push_front(std::move(noted));
@@ -63,7 +63,7 @@
 
 std::vector<SyncPeer> Replica::PeersAhead() const {
   std::vector<SyncPeer> peers;
-  for (const auto& [id, revision, since] : m_peers_ahead) {
+  for (const auto& [id, stamp, since] : m_peers_ahead) {
     const MemberRecord* member = m_members.Find(id);
     if (member == nullptr || member->status() != ALIVE) continue;
     peers.push_back(PeerOf(*member));
@@ -76,6 +76,8 @@
   request.set_from(m_options.id);
   request.set_zone(m_options.zone);
   request.set_have_revision(m_batch->revision());
+  request.set_config_version(m_batch->config_version());
+  request.set_carried_moves(m_batch->carried_moves());
   request.set_joining(joining);
   request.set_accepts_delta(!m_needs_whole_batch);
   for (uint64_t hash : m_members.BucketHashes()) {
@@ -98,7 +100,7 @@
       *reply.add_crashes() = std::move(record);
     }
   }
-  if (m_batch->revision() > request.have_revision()) {
+  if (IsNewer(StampOf(*m_batch), StampOf(request))) {
     AddNewerBatch(request, &reply);
   }
   for (auto& mark : m_marks.All()) *reply.add_marks() = std::move(mark);
--- a/src/state/batch.cc
+++ b/src/state/batch.cc
@@ -201,6 +201,8 @@
   delta.set_write_id(to.write_id());
   delta.set_author(to.author());
   delta.set_written_ms(to.written_ms());
+  delta.set_config_version(to.config_version());
+  delta.set_carried_moves(to.carried_moves());
   CompareSorted(
       from.services(), to.services(),
       [](const ServiceConfig& config) { return config.service(); },
@@ -240,6 +242,8 @@
   batch.set_write_id(delta.write_id());
   batch.set_author(delta.author());
   batch.set_written_ms(delta.written_ms());
+  batch.set_config_version(delta.config_version());
+  batch.set_carried_moves(delta.carried_moves());
   for (const auto& [name, service] : services) {
     *batch.add_services() = *service;
   }
