--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -12,6 +12,7 @@
 #include "ctl/table_commands.h"
 #include "kumquatmoor/coordination/table_store.h"
 #include "kumquatmoor/state/crash_suspects.h"
+#include "kumquatmoor/state/store_revision.h"
 
 namespace kumquatmoor {
 namespace {
@@ -42,10 +43,10 @@
 void PrintStatus(std::ostream& out, const StatusReply& status) {
   if (status.holding() == status.live_nodes()) {
     out << fmt::format("revision {} is in force on all {} nodes\n",
-                       status.revision(), status.live_nodes());
+                       FormatRevision(status.revision()), status.live_nodes());
   } else {
     out << fmt::format("revision {} is in force on {} of {} nodes at least\n",
-                       status.revision(), status.holding(),
+                       FormatRevision(status.revision()), status.holding(),
                        status.live_nodes());
   }
   for (const auto& zone : status.zones()) {
@@ -53,7 +54,7 @@
       out << "  zone " << zone.zone() << ": not reached\n";
     } else if (zone.report().lowest_revision() < status.revision()) {
       out << fmt::format("  zone {}: some at revision {}; behind:", zone.zone(),
-                         zone.report().lowest_revision());
+                         FormatRevision(zone.report().lowest_revision()));
       for (const auto& id : zone.report().behind()) out << " " << id;
       out << "\n";
     }
--- a/src/node/control_loop_log.cc
+++ b/src/node/control_loop_log.cc
@@ -40,7 +40,8 @@
   }
   spdlog::info(
       "batch: event=in_force revision={} author=\"{}\" path={} behind_ms={}",
-      batch.revision(), batch.author(), PathName(arrival.path), behind.count());
+      FormatRevision(batch.revision()), batch.author(), PathName(arrival.path),
+      behind.count());
 }
 
 void ControlLoop::LogChanges() {
@@ -78,6 +79,9 @@
          line("kumquatmoor_behind_ms",
               static_cast<uint64_t>(
                   m_replica.TimeBehind(Clock::now()).count())) +
+         line("kumquatmoor_batches_held_total", m_replica.HeldBackCount()) +
+         line("kumquatmoor_carried_moves",
+              m_replica.CurrentBatch().carried_moves()) +
          line("kumquatmoor_members", m_replica.Members().size()) +
          line("kumquatmoor_ready", m_ready ? 1 : 0) +
          line("kumquatmoor_control_sent_bytes_total", m_socket.BytesSent()) +
--- a/src/node/status.cc
+++ b/src/node/status.cc
@@ -144,8 +144,8 @@
       replica.Marks().Progress(service, config->move_revision());
   lines.push_back(fmt::format(
       "Revision {}, move of revision {}, stage {} per mille in zone {}.",
-      replica.CurrentBatch().revision(), config->move_revision(),
-      progress.StageOf(zone), zone));
+      FormatRevision(replica.CurrentBatch().revision()),
+      FormatRevision(config->move_revision()), progress.StageOf(zone), zone));
   if (progress.IsRecalled()) {
     lines.push_back("Taken back: " + RecallText(progress) + ".");
   }
