A node that knows that it is behind does not decide by its old batch

Callers saw, or would see, a 404 for a route that had been confirmed seconds before, a 413 or 431 by limits that had been raised, and requests run on a route that had been removed: by a node whose reads and synchronisations did not get through, while the digests of other nodes told it of a newer revision. Nothing bounded for how long.

After 1 s (max_time_behind_serving) every request of a caller is refused, and readiness fails, until the newest batch is there.

Only the word of a reachable live member counts. Entries of lost peers used to stay until the next batch, so that such a node also read the platform for good; they end now.

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -200,6 +200,10 @@
   // When a digest first showed that; empty if this node holds the newest batch
   // known.
   std::optional<TimePoint> BehindSince() const { return m_behind_since; }
+  // The same, but only while a reachable live member says so: what this node
+  // must not serve callers by its own batch for. Empty if nobody who holds the
+  // newer batch is left, or if this node has found that batch to be invalid.
+  std::optional<TimePoint> OutdatedSince(TimePoint now) const;
   // The live members whose latest digests showed a newer batch than this node
   // holds, the most recent first.
   std::vector<SyncPeer> PeersAhead() const;
@@ -214,6 +218,7 @@
     std::string id;
     uint64_t revision = 0;
     TimePoint since;  // When the peer first named that revision.
+    TimePoint heard;  // When it last did.
   };
   // The key of a batch's update in the outbox.
   static constexpr char kBatchUpdateKey[] = "batch";
@@ -275,6 +280,12 @@
   SyncPeer PeerOf(const MemberRecord& member) const;
   void NotePeerAhead(const std::string& id, uint64_t revision, TimePoint now);
   void ForgetPeersReached();
+  // The peer's latest digest does not name a newer batch.
+  void ForgetPeerAhead(const std::string& id);
+  // Forgets the peers that are no longer alive or have been silent for long.
+  void ForgetLostPeersAhead(TimePoint now);
+  void NoteRefusedBatch(uint64_t digest);
+  bool IsRefusedBatch(uint64_t digest) const;
   void AddChangedServices(const MemberRecord& member);
   void AddWarning(std::string text);
 
@@ -306,7 +317,8 @@
   // batch is the newest known.
   std::optional<TimePoint> m_behind_since;
   uint64_t m_newer_batch_bytes = 0;  // Size of that batch, 0 if there is none.
-  std::deque<PeerAhead> m_peers_ahead;  // The most recent first.
+  std::deque<PeerAhead> m_peers_ahead;     // The most recent first.
+  std::deque<uint64_t> m_refused_batches;  // Digests, the most recent last.
   std::optional<std::string> m_sync_peer;
   uint64_t m_change_count = 0;
   std::set<std::string> m_changed_services;
--- a/include/kumquatmoor/node/call_metrics.h
+++ b/include/kumquatmoor/node/call_metrics.h
@@ -57,6 +57,9 @@
     ++m_decided_behind;
     m_longest_behind = std::max(m_longest_behind, behind);
   }
+  // Counts a caller's request that was refused since the node knows that its
+  // configuration is not the newest.
+  void OnRefusedBehind() { ++m_refused_behind; }
   // Counts bytes that the link carried of a response that was not completed.
   void OnWastedBytes(size_t bytes) { m_wasted_bytes += bytes; }
   // Counts an outcome that was dropped because the ring to the control thread
@@ -82,6 +85,7 @@
   uint64_t m_link_refusals = 0;
   uint64_t m_wasted_bytes = 0;
   uint64_t m_decided_behind = 0;
+  uint64_t m_refused_behind = 0;
   std::chrono::nanoseconds m_longest_behind{0};
   std::map<std::pair<unsigned, Origin>, uint64_t> m_denied;
   boost::histogram::histogram<std::tuple<Axis>> m_latency;
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -98,8 +98,9 @@
   // The configuration was read from the platform and applied.
   void SetStoreLoaded() { m_store_loaded = true; }
   bool IsStoreLoaded() const { return m_store_loaded; }
-  // True if the node holds a configuration and is not draining, so that callers
-  // may be sent to it. Safe from any thread.
+  // True if the node holds a configuration, is not draining and has not been
+  // behind other nodes for too long, so that callers may be sent to it. Safe
+  // from any thread.
   bool AcceptsCallers() const { return m_accepts_callers; }
   // Applies a batch, marks and member directory that were read from the
   // platform.
@@ -157,7 +158,8 @@
   void SendTo(const std::string& member_id, const Datagram& datagram);
   void PublishNewBatch();
   void PublishRoutes();
-  // Tells the proxy since when this node has known of a newer batch.
+  // Tells the proxy since when this node has known of a newer batch, and stops
+  // accepting callers while the proxy refuses them.
   void PublishBehindSince();
   void PublishBackends();
   // Passes changed crash records to the proxy and logs requests that are newly
@@ -210,6 +212,7 @@
   std::shared_ptr<const RouteTable> m_published;
   uint64_t m_published_change = 0;
   std::optional<TimePoint> m_published_behind_since;
+  bool m_is_too_far_behind = false;  // The proxy refuses callers.
   uint64_t m_published_crashes = 0;  // Hash of the crash records.
   std::set<std::string> m_blocked;   // Keys of the blocked requests.
   uint64_t m_backend_crashes = 0;    // Of local backend servers.
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -72,6 +72,9 @@
   // aborted. Their callers receive a response that states whether the request
   // may have run.
   std::chrono::milliseconds drain_timeout{10'000};
+  // Time after which a node that knows of a newer configuration than its own
+  // serves no callers.
+  std::chrono::milliseconds max_time_behind_serving{1'000};
   // Rate of the host's link in bytes per second, 0 if unknown.
   double link_rate = 0;
   // Responses to callers leave by this link, too. False if callers run on this
@@ -91,8 +94,13 @@
 
   void SetRoutes(std::shared_ptr<const RouteTable> routes);
   // Since when this node has known of a newer configuration than that of its
-  // routes; empty if it knows of none.
+  // routes; empty if it knows of none. While it does, no request is denied by
+  // its own, and after `max_time_behind_serving` every request of a caller is
+  // refused.
   void SetBehindSince(std::optional<TimePoint> since);
+  // True if callers are refused at `now` by a node that has been behind since
+  // `since`. Safe from any thread.
+  bool IsTooFarBehind(std::optional<TimePoint> since, TimePoint now) const;
   void SetBackends(std::vector<LocalBackend> backends);
   // Counts bytes of control traffic that this host sends, to which messages to
   // other nodes yield the link.
@@ -126,6 +134,13 @@
  private:
   struct Attempt;
   struct CallerConnection;
+  // Status and reason of the response to a request that is not routed.
+  struct Rejection {
+    unsigned status = 0;
+    std::string reason;
+    // The node knows that it does not hold the newest configuration.
+    bool is_behind = false;
+  };
 
   // Serves one connection: CallerSession from a caller, DataSession from
   // another node.
@@ -138,8 +153,8 @@
   boost::asio::awaitable<bool> ServeNode(InboundRequest& inbound);
   // Responds to a request that cannot be routed. False if the connection must
   // be closed.
-  boost::asio::awaitable<bool> Reject(InboundRequest& inbound, unsigned status,
-                                      std::string reason);
+  boost::asio::awaitable<bool> Reject(InboundRequest& inbound,
+                                      Rejection rejection);
   // Log a response with a status of 3xx or 4xx to a caller, and count it by who
   // made it: this node, or a backend server.
   void ReportRejection(const InboundRequest& inbound, unsigned status,
@@ -162,17 +177,17 @@
   boost::asio::awaitable<bool> GiveUp(InboundRequest& inbound, const Call& call,
                                       const Attempt& attempt);
 
-  // Status and reason of the response to an invalid request.
-  struct Rejection {
-    unsigned status = 0;
-    std::string reason;
-  };
   // Reads a caller's request into `call`. Returns what is wrong with it, if
   // anything.
   std::optional<Rejection> ReadCallerCall(const InboundRequest& inbound,
                                           Call* call);
   // Reads what requests from callers and from other nodes have in common.
   Call ReadCall(const InboundRequest& inbound, const CallHeaders& names);
+  // Refuses the request if the node has been behind for too long.
+  std::optional<Rejection> RefuseWhileBehind() const;
+  // The rejection to send in the place of one that follows from a configuration
+  // which is known to be replaced.
+  Rejection WithoutDenialWhileBehind(Rejection rejection) const;
   void ApplyRoute(const HttpRoute& route, Call* call);
   // Expected time to pass on a response, which is received completely before it
   // is sent to the caller.
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -6,8 +6,9 @@
 // is not pushed. The datagram then carries only the digest, and the receiver
 // pulls the update by a synchronisation.
 //
-// Batches are in replica_batch.cc, failure detection in replica_probe.cc and
-// synchronisation in replica_sync.cc.
+// Batches are in replica_batch.cc, what is known of newer ones in
+// replica_behind.cc, failure detection in replica_probe.cc and synchronisation
+// in replica_sync.cc.
 
 #include "kumquatmoor/coordination/replica.h"
 
@@ -114,6 +115,7 @@
 std::vector<OutgoingDatagram> Replica::Tick(TimePoint now) {
   std::vector<OutgoingDatagram> out;
   DiscardProbesAfterPause(now);
+  ForgetLostPeersAhead(now);
   RepeatBatchPush(now);
   PushUpdates(now, &out);
   EscalateProbes(now, &out);
@@ -190,13 +192,15 @@
 void Replica::CompareDigest(const Datagram& datagram, TimePoint now) {
   const Digest& received = datagram.digest();
   const Digest own = MakeDigest();
-  if (received.revision() > own.revision()) {
+  if (received.revision() > own.revision() &&
+      !IsRefusedBatch(received.batch_digest())) {
     if (!m_behind_since) m_behind_since = now;
     m_newer_batch_bytes = received.batch_bytes();
     NotePeerAhead(datagram.from(), received.revision(), now);
     ScheduleSync(datagram.from());
     return;
   }
+  ForgetPeerAhead(datagram.from());
   if (received.revision() == own.revision() &&
       received.batch_digest() != own.batch_digest()) {
     AddWarning(fmt::format("{} holds another batch {}", datagram.from(),
--- a/src/coordination/replica_batch.cc
+++ b/src/coordination/replica_batch.cc
@@ -16,6 +16,7 @@
   if (delta.revision() <= m_batch->revision()) return;
   auto batch = ApplyDelta(*m_batch, delta);
   if (!batch || !CheckBatch(*batch).empty()) {
+    if (batch) NoteRefusedBatch(delta.digest());
     ScheduleSync(datagram.from());
     return;
   }
@@ -46,6 +47,7 @@
   if (!problems.empty()) {
     AddWarning(fmt::format("refused batch {}: {}", batch.revision(),
                            problems.front()));
+    NoteRefusedBatch(BatchDigest(batch));
     return OfferOutcome::kInvalid;
   }
   ApplyBatch(batch, path);
@@ -74,20 +76,6 @@
   QueueUpdate(std::move(rumour), kBatchUpdateKey);
 }
 
-// The node stays behind while it knows of a revision that it still lacks.
-void Replica::ForgetPeersReached() {
-  std::erase_if(m_peers_ahead, [&](const PeerAhead& peer) {
-    const MemberRecord* member = m_members.Find(peer.id);
-    return peer.revision <= m_batch->revision() || member == nullptr ||
-           member->status() != ALIVE;
-  });
-  m_behind_since.reset();
-  for (const auto& peer : m_peers_ahead) {
-    m_behind_since = std::min(m_behind_since.value_or(peer.since), peer.since);
-  }
-  if (m_peers_ahead.empty()) m_newer_batch_bytes = 0;
-}
-
 void Replica::RepeatBatchPush(TimePoint now) {
   if (!m_repeat_batch_at || now < *m_repeat_batch_at) return;
   m_repeat_batch_at.reset();
@@ -100,14 +88,4 @@
   m_recent.erase(pushed);
 }
 
-bool Replica::IsBehindFor(std::chrono::milliseconds time, TimePoint now) const {
-  return m_behind_since && now - *m_behind_since >= time;
-}
-
-std::chrono::milliseconds Replica::TimeBehind(TimePoint now) const {
-  if (!m_behind_since) return std::chrono::milliseconds(0);
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now -
-                                                               *m_behind_since);
-}
-
 }  // namespace kumquatmoor
--- a/src/coordination/replica_sync.cc
+++ b/src/coordination/replica_sync.cc
@@ -12,12 +12,6 @@
 #include "kumquatmoor/coordination/replica.h"
 
 namespace kumquatmoor {
-namespace {
-
-// Members remembered to hold a newer batch.
-constexpr size_t kMaxPeersAhead = 8;
-
-}  // namespace
 
 void Replica::ScheduleSync(const std::string& id) {
   if (m_members.Find(id) != nullptr) m_sync_peer = id;
@@ -49,22 +43,10 @@
           .expected_bytes = m_newer_batch_bytes};
 }
 
-void Replica::NotePeerAhead(const std::string& id, uint64_t revision,
-                            TimePoint now) {
-  PeerAhead noted{.id = id, .revision = revision, .since = now};
-  std::erase_if(m_peers_ahead, [&](const PeerAhead& peer) {
-    if (peer.id != id) return false;
-    if (peer.revision == revision) noted.since = peer.since;
-    return true;
-  });
-  m_peers_ahead.push_front(std::move(noted));
-  if (m_peers_ahead.size() > kMaxPeersAhead) m_peers_ahead.pop_back();
-}
-
 std::vector<SyncPeer> Replica::PeersAhead() const {
   std::vector<SyncPeer> peers;
-  for (const auto& [id, revision, since] : m_peers_ahead) {
-    const MemberRecord* member = m_members.Find(id);
+  for (const auto& peer : m_peers_ahead) {
+    const MemberRecord* member = m_members.Find(peer.id);
     if (member == nullptr || member->status() != ALIVE) continue;
     peers.push_back(PeerOf(*member));
   }
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -496,10 +496,22 @@
 }
 
 void ControlLoop::PublishBehindSince() {
-  const auto since = m_replica.BehindSince();
-  if (since == m_published_behind_since) return;
-  m_published_behind_since = since;
-  m_proxy->SetBehindSince(since);
+  const TimePoint now = Clock::now();
+  const auto since = m_replica.OutdatedSince(now);
+  if (since != m_published_behind_since) {
+    m_published_behind_since = since;
+    m_proxy->SetBehindSince(since);
+  }
+  const bool is_too_far_behind = m_proxy->IsTooFarBehind(since, now);
+  if (is_too_far_behind != m_is_too_far_behind) {
+    spdlog::warn("node: event={} revision={} behind_ms={}",
+                 is_too_far_behind ? "refusing" : "serving",
+                 m_replica.CurrentBatch().revision(),
+                 m_replica.TimeBehind(now).count());
+  }
+  m_is_too_far_behind = is_too_far_behind;
+  m_accepts_callers =
+      m_published_revision > 0 && !m_draining && !is_too_far_behind;
 }
 
 void ControlLoop::PublishRoutes() {
@@ -529,7 +541,6 @@
   m_published_change = change;
   m_published_unreachable = std::move(unreachable);
   m_proxy->SetRoutes(m_published);
-  m_accepts_callers = revision > 0 && !m_draining;
 }
 
 }  // namespace kumquatmoor
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -110,10 +110,6 @@
   });
 }
 
-void Proxy::SetBehindSince(std::optional<TimePoint> since) {
-  asio::post(m_context, [this, since] { m_behind_since = since; });
-}
-
 void Proxy::SetBackends(std::vector<LocalBackend> backends) {
   asio::post(m_context, [this, backends = std::move(backends)] {
     Admission& admission = m_runner->GetAdmission();
@@ -292,9 +288,11 @@
         });
     if (read == ReadOutcome::kClosed) break;
     if (read == ReadOutcome::kRejected) {
-      co_await Reject(
-          inbound, inbound.RejectionStatus(),
-          "the request is not accepted: " + inbound.RejectionReason());
+      Rejection rejection;
+      rejection.status = inbound.RejectionStatus();
+      rejection.reason =
+          "the request is not accepted: " + inbound.RejectionReason();
+      co_await Reject(inbound, std::move(rejection));
       break;
     }
     try {
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -119,7 +119,7 @@
   if (m_routes == nullptr) {
     return Rejection{503, "this node holds no configuration yet"};
   }
-  if (m_behind_since) m_metrics.OnDecidedBehind(Clock::now() - *m_behind_since);
+  if (auto refusal = RefuseWhileBehind()) return refusal;
   const HttpRouteIndex* index = m_routes->http_routes.get();
   if (index != nullptr && !index->IsEmpty()) {
     if (call->request_id.empty()) return Rejection{400, "no request id"};
@@ -200,9 +200,9 @@
   auto rejection = ReadCallerCall(inbound, &call);
   call.deadline = std::min(call.deadline, m_drain_end);
   if (rejection) {
-    co_return co_await Reject(inbound, rejection->status,
-                              std::move(rejection->reason));
+    co_return co_await Reject(inbound, std::move(*rejection));
   }
+  if (m_behind_since) m_metrics.OnDecidedBehind(Clock::now() - *m_behind_since);
   Attempt attempt;
   attempt.call = call;
   co_await TryTargets(inbound, call, attempt);
--- a/src/node/proxy_errors.cc
+++ b/src/node/proxy_errors.cc
@@ -20,7 +20,7 @@
 using std::chrono::milliseconds;
 using Origin = CallMetrics::Origin;
 
-// Retry-After of a node that has no configuration yet.
+// Retry-After of a node that has no configuration yet, or not the newest.
 constexpr milliseconds kNotReadyRetryAfter{300};
 // Bytes of a part of a request that a line of the log has at most.
 constexpr size_t kMaxLoggedBytes = 120;
@@ -94,16 +94,18 @@
       attempt.offers, LogText(head.reason()));
 }
 
-asio::awaitable<bool> Proxy::Reject(InboundRequest& inbound, unsigned status,
-                                    std::string reason) {
-  ReportRejection(inbound, status, reason);
+asio::awaitable<bool> Proxy::Reject(InboundRequest& inbound,
+                                    Rejection rejection) {
+  rejection = WithoutDenialWhileBehind(std::move(rejection));
+  if (rejection.is_behind) m_metrics.OnRefusedBehind();
+  ReportRejection(inbound, rejection.status, rejection.reason);
   LocalReply answer;
-  answer.status = status;
+  answer.status = rejection.status;
   answer.verdict = Verdict::kNotRun;
   answer.request_id = std::string(inbound.Head()[m_options.headers.request_id]);
   answer.request_id_header = m_options.headers.request_id;
-  answer.reason = std::move(reason);
-  if (status == 503) answer.retry_after = kNotReadyRetryAfter;
+  answer.reason = std::move(rejection.reason);
+  if (rejection.status == 503) answer.retry_after = kNotReadyRetryAfter;
   answer.close = m_draining;
   co_await WriteLocalReply(inbound, answer);
   co_return inbound.KeepAlive() && inbound.IsFullyBuffered() && !answer.close;
