--- a/src/coordination/replica_batch.cc
+++ b/src/coordination/replica_batch.cc
@@ -1,21 +1,24 @@
 // Batches of Replica. A new batch arrives as a delta in a datagram, in the
 // reply to a synchronisation, or is offered by a gateway. The replica checks
-// it, replaces its own by it and pushes the delta between the two.
+// it, adds moves that the store has lost, replaces its own by it and pushes the
+// delta between the two.
 
-#include <spdlog/fmt/fmt.h>
+#include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <utility>
 
 #include "kumquatmoor/coordination/replica.h"
 #include "kumquatmoor/state/batch.h"
+#include "kumquatmoor/state/carried_moves.h"
 
 namespace kumquatmoor {
 
 void Replica::HandleDelta(const BatchDelta& delta, const Datagram& datagram) {
-  if (delta.revision() <= m_batch->revision()) return;
+  if (!IsNewer(StampOf(delta), StampOf(*m_batch))) return;
   auto batch = ApplyDelta(*m_batch, delta);
   if (!batch || !CheckBatch(*batch).empty()) {
+    if (batch) NoteRefusedBatch(delta.digest());
     ScheduleSync(datagram.from());
     return;
   }
@@ -25,7 +28,7 @@
 // A delta from another batch than the current one is not damaged: a newer batch
 // has come into force since the request was sent.
 void Replica::HandleSyncDelta(const BatchDelta& delta) {
-  if (delta.revision() <= m_batch->revision() ||
+  if (!IsNewer(StampOf(delta), StampOf(*m_batch)) ||
       delta.base_revision() != m_batch->revision()) {
     return;
   }
@@ -36,23 +39,45 @@
 }
 
 OfferOutcome Replica::Offer(const Batch& batch, BatchPath path) {
-  if (batch.revision() < m_batch->revision()) return OfferOutcome::kOld;
-  if (batch.revision() == m_batch->revision()) {
+  const BatchStamp offered = StampOf(batch);
+  const BatchStamp current = StampOf(*m_batch);
+  if (offered == current) {
     if (BatchDigest(batch) == m_batch_digest) return OfferOutcome::kOld;
-    AddWarning(fmt::format("was offered another batch {}", batch.revision()));
+    AddWarning(fmt::format("was offered another batch {}",
+                           FormatRevision(batch.revision())));
     return OfferOutcome::kConflict;
   }
+  if (!IsNewer(offered, current)) {
+    if (IsHeldBack(offered, current)) {
+      NoteHeldBack(offered);
+      NoteRefusedBatch(BatchDigest(batch));
+    }
+    return OfferOutcome::kOld;
+  }
   const auto problems = CheckBatch(batch);
   if (!problems.empty()) {
-    AddWarning(fmt::format("refused batch {}: {}", batch.revision(),
-                           problems.front()));
+    AddWarning(fmt::format("refused batch {}: {}",
+                           FormatRevision(batch.revision()), problems.front()));
+    NoteRefusedBatch(BatchDigest(batch));
     return OfferOutcome::kInvalid;
   }
   ApplyBatch(batch, path);
   return OfferOutcome::kApplied;
 }
 
+void Replica::NoteHeldBack(const BatchStamp& stamp) {
+  if (stamp == m_held_back) return;
+  m_held_back = stamp;
+  ++m_held_back_count;
+  spdlog::warn(
+      "batch: event=held revision={} config_version={} in_force={} "
+      "in_force_config_version={}",
+      FormatRevision(stamp.revision), stamp.config_version,
+      FormatRevision(m_batch->revision()), m_batch->config_version());
+}
+
 void Replica::ApplyBatch(Batch batch, BatchPath path) {
+  batch = CarryMoves(*m_batch, std::move(batch));
   Rumour rumour;
   *rumour.mutable_delta() = MakeDelta(*m_batch, batch);
   for (const auto& service : rumour.delta().changed()) {
@@ -74,20 +99,6 @@
   QueueUpdate(std::move(rumour), kBatchUpdateKey);
 }
 
-// The node stays behind while it knows of a revision that it still lacks.
-void Replica::ForgetPeersReached() {
-  std::erase_if(m_peers_ahead, [&](const PeerAhead& peer) {
-    const MemberRecord* member = m_members.Find(peer.id);
-    return peer.revision <= m_batch->revision() || member == nullptr ||
-           member->status() != ALIVE;
-  });
-  m_behind_since.reset();
-  for (const auto& peer : m_peers_ahead) {
-    m_behind_since = std::min(m_behind_since.value_or(peer.since), peer.since);
-  }
-  if (m_peers_ahead.empty()) m_newer_batch_bytes = 0;
-}
-
 void Replica::RepeatBatchPush(TimePoint now) {
   if (!m_repeat_batch_at || now < *m_repeat_batch_at) return;
   m_repeat_batch_at.reset();
@@ -100,14 +111,4 @@
   m_recent.erase(pushed);
 }
 
-bool Replica::IsBehindFor(std::chrono::milliseconds time, TimePoint now) const {
-  return m_behind_since && now - *m_behind_since >= time;
-}
-
-std::chrono::milliseconds Replica::TimeBehind(TimePoint now) const {
-  if (!m_behind_since) return std::chrono::milliseconds(0);
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now -
-                                                               *m_behind_since);
-}
-
 }  // namespace kumquatmoor
