--- a/src/node/denied_request_test.cc
+++ b/src/node/denied_request_test.cc
@@ -1,217 +1,19 @@
 // Which requests get a status of 3xx or 4xx. Raw bytes go through a proxy to a
-// scripted backend server, over loopback, so that each side may send what a
-// library would not.
+// scripted backend server, over loopback.
 
 #include <spdlog/sinks/ostream_sink.h>
 #include <spdlog/spdlog.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
-#include <future>
 #include <sstream>
-#include <thread>
+#include <string>
+#include <vector>
 
-#include "kumquatmoor/node/proxy.h"
-#include "node/local_runner.h"
+#include "node/denial_fixture.h"
 
 namespace kumquatmoor {
 namespace {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
-using asio::ip::tcp;
-using std::chrono::milliseconds;
-
-constexpr char kCaller[] = "127.0.0.1:17240";
-constexpr char kData[] = "127.0.0.1:17241";
-constexpr char kBackend[] = "127.0.0.1:17242";
-constexpr uint16_t kCallerPort = 17'240;
-constexpr uint32_t kHeaderLimit = 4'096;
-constexpr uint64_t kBodyLimit = 300'000;
-constexpr char kSigned[] =
-    "HTTP/1.1 200 OK\r\nSigned: y\r\nContent-Length: 2\r\n\r\nok";
-
-struct Limits {
-  uint32_t header = kHeaderLimit;
-  uint64_t body = kBodyLimit;
-};
-
-class DenialFixture {
- public:
-  std::string reply = kSigned;  // What the backend server writes.
-
-  DenialFixture()
-      : m_proxy(m_context, Options(), nullptr, &m_outcomes),
-        m_server(
-            m_context, HttpServerOptions{.address = kBackend},
-            [this](tcp::socket socket) { return Serve(std::move(socket)); }) {
-    REQUIRE_FALSE(m_proxy.Start());
-    REQUIRE_FALSE(m_server.Start());
-    m_proxy.SetBackends({{.service = "s",
-                          .version = "v1",
-                          .instance = "i-1",
-                          .address = kBackend,
-                          .slots = 1}});
-    SetLimits(1, {});
-    m_thread = std::thread([this] {
-      const auto work = asio::make_work_guard(m_context);
-      m_context.run();
-    });
-  }
-  ~DenialFixture() {
-    m_context.stop();
-    m_thread.join();
-  }
-
-  void SetLimits(uint64_t revision, Limits limits) {
-    Batch batch;
-    batch.set_revision(revision);
-    ServiceConfig* service = batch.add_services();
-    service->set_service("s");
-    Row* row = service->add_rows();
-    row->set_version("*");
-    row->set_weight(100);
-    row->set_from_weight(100);
-    HttpRoute* route = batch.add_routes();
-    route->set_name("r");
-    route->set_host("Huts.example");
-    route->set_prefix("/a/");
-    route->set_max_attempts(2);
-    WeightedService* part = route->add_parts();
-    part->set_service("s");
-    part->set_weight(1);
-    batch.mutable_caller_limits()->set_max_header_bytes(limits.header);
-    batch.mutable_caller_limits()->set_max_body_bytes(limits.body);
-    MemberRecord member;
-    member.set_id("n1");
-    member.set_zone("z");
-    member.set_data_address(kData);
-    Endpoint* endpoint = member.add_endpoints();
-    endpoint->set_service("s");
-    endpoint->set_version("v1");
-    endpoint->set_slots(1);
-    m_proxy.SetRoutes(BuildRoutes(batch, {}, std::vector{member}, "z"));
-  }
-
-  std::string Metrics() {
-    std::promise<std::string> text;
-    m_proxy.ReadMetrics([&](const CallMetrics& metrics) {
-      text.set_value(metrics.ToPrometheus());
-    });
-    return text.get_future().get();
-  }
-
- private:
-  static ProxyOptions Options() {
-    ProxyOptions options;
-    options.id = "n1";
-    options.zone = "z";
-    options.caller_address = kCaller;
-    options.data_address = kData;
-    options.headers = {.request_id = "Id",
-                       .deadline_ms = "Left",
-                       .expected_instance = "Expect",
-                       .not_run = "Not-Run",
-                       .signature = "Signed"};
-    options.admission.waiting_per_slot = 4;
-    return options;
-  }
-
-  asio::awaitable<void> Serve(tcp::socket socket) {
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
-    while (true) {
-      http::request_parser<http::string_body> parser;
-      parser.header_limit(1U << 20U);
-      co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
-      co_await asio::async_write(stream, asio::buffer(reply),
-                                 asio::use_awaitable);
-    }
-  }
-
-  asio::io_context m_context{1};
-  BoundedRing<Outcome> m_outcomes{1'024};
-  Proxy m_proxy;
-  HttpServer m_server;
-  std::thread m_thread;
-};
-
-// A connection to the proxy.
-class RawCaller {
- public:
-  RawCaller() : m_stream(m_context) {
-    m_stream.connect({asio::ip::make_address("127.0.0.1"), kCallerPort});
-  }
-
-  // Writes the parts with a pause before each but the first.
-  void Send(const std::vector<std::string>& parts) {
-    bool first = true;
-    for (const auto& part : parts) {
-      if (!std::exchange(first, false)) {
-        std::this_thread::sleep_for(milliseconds(5));
-      }
-      beast::error_code error;
-      asio::write(m_stream.socket(), asio::buffer(part), error);
-    }
-  }
-  void CloseForWriting() {
-    beast::error_code ignored;
-    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  }
-  // The status of the next final response, 0 if the connection ends first.
-  unsigned Status() {
-    unsigned status = 100;
-    while (status == 100) {
-      http::response<http::string_body> response;
-      beast::error_code error;
-      http::read(m_stream, m_buffer, response, error);
-      if (error) return 0;
-      status = response.result_int();
-    }
-    return status;
-  }
-
- private:
-  asio::io_context m_context;
-  beast::tcp_stream m_stream;
-  beast::flat_buffer m_buffer;
-};
-
-// A head with an id of its own, up to the last header line.
-std::string Head(const std::string& line, const std::string& fields = "") {
-  static int next_id = 0;
-  return line + "\r\nHost: huts.example\r\nLeft: 2000\r\nId: q" +
-         std::to_string(next_id++) + "\r\n" + fields;
-}
-
-// `head`, extended by a header field to `size` bytes with the empty line.
-std::string PaddedHead(std::string head, size_t size) {
-  const std::string name = "Pad: ";
-  head += name;
-  return head + std::string(size - head.size() - 4, 'p') + "\r\n\r\n";
-}
-
-// `head`, extended by fields of 1,000 bytes to about `size` bytes.
-std::string LargeHead(std::string head, size_t size) {
-  while (head.size() < size) {
-    head += "Pad: " + std::string(993, 'p') + "\r\n";
-  }
-  return head + "\r\n";
-}
-
-std::string Chunk(size_t size, const std::string& extension = "") {
-  std::ostringstream text;
-  text << std::hex << size << extension << "\r\n"
-       << std::string(size, 'b') << "\r\n";
-  return text.str();
-}
-
 // Guards against a 4xx of the node for a request that the configuration allows.
 TEST_CASE_METHOD(DenialFixture, "Every form of a proper request is accepted") {
   struct Case {
@@ -283,7 +85,7 @@
   RawCaller open;
   open.Send({Head("GET /a/1 HTTP/1.1") + "\r\n"});
   REQUIRE(open.Status() == 200);
-  SetLimits(2, {.header = kLargeHeader});
+  Configure(2, {.header_limit = kLargeHeader});
   Metrics();
   // The wait for this request began with the earlier limits.
   open.Send({Head("GET /a/1 HTTP/1.1") + "\r\n"});
@@ -299,7 +101,7 @@
   RawCaller idle;
   idle.Send({Head("GET /a/1 HTTP/1.1") + "\r\n"});
   REQUIRE(idle.Status() == 200);
-  SetLimits(2, {.body = kLargerBody});
+  Configure(2, {.body_limit = kLargerBody});
   Metrics();
   idle.Send(
       {Head("POST /a/1 HTTP/1.1",
@@ -327,7 +129,7 @@
 // Guards against a node that ends since a header field exceeds what the HTTP
 // library can store, though the operators' limit allows it.
 TEST_CASE_METHOD(DenialFixture, "A huge header field ends its request only") {
-  SetLimits(2, {.header = 400'000});
+  Configure(2, {.header_limit = 400'000});
   Metrics();
   RawCaller caller;
   const std::string head = PaddedHead(Head("GET /a/1 HTTP/1.1"), 100'000);
