--- /dev/null
+++ b/src/node/denied_request_forms_test.cc
@@ -0,0 +1,106 @@
+// Forms of requests and responses that are rare, and what a caller gets for
+// each: a request that the configuration allows must not get a 3xx or 4xx that
+// no backend server has signed.
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "node/denial_fixture.h"
+
+namespace kumquatmoor {
+namespace {
+
+constexpr char kNoBody[] = "\r\n";
+
+std::string ToHost(const std::string& line, const std::string& host,
+                   const std::string& fields = "") {
+  static int next_id = 0;
+  return line + "\r\nHost: " + host + "\r\nId: h" + std::to_string(next_id++) +
+         "\r\n" + fields + "\r\n";
+}
+
+std::string PostOf(size_t bytes) {
+  return Head("POST /a/1 HTTP/1.1",
+              "Content-Length: " + std::to_string(bytes) + "\r\n\r\n") +
+         std::string(bytes, 'b');
+}
+
+unsigned StatusOf(const std::string& bytes, uint16_t port = kCallerPort) {
+  RawCaller caller(port);
+  caller.Send({bytes});
+  return caller.Status();
+}
+
+// Guards against a 400 for a proper request with header fields that are rare.
+TEST_CASE_METHOD(DenialFixture, "Every form of a header field is accepted",
+                 "[forms]") {
+  const std::string get = "GET /a/1 HTTP/1.1";
+  struct Case {
+    const char* name;
+    std::string bytes;
+  };
+  const Case cases[] = {
+      {"a value beyond ASCII", Head(get, "N: \xc3\xa9\xff\r\n\r\n")},
+      {"an empty value", Head(get, "N:\r\nM: \r\n\r\n")},
+      {"tabs around a value", Head(get, "N:\t1\t2\t\r\n\r\n")},
+      {"no space after the colon", Head(get, "N:1\r\n\r\n")},
+      {"rare characters in a name", Head(get, "!#$%&'*+-.^_`|~9: 1\r\n\r\n")},
+      {"a field twice", Head(get, "N: 1\r\nN: 2\r\n\r\n")},
+      {"lists in Connection",
+       Head(get, "Connection: keep-alive, N\r\nN: 1\r\n\r\n")},
+      {"an upgrade",
+       Head(get,
+            "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+            "HTTP2-Settings: AAMAAABkAAQ\r\n\r\n")},
+      {"TE", Head(get, "Connection: TE\r\nTE: trailers\r\n\r\n")},
+      {"an encoding in upper case",
+       Head("POST /a/1 HTTP/1.1", "Transfer-Encoding: Chunked\r\n\r\n") +
+           Chunk(3) + "0\r\n\r\n"},
+      {"a body of GET", Head(get, "Content-Length: 3\r\n\r\n") + "abc"},
+      {"a body of DELETE",
+       Head("DELETE /a/1 HTTP/1.1", "Content-Length: 3\r\n\r\n") + "abc"},
+      {"an empty body", Head("PUT /a/1 HTTP/1.1", "Content-Length: 0\r\n\r\n")},
+      {"a length twice", Head("POST /a/1 HTTP/1.1",
+                              "Content-Length: 3\r\nContent-Length: "
+                              "3\r\n\r\n") +
+                             "abc"},
+      {"leading zeros in a length",
+       Head("POST /a/1 HTTP/1.1", "Content-Length: 003\r\n\r\n") + "abc"},
+      {"a trailer that is announced",
+       Head("POST /a/1 HTTP/1.1",
+            "Trailer: T\r\nTransfer-Encoding: chunked\r\n\r\n") +
+           Chunk(3) + "0\r\nT: 1\r\n\r\n"},
+      {"upper case digits and zeros in a chunk size",
+       Head("POST /a/1 HTTP/1.1", "Transfer-Encoding: chunked\r\n\r\n") +
+           "000A\r\n0123456789\r\n000\r\n\r\n"},
+      {"a method of its own", Head("PURGE-ALL /a/1 HTTP/1.1", "\r\n")},
+      {"PATCH", Head("PATCH /a/1 HTTP/1.1", "Content-Length: 0\r\n\r\n")},
+      {"no deadline",
+       "GET /a/1 HTTP/1.1\r\nHost: huts.example\r\nId: "
+       "d1\r\n\r\n"},
+      {"a deadline that is no number",
+       "GET /a/1 HTTP/1.1\r\nHost: huts.example\r\nId: d2\r\nLeft: "
+       "1e3\r\n\r\n"},
+      {"a long id", "GET /a/1 HTTP/1.1\r\nHost: huts.example\r\nId: " +
+                        std::string(2'000, 'i') + "\r\n\r\n"},
+  };
+  for (const auto& c : cases) {
+    INFO(c.name);
+    CHECK(StatusOf(c.bytes) == 200);
+  }
+}
+
+// Guards against a request that is refused by limits that the configuration
+// does not set.
+TEST_CASE_METHOD(DenialFixture, "A limit of 0 is no limit of 0 bytes",
+                 "[forms]") {
+  Configure(2, {.header_limit = 0, .body_limit = 0});
+  Metrics();
+  CHECK(StatusOf(Head("GET /a/1 HTTP/1.1") + kNoBody) == 200);
+  CHECK(StatusOf(PaddedHead(Head("GET /a/1 HTTP/1.1"), 12'000)) == 200);
+  CHECK(StatusOf(PostOf(1'000'000)) == 200);
+}
+
+}  // namespace
+}  // namespace kumquatmoor
