Route absolute targets and hosts with a trailing dot

What a caller saw: 404 for a proper request whose target is in absolute form ("GET http://host/path"), which HTTP/1.1 servers have to accept, or whose host ends with a dot, or is an IPv6 address with a port. Cause: the path was looked up as the target came, and the host up to its last colon. Ruled out: dot segments, encoded and empty segments, bytes beyond ASCII and a port without digits were routed before; a path equal to a prefix without its slash, an encoded prefix and "*" match no prefix, so 404 is right for them. The target is normalised where the head is read, so that routing, the request's key, logs and the next node see the same text.

--- a/src/node/denied_request_forms_test.cc
+++ b/src/node/denied_request_forms_test.cc
@@ -32,6 +32,83 @@
   return caller.Status();
 }
 
+// Guards against a 404 for a proper request that names its host or its path in
+// another way than most.
+TEST_CASE_METHOD(DenialFixture, "Every form of a host and a target is routed",
+                 "[forms]") {
+  const std::string get = "GET /a/1 HTTP/1.1";
+  const std::string absolute = "http://Huts.example:80/a/1?x=/b/";
+  struct Case {
+    const char* name;
+    std::string bytes;
+    unsigned status;
+  };
+  const Case cases[] = {
+      {"upper case and a port", ToHost(get, "HUTS.EXAMPLE:8080"), 200},
+      {"a port without digits", ToHost(get, "huts.example:"), 200},
+      {"a trailing dot", ToHost(get, "huts.example."), 200},
+      {"a trailing dot and a port", ToHost(get, "Huts.Example.:80"), 200},
+      {"spaces around the host", ToHost(get, "  huts.example \t"), 200},
+      {"absolute form", ToHost("GET " + absolute + " HTTP/1.1", "huts.example"),
+       200},
+      {"absolute form of another host than the field",
+       ToHost("GET " + absolute + " HTTP/1.1", "other.example"), 200},
+      {"absolute form, upper case scheme",
+       ToHost("GET HTTP://huts.example/a/ HTTP/1.1", "huts.example"), 200},
+      {"absolute form without Host",
+       "GET " + absolute + " HTTP/1.1\r\nId: f1\r\n\r\n", 200},
+      {"absolute form of a host without routes",
+       ToHost("GET http://other.example/a/1 HTTP/1.1", "huts.example"), 404},
+      {"absolute form without a path",
+       ToHost("GET http://huts.example HTTP/1.1", "huts.example"), 404},
+      {"absolute form with a query only",
+       ToHost("GET http://huts.example?x=/a/ HTTP/1.1", "huts.example"), 404},
+      {"an address in the path",
+       ToHost("GET /a/http://other.example/b/ HTTP/1.1", "huts.example"), 200},
+      {"dot segments", ToHost("GET /a/../b/./ HTTP/1.1", "huts.example"), 200},
+      {"encoded dot segments",
+       ToHost("GET /a/%2e%2E/%2Fb HTTP/1.1", "huts.example"), 200},
+      {"empty segments", ToHost("GET /a//// HTTP/1.1", "huts.example"), 200},
+      {"characters beyond ASCII",
+       ToHost("GET /a/\xc3\xa9?\xff HTTP/1.1", "huts.example"), 200},
+      {"rare characters",
+       ToHost("GET /a/;,|^`{}[]\"<>\\'()*+!$&=@~ HTTP/1.1", "huts.example"),
+       200},
+      // No prefix begins these paths.
+      {"the prefix without its slash",
+       ToHost("GET /a HTTP/1.1", "huts.example"), 404},
+      {"an encoded prefix", ToHost("GET /%61/1 HTTP/1.1", "huts.example"), 404},
+      {"an encoded slash", ToHost("GET /a%2F1 HTTP/1.1", "huts.example"), 404},
+      {"a query only", ToHost("GET ?x=/a/ HTTP/1.1", "huts.example"), 404},
+      {"the whole server", ToHost("OPTIONS * HTTP/1.1", "huts.example"), 404},
+      {"OPTIONS", ToHost("OPTIONS /a/ HTTP/1.1", "huts.example"), 200},
+  };
+  for (const auto& c : cases) {
+    INFO(c.name);
+    CHECK(StatusOf(c.bytes) == c.status);
+  }
+}
+
+// Guards against a backend server that gets a target that only proxies accept,
+// or another path than the caller has sent.
+TEST_CASE_METHOD(DenialFixture, "The path is passed on as it came", "[forms]") {
+  struct Case {
+    std::string target;
+    std::string passed_on;
+  };
+  const Case cases[] = {
+      {"/a/%2e./x//y?q=%20#f", "/a/%2e./x//y?q=%20#f"},
+      {"http://huts.example/a/%2e./x//y?q", "/a/%2e./x//y?q"},
+      {"HTTP://Huts.Example:80/a/", "/a/"},
+  };
+  for (const auto& c : cases) {
+    INFO(c.target);
+    REQUIRE(StatusOf(ToHost("GET " + c.target + " HTTP/1.1", "huts.example")) ==
+            200);
+    CHECK(std::string(LastHead().target()) == c.passed_on);
+  }
+}
+
 // Guards against a 400 for a proper request with header fields that are rare.
 TEST_CASE_METHOD(DenialFixture, "Every form of a header field is accepted",
                  "[forms]") {
--- a/src/state/http_routes.cc
+++ b/src/state/http_routes.cc
@@ -10,9 +10,21 @@
 namespace kumquatmoor {
 namespace {
 
-// The host in lower case, without the port.
+// The host without the port. An IPv6 address is in brackets and has colons.
+std::string_view WithoutPort(std::string_view host) {
+  const size_t bracket = host.rfind(']');
+  const size_t colon = host.rfind(':');
+  const bool has_port = colon != std::string_view::npos &&
+                        (bracket == std::string_view::npos || bracket < colon);
+  return has_port ? host.substr(0, colon) : host;
+}
+
+// The host in lower case, without the port and without the dot that ends a
+// fully qualified name.
 std::string NormalizedHost(std::string_view host) {
-  std::string normalized(host.substr(0, host.rfind(':')));
+  host = WithoutPort(host);
+  if (host.ends_with('.')) host.remove_suffix(1);
+  std::string normalized(host);
   std::transform(normalized.begin(), normalized.end(), normalized.begin(),
                  [](unsigned char c) { return std::tolower(c); });
   return normalized;
--- a/src/state/http_routes_test.cc
+++ b/src/state/http_routes_test.cc
@@ -23,6 +23,7 @@
   AddRoute("huts", "a.example", "/huts/", &batch);
   AddRoute("photos", "a.example", "/huts/photos/", &batch);
   AddRoute("other", "b.example", "/huts/", &batch);
+  AddRoute("address", "[::1]", "/huts/", &batch);
   const HttpRouteIndex index(batch);
   struct Case {
     const char* host;
@@ -38,6 +39,13 @@
       {"a.example", "/huts/photos/7?x=/", "photos"},
       {"a.example", "/other?p=/huts/photos/", "root"},
       {"A.EXAMPLE:8080", "/huts/7", "huts"},
+      {"a.example.", "/huts/7", "huts"},
+      {"A.EXAMPLE.:80", "/huts/7", "huts"},
+      {"a.example..", "/huts/7", ""},
+      {"[::1]", "/huts/7", "address"},
+      {"[::1]:8080", "/huts/7", "address"},
+      {"[::2]", "/huts/7", ""},
+      {".", "/", ""},
       {"b.example", "/huts/7", "other"},
       {"b.example", "/", ""},
       {"c.example", "/huts/7", ""},
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -79,6 +79,33 @@
 
 }  // namespace
 
+namespace {
+
+// Brings a target in absolute form ("http://host/path") into origin form
+// ("/path"). Its host replaces that of the Host field (RFC 9112, 3.2.2).
+void ToOriginForm(http::request_header<>* head) {
+  constexpr std::string_view kSchemes[] = {"http://", "https://"};
+  const std::string target(head->target());
+  for (const std::string_view scheme : kSchemes) {
+    const std::string_view start =
+        std::string_view(target).substr(0, scheme.size());
+    if (!beast::iequals({start.data(), start.size()},
+                        {scheme.data(), scheme.size()})) {
+      continue;
+    }
+    const std::string_view rest =
+        std::string_view(target).substr(scheme.size());
+    const size_t end = std::min(rest.find_first_of("/?#"), rest.size());
+    std::string path(rest.substr(end));
+    if (!path.starts_with('/')) path.insert(0, 1, '/');
+    head->set(http::field::host, {rest.data(), end});
+    head->target(path);
+    return;
+  }
+}
+
+}  // namespace
+
 CallerWatch::CallerWatch(beast::tcp_stream& caller,
                          std::function<void()> on_gone)
     : m_caller(caller), m_state(std::make_shared<State>()) {
@@ -171,6 +198,7 @@
   m_stream.expires_after(m_bounds.header_timeout);
   error = co_await ReadWholeHead(m_stream, m_buffer, m_parser);
   if (error) co_return Reject(error);
+  ToOriginForm(&m_parser.get().base());
   if (Head()[http::field::expect] == "100-continue") {
     http::response<http::string_body> continue_response(http::status::continue_,
                                                         11);
