Accept 100-continue in any case

What a caller saw: no 100 Continue for "Expect: 100-Continue", so it holds its body back until its own timeout, or until ours ends the request with 408. Cause: the value was compared with its case, RFC 9110 (10.1.1) says without. Ruled out: a request whose length is over the limit gets 413 at once and no 100, before and after. Before: 2 of 3 spellings got no 100; after: all three.

--- a/src/node/denied_request_forms_test.cc
+++ b/src/node/denied_request_forms_test.cc
@@ -168,6 +168,26 @@
   }
 }
 
+// Guards against a caller that waits for 100 Continue in vain, and against a
+// 100 for a request whose size is refused.
+TEST_CASE_METHOD(DenialFixture, "100 Continue is sent for each proper request",
+                 "[forms]") {
+  for (const char* expect : {"100-continue", "100-Continue", "100-CONTINUE"}) {
+    INFO(expect);
+    RawCaller caller;
+    caller.Send(
+        {Head("POST /a/1 HTTP/1.1", std::string("Expect: ") + expect +
+                                        "\r\nContent-Length: 3\r\n\r\n"),
+         "abc"});
+    CHECK(caller.Statuses() == std::vector<unsigned>{100, 200});
+  }
+  RawCaller caller;
+  caller.Send({Head("POST /a/1 HTTP/1.1",
+                    "Expect: 100-continue\r\nContent-Length: " +
+                        std::to_string(kBodyLimit + 1) + "\r\n\r\n")});
+  CHECK(caller.Statuses() == std::vector<unsigned>{413});
+}
+
 // Guards against a request that is refused by limits that the configuration
 // does not set.
 TEST_CASE_METHOD(DenialFixture, "A limit of 0 is no limit of 0 bytes",
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -199,7 +199,7 @@
   error = co_await ReadWholeHead(m_stream, m_buffer, m_parser);
   if (error) co_return Reject(error);
   ToOriginForm(&m_parser.get().base());
-  if (Head()[http::field::expect] == "100-continue") {
+  if (beast::iequals(Head()[http::field::expect], "100-continue")) {
     http::response<http::string_body> continue_response(http::status::continue_,
                                                         11);
     co_await http::async_write(m_stream, continue_response,
