Accept from other nodes what they accept from callers

What a caller saw: 502 for a proper request whose head is near or over 16 KiB and whose target is on another host, at every node, since the connection was closed without a response. Cause: the limits for requests of other nodes were the defaults for callers, whatever the operators' limits are, and the first node adds header fields, so a head of 16,300 bytes within a limit of 16,384 was too large for the second node. Ruled out: the first node, which uses the limits in force. The caller's node has checked the request by the limits in force, so the next node allows that much and what nodes add, 1 MiB at least: its configuration may be older.

--- a/src/node/denied_request_forms_test.cc
+++ b/src/node/denied_request_forms_test.cc
@@ -199,5 +199,27 @@
   CHECK(StatusOf(PostOf(1'000'000)) == 200);
 }
 
+// Guards against a request that its own node accepts and the next one does not,
+// as the first one adds header fields, or by limits of nodes.
+TEST_CASE_METHOD(DenialFixture,
+                 "A request within the limits gets from node to node",
+                 "[forms]") {
+  constexpr uint32_t kDefaultHeaderLimit = 16'384;
+  Configure(2, {.header_limit = kDefaultHeaderLimit});
+  Metrics();
+  const std::string get = "GET /a/1 HTTP/1.1";
+  for (const size_t size : {1'000, 15'000, 16'000, 16'300, 16'384}) {
+    INFO(size);
+    CHECK(StatusOf(PaddedHead(Head(get), size), kRemoteCallerPort) == 200);
+  }
+  constexpr uint32_t kLargeHeaderLimit = 300'000;
+  Configure(3, {.header_limit = kLargeHeaderLimit});
+  Metrics();
+  for (const size_t size : {20'000, 60'000, 100'000, 290'000}) {
+    INFO(size);
+    CHECK(StatusOf(LargeHead(Head(get), size), kRemoteCallerPort) == 200);
+  }
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <limits>
 #include <utility>
 
 #include "node/local_runner.h"
@@ -58,6 +59,21 @@
   return bounds;
 }
 
+// A request that another node sends on has been checked by that node, whose
+// configuration may have other limits. Its head has grown by the header fields
+// between nodes.
+CallerBounds BoundsForNodes(const CallerBounds& callers) {
+  constexpr uint64_t kMinHeaderBytes = 1U << 20U;
+  constexpr uint64_t kAddedHeaderBytes = 65'536;
+  const uint64_t header_bytes =
+      std::max(kMinHeaderBytes, callers.max_header_bytes + kAddedHeaderBytes);
+  CallerBounds bounds;
+  bounds.max_header_bytes = static_cast<uint32_t>(
+      std::min<uint64_t>(header_bytes, std::numeric_limits<uint32_t>::max()));
+  bounds.max_body_bytes = std::numeric_limits<uint64_t>::max();
+  return bounds;
+}
+
 }  // namespace
 
 struct Proxy::CallerConnection {
@@ -311,7 +327,7 @@
   beast::flat_buffer buffer;
   bool keep_open = true;
   while (keep_open) {
-    InboundRequest inbound(stream, buffer);
+    InboundRequest inbound(stream, buffer, BoundsForNodes(m_bounds));
     if (co_await inbound.ReadHead() != ReadOutcome::kRequest) break;
     keep_open = co_await ServeNode(inbound);
   }
