Take only a node's response for one

What a caller saw: a 404, 400 or 301 that neither a node nor its backend server had written, or an unsigned 200, if another server had taken over the address of a node. Cause: a response without a verdict counted as executed, and the signature was only checked by the node beside the backend server. Ruled out: a 421, 429 or 503 of such a server never counted as a refusal. Every node states a verdict in each response, so the check turns no valid one away.

--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -173,6 +173,9 @@
   // The address is that of a backend server. Its response is validated, and the
   // verdict is derived from the headers that only backend servers send.
   bool to_backend = false;
+  // The address is that of a node. Its response is validated as well, and has
+  // to state a verdict: another server may have taken over the address.
+  bool to_node = false;
 };
 
 struct ForwardResult {
--- a/src/node/denied_request_forms_test.cc
+++ b/src/node/denied_request_forms_test.cc
@@ -221,5 +221,28 @@
   }
 }
 
+// Guards against a denial by a server that is no node, at an address that a
+// node has left, that reaches the caller as a statement on its request.
+TEST_CASE_METHOD(DenialFixture, "Only a node's response counts as one",
+                 "[forms]") {
+  Configure(2, {.data_address = kStrangerAddress});
+  Metrics();
+  const std::string get = "GET /a/1 HTTP/1.1";
+  for (const char* head :
+       {"404 Not Found\r\n", "400 Bad\r\n", "421 Other\r\n", "301 Moved\r\n",
+        "404 Not Found\r\nId: ID\r\n", "431 Large\r\nServer: x\r\n",
+        "404 Not Found\r\nKumquatmoor-Verdict: Ran\r\nId: ID\r\n",
+        "200 OK\r\nKumquatmoor-Verdict: Ran\r\nId: ID\r\n",
+        "200 OK\r\nId: ID\r\n"}) {
+    INFO(head);
+    reply = "HTTP/1.1 " + std::string(head) + "Content-Length: 0\r\n\r\n";
+    CHECK(StatusOf(Head(get) + kNoBody, kRemoteCallerPort) == 502);
+  }
+  reply =
+      "HTTP/1.1 404 Not Found\r\nKumquatmoor-Verdict: Ran\r\nSigned: y\r\n"
+      "Id: ID\r\nContent-Length: 0\r\n\r\n";
+  CHECK(StatusOf(Head(get) + kNoBody, kRemoteCallerPort) == 404);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -380,6 +380,7 @@
   options.headers = &m_options.headers;
   options.active = m_active;
   options.pacer = &m_pacer;
+  options.to_node = true;
   attempt.result = co_await Forward(m_pool, inbound, options);
   if (attempt.result.verdict == Verdict::kNotRun) {
     ++(attempt.result.answered ? attempt.refusals : attempt.unreachable);
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -323,6 +323,16 @@
   }
 }
 
+// Why a response is not one that the peer may send. Empty if there is nothing.
+std::string_view Violation(const ResponseHead& response,
+                           const ForwardOptions& options) {
+  if (options.to_node && response.count(headers::kVerdict) == 0) {
+    return "answer of a server that is no node";
+  }
+  if (!options.to_node && !options.to_backend) return {};
+  return ResponseViolation(response, *options.headers);
+}
+
 }  // namespace
 
 asio::awaitable<ForwardResult> Forward(UpstreamPool& pool,
@@ -389,13 +399,10 @@
     result.connection_lost = !result.caller_gone && IsEndOfConnection(error);
     co_return result;
   }
-  if (options.to_backend) {
-    const auto violation =
-        ResponseViolation(result.parser->get(), *options.headers);
-    if (!violation.empty()) {
-      SetFailure(&result, Verdict::kMayHaveRun, std::string(violation), error);
-      co_return result;
-    }
+  const auto violation = Violation(result.parser->get(), options);
+  if (!violation.empty()) {
+    SetFailure(&result, Verdict::kMayHaveRun, std::string(violation), error);
+    co_return result;
   }
   Verdict backend_verdict = Verdict::kRan;
   if (options.to_backend) {
