Tell a head that was cut before its id from a whole one

What a caller saw: the status of another request's response, also a signed 404, or 503 with the promise that its request had not run although it had, if a response was cut short in its status line or in a header field before its id and the next response completed it. Cause: both parse as one head with one id; only two ids were taken for a sign of this. Ruled out: a cut at a line's end or in a field's name does not parse, a cut after the id gives two ids. A status line inside a reason or a value does not occur otherwise; texts that resemble one, as in "Via: HTTP/1.1 x", still pass.

--- a/src/node/denied_request_forms_test.cc
+++ b/src/node/denied_request_forms_test.cc
@@ -244,5 +244,33 @@
   CHECK(StatusOf(Head(get) + kNoBody, kRemoteCallerPort) == 404);
 }
 
+// Guards against a status, or a refusal, that belongs to an earlier response
+// whose head was cut before its id, and that the next response completes.
+TEST_CASE_METHOD(DenialFixture, "Two heads that run together are no response",
+                 "[forms]") {
+  const std::string whole =
+      "HTTP/1.1 200 OK\r\nSigned: y\r\nId: ID\r\nContent-Length: 0\r\n\r\n";
+  const std::string refusal = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nServer: x y";
+  const std::string cuts[] = {
+      "HTTP/1.1 404 N",
+      "HTTP/1.1 404 Not Found\r\nServer: x",
+      "HTTP/1.1 404 Not Found\r\nServer: ",
+      "HTTP/1.0 301 Moved\r\nLocation: /b/",
+      "HTTP/1.1 429 ",
+      refusal,
+      refusal.substr(0, refusal.size() - 4),
+  };
+  for (const auto& cut : cuts) {
+    INFO(cut);
+    reply = cut + whole;
+    CHECK(StatusOf(Head("GET /a/1 HTTP/1.1") + kNoBody) == 502);
+  }
+  // Texts that only resemble a status line.
+  reply =
+      "HTTP/1.1 200 as of HTTP/1.1\r\nVia: HTTP/1.1 x, HTTP/1.1 20\r\n"
+      "Signed: y\r\nId: ID\r\nContent-Length: 0\r\n\r\n";
+  CHECK(StatusOf(Head("GET /a/1 HTTP/1.1") + kNoBody) == 200);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -310,6 +310,7 @@
     // May be a copy of an earlier response.
     bool& echoes_ids = result.connection->echoes_ids;
     if (ids == 0 && echoes_ids && !interim) co_return http::error::bad_field;
+    if (ContainsOtherHead(response)) co_return http::error::bad_field;
     echoes_ids = echoes_ids || ids > 0;
     if (!interim &&
         !IsForOtherRequest(response, options.headers->request_id, request_id)) {
--- a/src/transport/response_checks.cc
+++ b/src/transport/response_checks.cc
@@ -1,5 +1,7 @@
 #include "transport/response_checks.h"
 
+#include <algorithm>
+
 namespace kumquatmoor {
 namespace {
 
@@ -22,8 +24,36 @@
   return response.count(id_header) == 1 && response[id_header] == request_id;
 }
 
+bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+
+// True if `text` begins with a digit and a status, as in "1 200 OK".
+bool BeginsWithStatus(std::string_view text) {
+  constexpr size_t kSize = 5;
+  return text.size() >= kSize && IsDigit(text[0]) && text[1] == ' ' &&
+         IsDigit(text[2]) && IsDigit(text[3]) && IsDigit(text[4]) &&
+         (text.size() == kSize || text[kSize] == ' ');
+}
+
+bool ContainsStatusLine(boost::beast::string_view value) {
+  constexpr std::string_view kProtocol = "HTTP/1.";
+  std::string_view text(value.data(), value.size());
+  for (size_t at = text.find(kProtocol); at != std::string_view::npos;
+       at = text.find(kProtocol)) {
+    text.remove_prefix(at + kProtocol.size());
+    if (BeginsWithStatus(text)) return true;
+  }
+  return false;
+}
+
 }  // namespace
 
+bool ContainsOtherHead(const ResponseHead& response) {
+  return ContainsStatusLine(response.reason()) ||
+         std::any_of(response.begin(), response.end(), [](const auto& field) {
+           return ContainsStatusLine(field.value());
+         });
+}
+
 std::string_view ResponseViolation(const ResponseHead& response,
                                    const CallHeaders& names) {
   if (response.count(http::field::content_encoding) > 0) {
--- a/src/transport/response_checks.h
+++ b/src/transport/response_checks.h
@@ -24,6 +24,10 @@
 std::string_view ResponseViolation(const ResponseHead& response,
                                    const CallHeaders& names);
 
+// True if the text of the status line or a header field contains a status line:
+// a head that was cut short and the next one have run together.
+bool ContainsOtherHead(const ResponseHead& response);
+
 // 421 (Misdirected Request) and the deployment's not-run header state that the
 // request was not executed: kNotRun. A refusal that does not echo exactly the
 // id of the request may be a late copy of the refusal of an earlier request:
