A gateway that meets lost history stays a gateway

When the store comes back from an older copy, or drops its history during a listing, a listing ends with kNotFound. That counted as a lost platform: the node told the mesh that it does not reach the platform, and would be no gateway for 10 s, all gateways at the same moment. A directory entry that was lost with the history waited for the next regular update.

Now only a call without a usable response counts as lost. After lost history the node reads the complete state after a random pause (0.2 s at first, then the backoff), so that gateways do not all list at once, and updates the directory within 0.2 s of that. Not shown by a test: that the pauses of several gateways differ; they are drawn as after any failed call.

Before: node_test "A gateway whose listing meets lost history reaches the platform" and "A gateway updates the directory once the history is lost" failed (without_platform true; 0 writes within 1.2 s). After: both pass, as do the other three cases of the gateway's thread.

--- a/include/kumquatmoor/node/gateway.h
+++ b/include/kumquatmoor/node/gateway.h
@@ -81,6 +81,8 @@
   void Deliver(SourceUpdate update);
   // Logs a failed call and reports it to the control loop.
   void RecordFailure(const Failure& failure);
+  // Prepares a read of the complete state.
+  void OnHistoryLost(const Failure& failure);
   // Writes the outcomes of moves.
   void ReportProgress();
   // Writes this node's directory entry and removes obsolete entries, if due.
--- a/src/node/gateway.cc
+++ b/src/node/gateway.cc
@@ -87,16 +87,26 @@
   m_loop->Post([](ControlLoop& loop) { loop.SetPlatformReachable(false); });
 }
 
+// The platform responds, so the node stays a gateway. All gateways meet this at
+// the same moment when the store comes back from an older copy, hence the pause
+// before the complete state is read. Directory entries may be lost, too.
+void Gateway::OnHistoryLost(const Failure& failure) {
+  spdlog::warn("gateway: event=history_lost reason=\"{}\"", failure.message);
+  m_loaded = false;
+  m_next_directory_update =
+      std::min(m_next_directory_update,
+               std::chrono::steady_clock::now() + m_options.initial_backoff);
+  BackOff();
+}
+
 void Gateway::SyncWithPlatform() {
   auto update = Attempt([&] {
     return m_loaded ? m_source->Await(m_options.watch_timeout)
                     : m_source->Load();
   });
   if (const auto* failure = std::get_if<Failure>(&update)) {
-    if (m_loaded && failure->code == FailureCode::kNotFound) {
-      spdlog::warn("gateway: event=history_lost reason=\"{}\"",
-                   failure->message);
-      m_loaded = false;
+    if (failure->code == FailureCode::kNotFound) {
+      OnHistoryLost(*failure);
       return;
     }
     RecordFailure(*failure);
--- a/src/node/gateway_test.cc
+++ b/src/node/gateway_test.cc
@@ -22,6 +22,7 @@
   Result<PlatformEntry> Get(const std::string&) override { return Lost(); }
   Result<uint64_t> CompareAndSwap(const std::string&, uint64_t,
                                   const std::string&) override {
+    ++swaps;
     return Lost();
   }
   Result<PlatformItems> List(const std::string&) override { return Lost(); }
@@ -31,13 +32,16 @@
   }
   Result<bool> Delete(const std::string&) override { return Lost(); }
 
+  std::atomic<int> swaps = 0;
+
  private:
   static boost::leaf::error_id Lost() {
     return Fail(FailureCode::kUnavailable, "unreachable");
   }
 };
 
-// A source whose Load does what the test says; Await has no changes.
+// A source whose Load does what the test says. Await has no changes, or fails
+// as the store has lost its history.
 class ScriptedSource : public ConfigurationSource {
  public:
   explicit ScriptedSource(std::function<Result<SourceUpdate>(int)> load)
@@ -45,19 +49,29 @@
 
   Result<SourceUpdate> Load() override { return m_load(++m_loads); }
   Result<SourceUpdate> Await(milliseconds wait) override {
+    if (history_lost) return Fail(FailureCode::kNotFound, "history is gone");
     std::this_thread::sleep_for(wait);
     return SourceUpdate();
   }
   Result<bool> Report(const MeshProgress&) override { return false; }
   int Loads() const { return m_loads; }
 
+  bool history_lost = false;
+
  private:
   std::function<Result<SourceUpdate>(int)> m_load;
   std::atomic<int> m_loads = 0;
 };
 
+struct GatewayRun {
+  // The node reported to the mesh that it does not reach the platform.
+  bool without_platform = false;
+  int directory_writes = 0;
+};
+
 // Runs a gateway on `source` for `time`. No socket is opened.
-void RunGateway(ConfigurationSource* source, milliseconds time) {
+GatewayRun RunGateway(ConfigurationSource* source, milliseconds time,
+                      GatewayOptions options = {}) {
   boost::asio::io_context context(1);
   const auto work = boost::asio::make_work_guard(context);
   FaultPlan faults;
@@ -67,13 +81,17 @@
   ControlLoop loop(context, {.replica = {.id = "n", .zone = "a"}}, &faults,
                    &proxy, &outcomes, &syncs);
   UnreachablePlatform platform;
-  Gateway gateway({}, &loop, &platform, source);
+  Gateway gateway(options, &loop, &platform, source);
   std::thread thread([&] { context.run(); });
   gateway.Start();
   std::this_thread::sleep_for(time);
   gateway.Stop();
+  const auto lost = loop.Run<bool>(
+      [](ControlLoop& l) { return l.GetReplica().Self().without_platform(); });
   context.stop();
   thread.join();
+  REQUIRE(lost);
+  return {.without_platform = *lost, .directory_writes = platform.swaps};
 }
 
 // Guards against a gateway that reads the platform without a pause, because an
@@ -87,6 +105,31 @@
   CHECK(source.Loads() < 20);
 }
 
+// Guards against gateways that all step down for seconds when the store comes
+// back from an older copy, or drops its history while it is listed.
+TEST_CASE("A gateway whose listing meets lost history reaches the platform") {
+  ScriptedSource gone([](int) -> Result<SourceUpdate> {
+    return Fail(FailureCode::kNotFound, "history is gone");
+  });
+  CHECK_FALSE(RunGateway(&gone, milliseconds(600)).without_platform);
+  ScriptedSource lost([](int) -> Result<SourceUpdate> {
+    return Fail(FailureCode::kUnavailable, "unreachable");
+  });
+  CHECK(RunGateway(&lost, milliseconds(600)).without_platform);
+}
+
+// Guards against directory entries that stay lost with the store's history
+// until the next regular update.
+TEST_CASE("A gateway updates the directory once the history is lost") {
+  ScriptedSource source(
+      [](int) -> Result<SourceUpdate> { return SourceUpdate(); });
+  const GatewayOptions options{.directory_interval = std::chrono::hours(1)};
+  CHECK(RunGateway(&source, milliseconds(1'200), options).directory_writes ==
+        0);
+  source.history_lost = true;
+  CHECK(RunGateway(&source, milliseconds(1'200), options).directory_writes > 0);
+}
+
 // Guards against an exception in a reader that ends the process or the thread.
 TEST_CASE("A gateway whose source throws reads again", "[odd]") {
   ScriptedSource source([](int loads) -> Result<SourceUpdate> {
