--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -17,11 +17,11 @@
 // is SWIM: direct probe, indirect probes, suspicion, refutation by a higher
 // incarnation.
 //
-// Guarantees: the revision of the batch never decreases; a batch is applied
-// completely or not at all; marks and members change only by their join, which
-// makes them join semilattices. The class does no I/O: the caller passes the
-// time and sends the datagrams, and the random generator is seeded. Not
-// thread-safe.
+// Guarantees: a batch is only replaced by a newer one (see store_revision.h); a
+// batch is applied completely or not at all; marks and members change only by
+// their join, which makes them join semilattices. The class does no I/O: the
+// caller passes the time and sends the datagrams, and the random generator is
+// seeded. Not thread-safe.
 
 #include <chrono>
 #include <cstdint>
@@ -42,6 +42,7 @@
 #include "kumquatmoor/state/delta_history.h"
 #include "kumquatmoor/state/limits.h"
 #include "kumquatmoor/state/marks.h"
+#include "kumquatmoor/state/store_revision.h"
 
 namespace kumquatmoor {
 
@@ -200,20 +201,28 @@
   // When a digest first showed that; empty if this node holds the newest batch
   // known.
   std::optional<TimePoint> BehindSince() const { return m_behind_since; }
+  // The same, but only while a reachable live member says so: what this node
+  // must not serve callers by its own batch for. Empty if nobody who holds the
+  // newer batch is left, or if this node has found that batch to be invalid.
+  std::optional<TimePoint> OutdatedSince(TimePoint now) const;
   // The live members whose latest digests showed a newer batch than this node
   // holds, the most recent first.
   std::vector<SyncPeer> PeersAhead() const;
   ProbeDelays TakeProbeDelays();
   Digest MakeDigest() const;
+  // Number of batches of a later generation of the store that were held back,
+  // since their configuration is older than the one in force.
+  uint64_t HeldBackCount() const { return m_held_back_count; }
   // The latest warnings for operators, oldest first.
   const std::vector<std::string>& Warnings() const { return m_warnings; }
 
  private:
-  // A peer whose digest named a newer revision than this node holds.
+  // A peer whose digest named a newer batch than this node holds.
   struct PeerAhead {
     std::string id;
-    uint64_t revision = 0;
-    TimePoint since;  // When the peer first named that revision.
+    BatchStamp stamp;
+    TimePoint since;  // When the peer first named that batch.
+    TimePoint heard;  // When it last did.
   };
   // The key of a batch's update in the outbox.
   static constexpr char kBatchUpdateKey[] = "batch";
@@ -273,8 +282,18 @@
   void QueueMemberUpdate(const std::string& id);
   void ScheduleSync(const std::string& id);
   SyncPeer PeerOf(const MemberRecord& member) const;
-  void NotePeerAhead(const std::string& id, uint64_t revision, TimePoint now);
+  void NotePeerAhead(const std::string& id, const BatchStamp& stamp,
+                     TimePoint now);
+  // Counts a batch of a later generation of the store that is not newer than
+  // the current one, and logs it once.
+  void NoteHeldBack(const BatchStamp& stamp);
   void ForgetPeersReached();
+  // The peer's latest digest does not name a newer batch.
+  void ForgetPeerAhead(const std::string& id);
+  // Forgets the peers that are no longer alive or have been silent for long.
+  void ForgetLostPeersAhead(TimePoint now);
+  void NoteRefusedBatch(uint64_t digest);
+  bool IsRefusedBatch(uint64_t digest) const;
   void AddChangedServices(const MemberRecord& member);
   void AddWarning(std::string text);
 
@@ -286,6 +305,8 @@
   BatchArrival m_arrival;
   DeltaHistory m_deltas;  // Between the latest batches of this node.
   bool m_needs_whole_batch = false;
+  BatchStamp m_held_back;  // Of the batch that was held back last.
+  uint64_t m_held_back_count = 0;
   MarkSet m_marks;
   CrashSuspects m_crashes;
   MemberList m_members;
@@ -306,7 +327,8 @@
   // batch is the newest known.
   std::optional<TimePoint> m_behind_since;
   uint64_t m_newer_batch_bytes = 0;  // Size of that batch, 0 if there is none.
-  std::deque<PeerAhead> m_peers_ahead;  // The most recent first.
+  std::deque<PeerAhead> m_peers_ahead;     // The most recent first.
+  std::deque<uint64_t> m_refused_batches;  // Digests, the most recent last.
   std::optional<std::string> m_sync_peer;
   uint64_t m_change_count = 0;
   std::set<std::string> m_changed_services;
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -6,8 +6,9 @@
 // is not pushed. The datagram then carries only the digest, and the receiver
 // pulls the update by a synchronisation.
 //
-// Batches are in replica_batch.cc, failure detection in replica_probe.cc and
-// synchronisation in replica_sync.cc.
+// Batches are in replica_batch.cc, what is known of newer ones in
+// replica_behind.cc, failure detection in replica_probe.cc and synchronisation
+// in replica_sync.cc.
 
 #include "kumquatmoor/coordination/replica.h"
 
@@ -60,6 +61,8 @@
   digest.set_marks_hash(m_marks.Hash());
   digest.set_batch_bytes(m_batch_bytes);
   digest.set_crashes_hash(m_crashes.Hash());
+  digest.set_config_version(m_batch->config_version());
+  digest.set_carried_moves(m_batch->carried_moves());
   return digest;
 }
 
@@ -114,6 +117,7 @@
 std::vector<OutgoingDatagram> Replica::Tick(TimePoint now) {
   std::vector<OutgoingDatagram> out;
   DiscardProbesAfterPause(now);
+  ForgetLostPeersAhead(now);
   RepeatBatchPush(now);
   PushUpdates(now, &out);
   EscalateProbes(now, &out);
@@ -190,17 +194,19 @@
 void Replica::CompareDigest(const Datagram& datagram, TimePoint now) {
   const Digest& received = datagram.digest();
   const Digest own = MakeDigest();
-  if (received.revision() > own.revision()) {
+  if (IsNewer(StampOf(received), StampOf(own)) &&
+      !IsRefusedBatch(received.batch_digest())) {
     if (!m_behind_since) m_behind_since = now;
     m_newer_batch_bytes = received.batch_bytes();
-    NotePeerAhead(datagram.from(), received.revision(), now);
+    NotePeerAhead(datagram.from(), StampOf(received), now);
     ScheduleSync(datagram.from());
     return;
   }
-  if (received.revision() == own.revision() &&
+  ForgetPeerAhead(datagram.from());
+  if (StampOf(received) == StampOf(own) &&
       received.batch_digest() != own.batch_digest()) {
     AddWarning(fmt::format("{} holds another batch {}", datagram.from(),
-                           received.revision()));
+                           FormatRevision(received.revision())));
   }
   if (datagram.kind() == Datagram::PUSH) return;
   if (received.members_hash() == own.members_hash() &&
