Ask a third peer while two do not reply

What a caller would see: an old configuration for up to 3 s at a node of which two peers accept its synchronisation and do not reply, as hosts that are frozen do. Cause: two threads synchronise, both wait until the timeout, which grows with the batch. Ruled out: a peer that ends during a synchronisation or is busy is replaced at once, also before. A further thread asks one more peer when all synchronisations under way take longer than 300 ms, so two silent peers cost 600 ms; one thread at a time starts one, so that two do not start in the same moment.

--- a/include/kumquatmoor/node/sync_worker.h
+++ b/include/kumquatmoor/node/sync_worker.h
@@ -19,11 +19,11 @@
 // `syncs`. It also synchronises regularly with a seed that is no live member,
 // which merges meshes that formed separately.
 //
-// A peer that does not reply must not keep the node from a newer batch. A
-// second thread therefore asks another peer while a synchronisation takes
-// longer than kStallTime. A peer that failed or was busy is not asked again for
-// a while; another one that holds the newer batch is asked in its place at
-// once.
+// Peers that do not reply must not keep the node from a newer batch. Further
+// threads therefore ask one more peer each time that all synchronisations under
+// way take longer than kStallTime. A peer that failed or was busy is not asked
+// again for a while; another one that holds the newer batch is asked in its
+// place at once.
 //
 // Start and Stop must be called from one thread, Start once. The destructor
 // calls Stop. Everything passed by pointer must outlive the worker.
@@ -88,11 +88,13 @@
   };
 
   void Run();
-  // Body of the second thread.
+  // Body of the other threads.
   void RunBackup();
-  // True if the oldest synchronisation under way stalls. Otherwise waits until
-  // it may have stalled.
+  // True if all synchronisations under way stall and no other thread is about
+  // to start one. Otherwise waits until that may be so.
   bool AwaitStall();
+  // Lets other threads start a backup.
+  void EndBackup();
   // Synchronises with `peer`, or with others ahead of this node if that fails.
   void SyncWithScheduled(SyncPeer peer);
   SyncOutcome SyncWith(const SyncPeer& peer);
@@ -120,10 +122,11 @@
   std::mt19937_64 m_rng;
   std::atomic<bool> m_stopping{false};
   std::thread m_thread;
-  std::thread m_backup_thread;
+  std::vector<std::thread> m_backup_threads;
   std::mutex m_mutex;  // Guards the members below.
   std::condition_variable m_call_started;
   std::list<ActiveCall> m_calls;  // Oldest first.
+  bool m_starts_backup = false;   // A thread looks for a peer for a backup.
   // Addresses of peers that failed or were busy, until when they are not asked.
   std::map<std::string, std::chrono::steady_clock::time_point> m_paused;
 };
--- a/src/node/sync_worker.cc
+++ b/src/node/sync_worker.cc
@@ -16,6 +16,8 @@
 // A synchronisation that takes longer is backed up by one with another peer.
 constexpr milliseconds kStallTime{300};
 constexpr milliseconds kBackupPollInterval{50};
+// Peers that may stall at once without keeping the node from others.
+constexpr int kBackupThreads = 2;
 // Time for which a peer that failed is not asked again.
 constexpr milliseconds kFailurePause{2'000};
 // Peers that are asked in the place of one that failed.
@@ -38,14 +40,18 @@
 
 void SyncWorker::Start() {
   m_thread = std::thread([this] { Run(); });
-  m_backup_thread = std::thread([this] { RunBackup(); });
+  for (int i = 0; i < kBackupThreads; ++i) {
+    m_backup_threads.emplace_back([this] { RunBackup(); });
+  }
 }
 
 void SyncWorker::Stop() {
   m_stopping = true;
   m_call_started.notify_all();
   if (m_thread.joinable()) m_thread.join();
-  if (m_backup_thread.joinable()) m_backup_thread.join();
+  for (auto& thread : m_backup_threads) {
+    if (thread.joinable()) thread.join();
+  }
 }
 
 void SyncWorker::SleepWithJitter(milliseconds max_duration) {
@@ -82,6 +88,7 @@
   m_position = m_worker->m_calls.insert(
       m_worker->m_calls.end(),
       {.address = address, .since = std::chrono::steady_clock::now()});
+  m_worker->m_starts_backup = false;
   m_worker->m_call_started.notify_all();
 }
 
@@ -92,12 +99,15 @@
 
 bool SyncWorker::AwaitStall() {
   std::unique_lock lock(m_mutex);
-  if (m_calls.empty()) {
+  if (m_calls.empty() || m_starts_backup) {
     m_call_started.wait_for(lock, kPollInterval);
     return false;
   }
-  const auto stalls_at = m_calls.front().since + kStallTime;
-  if (std::chrono::steady_clock::now() >= stalls_at) return true;
+  const auto stalls_at = m_calls.back().since + kStallTime;
+  if (std::chrono::steady_clock::now() >= stalls_at) {
+    m_starts_backup = true;
+    return true;
+  }
   m_call_started.wait_until(lock, stalls_at);
   return false;
 }
@@ -110,14 +120,17 @@
       peer = m_syncs->TryPop();
       if (!peer) peer = PickPeerAhead();
     }
-    if (peer) {
-      SyncWithScheduled(*peer);
-    } else {
-      std::this_thread::sleep_for(kBackupPollInterval);
-    }
+    if (peer) SyncWithScheduled(*peer);
+    EndBackup();
+    if (!peer) std::this_thread::sleep_for(kBackupPollInterval);
   }
 }
 
+void SyncWorker::EndBackup() {
+  const std::lock_guard lock(m_mutex);
+  m_starts_backup = false;
+}
+
 // A peer that was scheduled because it held a newer batch is not asked if that
 // batch has arrived meanwhile.
 void SyncWorker::SyncWithScheduled(SyncPeer peer) {
--- a/src/node/sync_worker_test.cc
+++ b/src/node/sync_worker_test.cc
@@ -23,10 +23,13 @@
 constexpr char kOwnAddress[] = "127.42.0.1:8500";
 constexpr char kPeerAddress[] = "127.42.0.1:8501";
 constexpr char kOtherAddress[] = "127.42.0.1:8502";
+constexpr char kThirdAddress[] = "127.42.0.1:8503";
 // For which the timeout of a synchronisation is 3 s.
 constexpr uint64_t kLargeBatchBytes = 2'000'000;
 // Within it a node has to get a batch in spite of one peer that does not reply.
 constexpr milliseconds kMaxDelay{1'000};
+// The same for two peers that do not reply.
+constexpr milliseconds kMaxDelayOfTwo{1'500};
 
 // A node that holds a batch with a settable revision.
 class Peer : public Control::Service {
@@ -38,7 +41,10 @@
     m_server = builder.BuildAndStart();
     REQUIRE(m_server != nullptr);
   }
-  ~Peer() override { m_server->Shutdown(); }
+  ~Peer() override { Leave(); }
+
+  // Ends as a process does: open requests fail, no new ones are accepted.
+  void Leave() { m_server->Shutdown(std::chrono::system_clock::now()); }
 
   grpc::Status Sync(grpc::ServerContext* context,
                     const SyncRequest* /*request*/, SyncReply* reply) override {
@@ -150,6 +156,43 @@
   CHECK(node.AwaitRevision(2, kMaxDelay));
 }
 
+// Guards against the same if the second peer does not reply either: the node
+// waited until the timeout of a synchronisation.
+TEST_CASE("Two peers that do not reply keep no node from a new batch",
+          "[sync-worker]") {
+  Peer peer(kPeerAddress);
+  Peer silent(kOtherAddress);
+  Peer also_silent(kThirdAddress);
+  silent.silent = true;
+  also_silent.silent = true;
+  JoinedNode node;
+  peer.revision = 2;
+  for (const char* address : {kOtherAddress, kThirdAddress, kPeerAddress}) {
+    node.ReceiveDigest(address, 2);
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  CHECK(node.AwaitRevision(2, kMaxDelayOfTwo));
+  CHECK(silent.requests + also_silent.requests == 2);
+}
+
+// Guards against a node that waits for a peer that leaves during a
+// synchronisation.
+TEST_CASE("A peer that leaves in a synchronisation is replaced at once",
+          "[sync-worker]") {
+  Peer peer(kPeerAddress);
+  Peer leaving(kOtherAddress);
+  JoinedNode node;
+  leaving.silent = true;
+  node.ReceiveDigest(kOtherAddress, 2);
+  while (leaving.requests == 0) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  peer.revision = 2;
+  node.ReceiveDigest(kPeerAddress, 2);
+  leaving.Leave();
+  CHECK(node.AwaitRevision(2, milliseconds(200)));
+}
+
 // Guards against a node that waits for a busy peer while others have time.
 TEST_CASE("A busy peer is replaced by another one at once", "[sync-worker]") {
   Peer peer(kPeerAddress);
