Start beside silent seeds within the bound of a change

What a caller sees: 503 from a node that starts, for 1.6 s for each seed that accepts a synchronisation and does not reply, as frozen hosts do, although the platform was read at once. Cause: seeds are asked one after the other, each until the timeout of a whole configuration. Ruled out: a decision by an old configuration, since routes are published only once the node has joined; and changes after that, which were in force after at most 256 ms, before and after. All peers first get a small request at once, for 1 s at most; those that do not reply are left out if others do or the platform was read. Asking several for their state at once would also end the wait, but triples the transfer on a slow link. One seed whose packets are lost costs 1 s instead of 0.6 s; two or more cost less than before.

--- a/include/kumquatmoor/node/sync_worker.h
+++ b/include/kumquatmoor/node/sync_worker.h
@@ -10,7 +10,8 @@
 // A node starts without any state. To join, it synchronises with several
 // members: the seeds of its settings, and one member of each other zone that it
 // knows. Meanwhile the gateway thread reads the platform, whose member
-// directory names further members. The node is ready as soon as a member has
+// directory names further members. Of members that do not reply to a small
+// request, none is waited for. The node is ready as soon as a member has
 // replied or the platform was read. Until then it retries with exponential
 // backoff and full jitter, so that many nodes that restart together do not
 // retry in step.
--- a/src/node/odd_backend_test.cc
+++ b/src/node/odd_backend_test.cc
@@ -319,7 +319,7 @@
         .get();
   }
 
-  Store m_store;
+  TestStore m_store;
   StoreSource m_far_source{&m_store, 0};
   StoreSource m_slow_source{&m_store, kLinkBytesPerMs};
   EmptyPlatform m_platform;
--- a/src/node/sync_worker.cc
+++ b/src/node/sync_worker.cc
@@ -26,6 +26,18 @@
 // size of one with 4,000 routes.
 constexpr uint64_t kExpectedBytesOfJoin = 512'000;
 
+// The peers that reply to a small request, all of which are asked at once. A
+// peer that does not would delay a join by the timeout of a synchronisation.
+std::vector<ControlPeer> RespondingPeers(
+    ControlClient* client, const std::vector<ControlPeer>& peers) {
+  const auto reports = client->ReportZones(peers);
+  std::vector<ControlPeer> responding;
+  for (size_t i = 0; i < peers.size(); ++i) {
+    if (reports[i].reached()) responding.push_back(peers[i]);
+  }
+  return responding;
+}
+
 }  // namespace
 
 SyncWorker::SyncWorker(SyncWorkerOptions options, ControlLoop* loop,
@@ -229,6 +241,9 @@
 }
 
 size_t SyncWorker::SyncWithPeers(std::vector<ControlPeer> peers) {
+  auto responding = RespondingPeers(m_client, peers);
+  // A peer may only be slow. Without the platform there is no other source.
+  if (!responding.empty() || IsStoreLoaded()) peers = std::move(responding);
   std::shuffle(peers.begin(), peers.end(), m_rng);
   size_t answered = 0;
   for (const auto& peer : peers) {
--- a/src/node/test_store.h
+++ b/src/node/test_store.h
@@ -17,7 +17,7 @@
 namespace kumquatmoor {
 
 // The configuration as the platform has it.
-class Store {
+class TestStore {
  public:
   void Put(Batch batch) {
     const std::lock_guard lock(m_mutex);
@@ -44,7 +44,7 @@
 class StoreSource : public ConfigurationSource {
  public:
   // `bytes_per_ms` is 0 if reads take no time.
-  StoreSource(Store* store, double bytes_per_ms)
+  StoreSource(TestStore* store, double bytes_per_ms)
       : m_store(store), m_bytes_per_ms(bytes_per_ms) {}
 
   Result<SourceUpdate> Load() override { return Read(); }
@@ -68,7 +68,7 @@
     return {.batch = std::move(batch)};
   }
 
-  Store* m_store;
+  TestStore* m_store;
   double m_bytes_per_ms;
   uint64_t m_revision = 0;
 };
