A read of the platform ends a conflict of two contents under one revision

Callers saw the old configuration at that node for as long as no other came.

Now a digest with the own revision and another hash from a live member marks a conflict. The routes are built anew, as their update takes equal revisions for equal contents.

Ruled out: an order of revision and digest, which is as often wrong as right.

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -17,7 +17,8 @@
 // is SWIM: direct probe, indirect probes, suspicion, refutation by a higher
 // incarnation.
 //
-// Guarantees: the revision of the batch never decreases; a batch is applied
+// Guarantees: the revision of the batch never decreases, and under one revision
+// the batch changes only to what the platform holds; a batch is applied
 // completely or not at all; marks and members change only by their join, which
 // makes them join semilattices. The class does no I/O: the caller passes the
 // time and sends the datagrams, and the random generator is seeded. Not
@@ -125,6 +126,17 @@
   // Applies `batch` if it is valid and newer than the current one, and pushes
   // it to other members.
   OfferOutcome Offer(const Batch& batch, BatchPath path = BatchPath::kOffered);
+  // True if a live member holds other contents under the revision of the
+  // current batch, and the platform was not read since: the caller should read
+  // the complete state. A short random time after the first digest that shows
+  // it, once for each of the other contents.
+  bool NeedsCompleteRead(TimePoint now) const;
+  // Offers the batch of a read of the complete state that began at `began`. It
+  // also replaces a batch of the same revision with other contents if a
+  // conflict had been seen by then.
+  OfferOutcome OfferComplete(const Batch& batch, TimePoint began);
+  // A read of the complete state that began at `began` found no batch.
+  void OnEmptyRead(TimePoint began) { ResolveConflicts(began); }
   // Joins `mark` into the marks and pushes the result. Returns false if nothing
   // changed or if the mark is obsolete: a later move has replaced its move, or
   // the service was removed.
@@ -220,6 +232,14 @@
     TimePoint since;  // When the peer first named that revision.
     TimePoint heard;  // When it last did.
   };
+  // Contents that a peer holds under the revision of the current batch.
+  struct Conflict {
+    uint64_t digest = 0;
+    std::string peer;
+    TimePoint seen;
+    TimePoint read_at;         // When the platform should be read.
+    bool is_resolved = false;  // It has been read.
+  };
   // The key of a batch's update in the outbox.
   static constexpr char kBatchUpdateKey[] = "batch";
   // Time between the two pushes of a batch.
@@ -284,6 +304,11 @@
   void ForgetPeerAhead(const std::string& id);
   // Forgets the peers that are no longer alive or have been silent for long.
   void ForgetLostPeersAhead(TimePoint now);
+  void NoteConflict(const std::string& peer, uint64_t digest, TimePoint now);
+  // The peer's latest digest shows no conflict.
+  void ForgetConflict(const std::string& peer);
+  // Ends the conflicts that had been seen at `began`. True if there were any.
+  bool ResolveConflicts(TimePoint began);
   void NoteRefusedBatch(uint64_t digest);
   bool IsRefusedBatch(uint64_t digest) const;
   void AddChangedServices(const MemberRecord& member);
@@ -319,6 +344,7 @@
   uint64_t m_newer_batch_bytes = 0;  // Size of that batch, 0 if there is none.
   std::deque<PeerAhead> m_peers_ahead;     // The most recent first.
   std::deque<uint64_t> m_refused_batches;  // Digests, the most recent last.
+  std::deque<Conflict> m_conflicts;        // Under the current revision.
   std::optional<std::string> m_sync_peer;
   uint64_t m_change_count = 0;
   std::set<std::string> m_changed_services;
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -103,8 +103,10 @@
   // from any thread.
   bool AcceptsCallers() const { return m_accepts_callers; }
   // Applies a batch, marks and member directory that were read from the
-  // platform.
-  void ApplySourceUpdate(const SourceUpdate& update);
+  // platform. `complete_since` is the beginning of a read of the complete
+  // state; empty for a read of changes.
+  void ApplySourceUpdate(const SourceUpdate& update,
+                         std::optional<TimePoint> complete_since);
   // Records whether the last call to the platform succeeded. While it did not,
   // other members select another gateway.
   void SetPlatformReachable(bool reachable);
@@ -144,9 +146,11 @@
   // For each zone, the live member at the root of its acknowledgement tree.
   std::vector<MemberRecord> ZoneRoots() const;
   // True if this node should read the platform: it is one of its zone's
-  // gateways, has not joined yet, is isolated, or has had an older batch than
-  // other members for too long.
+  // gateways, has not joined yet, is isolated, has had an older batch than
+  // other members for too long, or holds other contents than they do.
   bool IsGateway() const;
+  // True if it should read the complete state instead of changes.
+  bool NeedsCompleteRead() const;
   // Revision, membership and control traffic in the Prometheus text format.
   std::string ControlMetrics() const;
 
@@ -210,6 +214,7 @@
   uint64_t m_charged_bytes = 0;  // Of BytesSent(), given to ChargeLink().
   bool m_draining = false;
   std::shared_ptr<const RouteTable> m_published;
+  std::shared_ptr<const Batch> m_published_batch;
   uint64_t m_published_change = 0;
   std::optional<TimePoint> m_published_behind_since;
   bool m_is_too_far_behind = false;  // The proxy refuses callers.
--- a/include/kumquatmoor/node/gateway.h
+++ b/include/kumquatmoor/node/gateway.h
@@ -24,6 +24,8 @@
 //
 // A node that has not read the platform for long begins with the complete state
 // when it becomes a gateway, since the changes since its last read are larger.
+// A node that holds other contents than its peers under one revision also reads
+// the complete state.
 //
 // All pointers must outlive the gateway. Start and Stop are called by one
 // thread.
@@ -31,6 +33,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -77,8 +80,11 @@
   bool IsSelected();
   // One round of reads and writes at the platform.
   void SyncWithPlatform();
+  // True if the complete state has to be read, not the changes since the last
+  // call.
+  bool NeedsCompleteRead();
   // Passes an update to the control loop.
-  void Deliver(SourceUpdate update);
+  void Deliver(SourceUpdate update, std::optional<TimePoint> complete_since);
   // Logs a failed call and reports it to the control loop.
   void RecordFailure(const Failure& failure);
   // Writes the outcomes of moves.
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -7,8 +7,8 @@
 // pulls the update by a synchronisation.
 //
 // Batches are in replica_batch.cc, what is known of newer ones in
-// replica_behind.cc, failure detection in replica_probe.cc and synchronisation
-// in replica_sync.cc.
+// replica_behind.cc, other contents under one revision in replica_conflict.cc,
+// failure detection in replica_probe.cc and synchronisation in replica_sync.cc.
 
 #include "kumquatmoor/coordination/replica.h"
 
@@ -205,6 +205,9 @@
       received.batch_digest() != own.batch_digest()) {
     AddWarning(fmt::format("{} holds another batch {}", datagram.from(),
                            received.revision()));
+    NoteConflict(datagram.from(), received.batch_digest(), now);
+  } else {
+    ForgetConflict(datagram.from());
   }
   if (datagram.kind() == Datagram::PUSH) return;
   if (received.members_hash() == own.members_hash() &&
--- a/src/coordination/replica_batch.cc
+++ b/src/coordination/replica_batch.cc
@@ -62,13 +62,19 @@
   }
   m_changed_services.insert(rumour.delta().removed().begin(),
                             rumour.delta().removed().end());
+  const bool is_replacement = batch.revision() == m_batch->revision();
   m_batch = std::make_shared<const Batch>(std::move(batch));
   m_arrival = {.path = path, .behind_since = m_behind_since};
   ForgetPeersReached();
   m_needs_whole_batch = false;
   m_batch_digest = rumour.delta().digest();
   m_batch_bytes = m_batch->ByteSizeLong();
-  if (rumour.delta().base_revision() > 0) {
+  if (is_replacement) {
+    m_deltas = DeltaHistory();
+  } else {
+    m_conflicts.clear();
+  }
+  if (rumour.delta().base_revision() > 0 && !is_replacement) {
     m_deltas.Add(rumour.delta(), m_batch_bytes);
   }
   m_marks.Prune(*m_batch);
--- a/src/coordination/replica_test.cc
+++ b/src/coordination/replica_test.cc
@@ -44,6 +44,8 @@
   bool platform_down = false;
   bool sync_down = false;  // No synchronisation succeeds.
 
+  int complete_reads = 0;  // Of the platform, after conflicts.
+
   void Start(int i) {
     ReplicaOptions options;
     options.id = Id(i);
@@ -68,6 +70,10 @@
     }
     for (auto& [id, node] : m_nodes) {
       Send(id, node->Tick(m_now));
+      if (node->NeedsCompleteRead(m_now) && !platform_down) {
+        ++complete_reads;
+        node->OfferComplete(m_latest, m_now);
+      }
       if (const auto peer = node->PopSyncPeer()) Sync(id, peer->id);
     }
     CheckInvariants();
@@ -90,6 +96,19 @@
     RandomNode().Offer(m_latest);
   }
 
+  // Offers a successor of the latest batch to a random node, and one with the
+  // same revision and other contents to another node.
+  void OfferNextAndFork() {
+    const Batch fork = BuildBatch(
+        m_latest, std::vector<TableRow>{{"s0", "v2", kFullWeight}}, {}, {});
+    OfferNext();
+    for (auto& [id, node] : m_nodes) {
+      if (node->CurrentBatch().revision() == m_latest.revision()) continue;
+      node->Offer(fork);
+      return;
+    }
+  }
+
   // Offers an old batch to a random node, as a stale read of the platform does.
   void OfferOld() {
     if (!m_batches.empty()) {
@@ -172,6 +191,13 @@
     const auto count = std::count_if(m_nodes.begin(), m_nodes.end(), current);
     return static_cast<double>(count) / static_cast<double>(m_nodes.size());
   }
+  // Nodes that do not hold the contents of the latest batch.
+  int64_t CountOtherContents() const {
+    const uint64_t digest = BatchDigest(m_latest);
+    return std::count_if(m_nodes.begin(), m_nodes.end(), [&](const auto& item) {
+      return BatchDigest(item.second->CurrentBatch()) != digest;
+    });
+  }
   uint64_t DatagramsSent() const { return m_datagrams_sent; }
   static std::string Id(int i) { return "n" + std::to_string(i); }
   static std::string ZoneOf(int i) { return "z" + std::to_string(i % 3); }
@@ -489,6 +515,26 @@
   CHECK(replica.Warnings().size() == 2);
 }
 
+// Guards against a node that keeps other contents than the mesh under the same
+// revision (inc33-config, H6), and against a mesh that reads the platform node
+// by node for one that is wrong.
+TEST_CASE("A node with other contents under a revision recovers by a read") {
+  constexpr int kNodes = 80;
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    INFO(seed);
+    Mesh mesh(seed, kNodes);
+    mesh.Run(milliseconds(5'000));
+    mesh.OfferNextAndFork();
+    mesh.Run(milliseconds(4'000));
+    CHECK(mesh.CountOtherContents() == 0);
+    CHECK(mesh.complete_reads > 0);
+    CHECK(mesh.complete_reads <= kNodes);
+    const int before = mesh.complete_reads;
+    mesh.Run(milliseconds(10'000));
+    CHECK(mesh.complete_reads == before);
+  }
+}
+
 // Guards against nodes that miss the push of a batch and then wait for the next
 // probe and a synchronisation, which may fail.
 TEST_CASE("A batch reaches 99% of 200 nodes by pushes alone") {
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -281,8 +281,12 @@
   return Clock::now() - m_last_datagram_at > m_options.isolation_timeout;
 }
 
+bool ControlLoop::NeedsCompleteRead() const {
+  return m_replica.NeedsCompleteRead(Clock::now());
+}
+
 bool ControlLoop::IsGateway() const {
-  if (!m_ready || IsIsolated()) return true;
+  if (!m_ready || IsIsolated() || NeedsCompleteRead()) return true;
   if (m_replica.IsBehindFor(m_options.max_time_behind, Clock::now())) {
     return true;
   }
@@ -308,10 +312,17 @@
   m_replica.SetPlatformUnavailable(false, now);
 }
 
-void ControlLoop::ApplySourceUpdate(const SourceUpdate& update) {
+void ControlLoop::ApplySourceUpdate(const SourceUpdate& update,
+                                    std::optional<TimePoint> complete_since) {
   const TimePoint now = Clock::now();
-  if (update.batch && update.batch->revision() > 0)
+  const bool has_batch = update.batch && update.batch->revision() > 0;
+  if (has_batch && complete_since) {
+    m_replica.OfferComplete(*update.batch, *complete_since);
+  } else if (has_batch) {
     m_replica.Offer(*update.batch);
+  } else if (complete_since) {
+    m_replica.OnEmptyRead(*complete_since);
+  }
   for (const auto& mark : update.marks) m_replica.JoinMark(mark);
   if (!update.directory) return;
   m_directory = *update.directory;
@@ -491,8 +502,7 @@
 // Publishes a new batch at once. Other changes wait for the next tick, so that
 // a burst of them costs one snapshot of the routes.
 void ControlLoop::PublishNewBatch() {
-  const uint64_t revision = m_replica.CurrentBatch().revision();
-  if (revision != m_published_revision) PublishRoutes();
+  if (m_replica.SharedBatch() != m_published_batch) PublishRoutes();
 }
 
 void ControlLoop::PublishBehindSince() {
@@ -524,7 +534,11 @@
     return;
   }
   const auto changed = m_replica.PopChangedServices();
-  if (m_published == nullptr || zones_changed) {
+  // An update of the routes takes a batch of the same revision for the same.
+  const auto batch = m_replica.SharedBatch();
+  const bool is_replaced =
+      batch != m_published_batch && batch->revision() == m_published_revision;
+  if (m_published == nullptr || zones_changed || is_replaced) {
     m_published = BuildRoutes(m_replica.CurrentBatch(), m_replica.Marks(),
                               m_replica.RoutableMembers(Clock::now()),
                               m_options.replica.zone);
@@ -538,6 +552,7 @@
   const uint64_t revision = m_published->revision;
   if (revision != m_published_revision) m_in_force_ms = UnixMs();
   m_published_revision = revision;
+  m_published_batch = batch;
   m_published_change = change;
   m_published_unreachable = std::move(unreachable);
   m_proxy->SetRoutes(m_published);
--- a/src/node/gateway.cc
+++ b/src/node/gateway.cc
@@ -87,7 +87,16 @@
   m_loop->Post([](ControlLoop& loop) { loop.SetPlatformReachable(false); });
 }
 
+bool Gateway::NeedsCompleteRead() {
+  return m_loop
+      ->Run<bool>([](ControlLoop& loop) { return loop.NeedsCompleteRead(); })
+      .value_or(false);
+}
+
 void Gateway::SyncWithPlatform() {
+  if (NeedsCompleteRead()) m_loaded = false;
+  std::optional<TimePoint> complete_since;
+  if (!m_loaded) complete_since = Clock::now();
   auto update = Attempt([&] {
     return m_loaded ? m_source->Await(m_options.watch_timeout)
                     : m_source->Load();
@@ -110,15 +119,16 @@
   m_reachable = true;
   m_backoff = m_options.initial_backoff;
   m_loaded = true;
-  Deliver(std::get<SourceUpdate>(std::move(update)));
+  Deliver(std::get<SourceUpdate>(std::move(update)), complete_since);
   ReportProgress();
   MaintainDirectory();
   SleepFor(m_options.watch_pause);
 }
 
-void Gateway::Deliver(SourceUpdate update) {
-  m_loop->Post([update = std::move(update)](ControlLoop& loop) {
-    loop.ApplySourceUpdate(update);
+void Gateway::Deliver(SourceUpdate update,
+                      std::optional<TimePoint> complete_since) {
+  m_loop->Post([update = std::move(update), complete_since](ControlLoop& loop) {
+    loop.ApplySourceUpdate(update, complete_since);
     loop.SetStoreLoaded();
   });
 }
--- a/src/node/gateway_reads_test.cc
+++ b/src/node/gateway_reads_test.cc
@@ -4,11 +4,15 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <future>
+#include <mutex>
+#include <optional>
 #include <thread>
 #include <utility>
 
 #include "kumquatmoor/node/gateway.h"
 #include "kumquatmoor/node/proxy.h"
+#include "kumquatmoor/state/batch.h"
 
 namespace kumquatmoor {
 namespace {
@@ -21,7 +25,11 @@
  public:
   Result<SourceUpdate> Load() override {
     ++loads;
-    return SourceUpdate();
+    if (on_load) on_load();
+    SourceUpdate update;
+    const std::lock_guard lock(m_mutex);
+    update.batch = m_batch;
+    return update;
   }
   Result<SourceUpdate> Await(milliseconds /*wait*/) override {
     ++awaits;
@@ -31,8 +39,20 @@
     return false;
   }
 
+  // What the platform holds: every Load reads it, Await sees no change.
+  void SetBatch(const Batch& batch) {
+    const std::lock_guard lock(m_mutex);
+    m_batch = batch;
+  }
+
   std::atomic<int> loads{0};
   std::atomic<int> awaits{0};
+  // Called during a Load. Set it before the gateway reads.
+  std::function<void()> on_load;
+
+ private:
+  std::mutex m_mutex;
+  std::optional<Batch> m_batch;
 };
 
 // A node that reads the platform only while it is behind.
@@ -65,6 +85,30 @@
       loop.GetReplica().OnDatagram(push, Clock::now());
     });
   }
+  // A digest of the live member "peer", which holds `batch`.
+  void ReceiveDigestOf(const Batch& batch) {
+    OnLoop([this, &batch](ControlLoop& loop) {
+      Datagram push;
+      push.set_kind(Datagram::PUSH);
+      push.set_from("peer");
+      MemberRecord* member = push.add_rumours()->mutable_member();
+      member->set_id("peer");
+      member->set_zone("z");
+      member->set_control_address("127.42.0.2:8501");
+      member->set_data_address("127.42.0.2:8501");
+      member->set_incarnation(++m_incarnation);
+      push.mutable_digest()->set_revision(batch.revision());
+      push.mutable_digest()->set_batch_digest(BatchDigest(batch));
+      loop.GetReplica().OnDatagram(push, Clock::now());
+    });
+  }
+  std::string Author() {
+    std::string author;
+    OnLoop([&author](ControlLoop& loop) {
+      author = loop.GetReplica().CurrentBatch().author();
+    });
+    return author;
+  }
   static bool Await(const std::function<bool()>& condition) {
     for (int i = 0; i < 300; ++i) {
       if (condition()) return true;
@@ -100,8 +144,16 @@
                     nullptr,
                     &m_source};
   std::thread m_thread;
+  uint64_t m_incarnation = 1;
 };
 
+Batch BatchBy(const std::string& author) {
+  Batch batch;
+  batch.set_revision(1);
+  batch.set_author(author);
+  return batch;
+}
+
 // Guards against a node that fetches every version of a large configuration
 // since its start when it lacks the latest one (inc33-config).
 TEST_CASE_METHOD(GatewayFixture,
@@ -123,5 +175,48 @@
   CHECK(m_source.awaits == awaits);
 }
 
+// Guards against a node that keeps other contents than the mesh under the same
+// revision until the next one (inc33-config, H6).
+TEST_CASE_METHOD(GatewayFixture,
+                 "A node with another batch of the same revision recovers",
+                 "[gateway]") {
+  REQUIRE(Await([&] { return m_source.loads > 0; }));
+  OnLoop([](ControlLoop& loop) {
+    loop.GetReplica().Offer(BatchBy("wrong"));
+    loop.SetReady();
+  });
+  const int loads = m_source.loads;
+  m_source.SetBatch(BatchBy("right"));
+  ReceiveDigestOf(BatchBy("right"));
+  CHECK(Await([&] { return Author() == "right"; }));
+  // Nothing is left to find out.
+  for (int i = 0; i < 20; ++i) {
+    ReceiveDigestOf(BatchBy(i % 2 == 0 ? "right" : "wrong"));
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  CHECK(Author() == "right");
+  CHECK(m_source.loads == loads + 1);
+}
+
+// Guards against nodes that all read the platform again and again since one of
+// them holds other contents under their revision.
+TEST_CASE_METHOD(GatewayFixture,
+                 "A conflict is checked by one read of the platform",
+                 "[gateway]") {
+  REQUIRE(Await([&] { return m_source.loads > 0; }));
+  OnLoop([](ControlLoop& loop) {
+    loop.GetReplica().Offer(BatchBy("right"));
+    loop.SetReady();
+  });
+  const int loads = m_source.loads;
+  m_source.SetBatch(BatchBy("right"));
+  for (int i = 0; i < 25; ++i) {
+    ReceiveDigestOf(BatchBy("wrong"));
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  CHECK(Author() == "right");
+  CHECK(m_source.loads == loads + 1);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/node/outdated_node_test.cc
+++ b/src/node/outdated_node_test.cc
@@ -369,5 +369,29 @@
   CHECK(late.AcceptsCallers());
 }
 
+// Guards against routes that stay those of a batch which was replaced by other
+// contents under its revision.
+TEST_CASE_METHOD(OutdatedFixture,
+                 "Routes follow a batch that was replaced under its revision",
+                 "[outdated]") {
+  late.Offer(SecondBatch());
+  Batch other = FirstBatch();
+  other.set_revision(2);
+  ahead.Offer(other);
+  REQUIRE(Await([&] { return late.Call("/added/").result_int() == 200; }));
+  CHECK(late.Call("/removed/").result_int() == 404);
+  REQUIRE(Await([&] {
+    return late.OnLoop<bool>(
+        [](ControlLoop& loop) { return loop.NeedsCompleteRead(); });
+  }));
+  late.OnLoop<bool>([&](ControlLoop& loop) {
+    loop.ApplySourceUpdate({.batch = other}, Clock::now());
+    return true;
+  });
+  CHECK(Await([&] { return late.Call("/removed/").result_int() == 200; },
+              kAtOnce));
+  CHECK(late.Call("/added/").result_int() == 404);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
