A gateway keeps an update while the control loop's ring is full

Gateway::Deliver posted what it had read to the control loop and ignored that the ring may be full. The update was then lost for good: the source had moved on, and the next read returns the changes after it. Nodes would serve the older configuration until the next one, and nothing logged it.

Its other posts may be dropped: the record of a failed platform expires by itself.

ControlClient::Offer and its total timeout play no part: only the command line tool calls it, after the platform has confirmed the table.

--- a/include/kumquatmoor/node/gateway.h
+++ b/include/kumquatmoor/node/gateway.h
@@ -83,7 +83,7 @@
   // True if the complete state has to be read, not the changes since the last
   // call.
   bool NeedsCompleteRead();
-  // Passes an update to the control loop.
+  // Passes an update to the control loop, and waits while its ring is full.
   void Deliver(SourceUpdate update, std::optional<TimePoint> complete_since);
   // Logs a failed call and reports it to the control loop.
   void RecordFailure(const Failure& failure);
--- a/src/node/gateway.cc
+++ b/src/node/gateway.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace kumquatmoor {
@@ -13,6 +14,9 @@
 // Interval at which the thread checks whether the node is a gateway, and
 // whether it has to stop.
 constexpr milliseconds kPollInterval{100};
+// Interval at which a command is posted again while the control loop's ring is
+// full.
+constexpr milliseconds kPostRetryInterval{10};
 // After a longer time without a read, a watch would return every version of the
 // configuration since, or fail as the history is gone.
 constexpr milliseconds kMaxTimeUnread{3'000};
@@ -125,12 +129,19 @@
   SleepFor(m_options.watch_pause);
 }
 
+// An update that was dropped would be missing for good, since the next read
+// returns the changes after it.
 void Gateway::Deliver(SourceUpdate update,
                       std::optional<TimePoint> complete_since) {
-  m_loop->Post([update = std::move(update), complete_since](ControlLoop& loop) {
-    loop.ApplySourceUpdate(update, complete_since);
+  const auto shared = std::make_shared<const SourceUpdate>(std::move(update));
+  const auto apply = [shared, complete_since](ControlLoop& loop) {
+    loop.ApplySourceUpdate(*shared, complete_since);
     loop.SetStoreLoaded();
-  });
+  };
+  while (!m_loop->Post(apply)) {
+    if (m_stopping) return;
+    std::this_thread::sleep_for(kPostRetryInterval);
+  }
 }
 
 void Gateway::ReportProgress() {
--- a/src/node/gateway_reads_test.cc
+++ b/src/node/gateway_reads_test.cc
@@ -218,5 +218,35 @@
   CHECK(m_source.loads == loads + 1);
 }
 
+// Guards against an update that is lost since the control thread is busy at the
+// moment at which it has been read.
+TEST_CASE_METHOD(GatewayFixture,
+                 "An update that finds the control loop's ring full is kept",
+                 "[gateway]") {
+  REQUIRE(Await([&] { return m_source.loads > 0; }));
+  OnLoop([](ControlLoop& loop) {
+    loop.GetReplica().Offer(BatchBy("wrong"));
+    loop.SetReady();
+  });
+  Batch next = BatchBy("next");
+  next.set_revision(2);
+  m_source.SetBatch(next);
+  std::this_thread::sleep_for(milliseconds(3'500));
+  std::promise<void> release;
+  std::atomic<bool> was_full{false};
+  m_source.on_load = [&, released = release.get_future().share()] {
+    if (was_full) return;
+    m_loop.Post([released](ControlLoop& /*loop*/) { released.wait(); });
+    while (m_loop.Post([](ControlLoop& /*loop*/) {})) {
+    }
+    was_full = true;
+  };
+  ReceiveDigest(2);
+  REQUIRE(Await([&] { return was_full.load(); }));
+  std::this_thread::sleep_for(milliseconds(300));
+  release.set_value();
+  CHECK(Await([&] { return Author() == "next"; }));
+}
+
 }  // namespace
 }  // namespace kumquatmoor
