--- a/src/node/gateway.cc
+++ b/src/node/gateway.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace kumquatmoor {
@@ -13,6 +14,9 @@
 // Interval at which the thread checks whether the node is a gateway, and
 // whether it has to stop.
 constexpr milliseconds kPollInterval{100};
+// Interval at which a command is posted again while the control loop's ring is
+// full.
+constexpr milliseconds kPostRetryInterval{10};
 // After a longer time without a read, a watch would return every version of the
 // configuration since, or fail as the history is gone.
 constexpr milliseconds kMaxTimeUnread{3'000};
@@ -99,7 +103,16 @@
   BackOff();
 }
 
+bool Gateway::NeedsCompleteRead() {
+  return m_loop
+      ->Run<bool>([](ControlLoop& loop) { return loop.NeedsCompleteRead(); })
+      .value_or(false);
+}
+
 void Gateway::SyncWithPlatform() {
+  if (NeedsCompleteRead()) m_loaded = false;
+  std::optional<TimePoint> complete_since;
+  if (!m_loaded) complete_since = Clock::now();
   auto update = Attempt([&] {
     return m_loaded ? m_source->Await(m_options.watch_timeout)
                     : m_source->Load();
@@ -120,17 +133,25 @@
   m_reachable = true;
   m_backoff = m_options.initial_backoff;
   m_loaded = true;
-  Deliver(std::get<SourceUpdate>(std::move(update)));
+  Deliver(std::get<SourceUpdate>(std::move(update)), complete_since);
   ReportProgress();
   MaintainDirectory();
   SleepFor(m_options.watch_pause);
 }
 
-void Gateway::Deliver(SourceUpdate update) {
-  m_loop->Post([update = std::move(update)](ControlLoop& loop) {
-    loop.ApplySourceUpdate(update);
+// An update that was dropped would be missing for good, since the next read
+// returns the changes after it.
+void Gateway::Deliver(SourceUpdate update,
+                      std::optional<TimePoint> complete_since) {
+  const auto shared = std::make_shared<const SourceUpdate>(std::move(update));
+  const auto apply = [shared, complete_since](ControlLoop& loop) {
+    loop.ApplySourceUpdate(*shared, complete_since);
     loop.SetStoreLoaded();
-  });
+  };
+  while (!m_loop->Post(apply)) {
+    if (m_stopping) return;
+    std::this_thread::sleep_for(kPostRetryInterval);
+  }
 }
 
 void Gateway::ReportProgress() {
