Order indexed members by id, so that a seed repeats its run

Numbers of assertions differed from run to run. Cause of the difference: indexes of MemberList were sets ordered by address, and the simulation draws probe subjects from them, so the layout of the heap chose. By reading, a recall that one node knows and that restarts before its next tick is lost, which the test does not allow for.

--- a/include/kumquatmoor/coordination/member_list.h
+++ b/include/kumquatmoor/coordination/member_list.h
@@ -95,6 +95,14 @@
     void Add(const MemberRecord* record);
     void Remove(const MemberRecord* record);
   };
+  // Orders records by id. An order by address would make the same seed of a
+  // simulation run differently each time.
+  struct ById {
+    bool operator()(const MemberRecord* a, const MemberRecord* b) const {
+      return a->id() < b->id();
+    }
+  };
+  using SortedRecords = std::set<const MemberRecord*, ById>;
   struct Entry {
     MemberRecord record;
     TimePoint status_since;
@@ -110,10 +118,9 @@
   std::array<uint64_t, kMemberBucketCount> m_buckets{};
   UnorderedRecords m_alive;
   std::map<std::string, UnorderedRecords> m_alive_by_zone;
-  std::set<const MemberRecord*> m_suspected_or_dead;
-  std::set<const MemberRecord*> m_left;
-  std::map<std::string, std::set<const MemberRecord*>, std::less<>>
-      m_by_service;
+  SortedRecords m_suspected_or_dead;
+  SortedRecords m_left;
+  std::map<std::string, SortedRecords, std::less<>> m_by_service;
   uint64_t m_alive_version = 0;
 };
 
