Nodes that carry different moves agree

A replaced order is now told by what it is, the order and revision in the store of the move before, which the replica remembers, not by a lower revision alone. Of two carried moves of a service the later one is kept, then the one that has ended, and carried_weight (in the place of the number of moves, not released) is a function of the content that grows with each such choice, so nodes end with the same batch in any order of reading.

The metric kumquatmoor_carried_moves is the number of services, as before.

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -38,6 +38,7 @@
 
 #include "control.pb.h"
 #include "kumquatmoor/coordination/member_list.h"
+#include "kumquatmoor/state/carried_moves.h"
 #include "kumquatmoor/state/crash_suspects.h"
 #include "kumquatmoor/state/delta_history.h"
 #include "kumquatmoor/state/limits.h"
@@ -307,6 +308,7 @@
   bool m_needs_whole_batch = false;
   BatchStamp m_held_back;  // Of the batch that was held back last.
   uint64_t m_held_back_count = 0;
+  ReplacedMoves m_replaced_moves;
   MarkSet m_marks;
   CrashSuspects m_crashes;
   MemberList m_members;
--- a/include/kumquatmoor/state/store_revision.h
+++ b/include/kumquatmoor/state/store_revision.h
@@ -39,7 +39,7 @@
 struct BatchStamp {
   uint64_t revision = 0;
   uint64_t config_version = 0;  // The operators' version, 0 if unknown.
-  uint32_t carried_moves = 0;
+  uint64_t carried_weight = 0;
   bool operator==(const BatchStamp&) const = default;
 };
 
@@ -51,7 +51,7 @@
 // True if a batch with the stamp `a` replaces one with the stamp `b`. Of two
 // generations, the batch with the higher `config_version` is the newer one: an
 // older copy of the store has an older configuration until the operators have
-// written theirs again. Otherwise the revision decides, then the number of
+// written theirs again. Otherwise the revision decides, then the weight of the
 // carried moves.
 bool IsNewer(const BatchStamp& a, const BatchStamp& b);
 // True if a batch with the stamp `a` is of a later generation than one with the
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -62,7 +62,7 @@
   digest.set_batch_bytes(m_batch_bytes);
   digest.set_crashes_hash(m_crashes.Hash());
   digest.set_config_version(m_batch->config_version());
-  digest.set_carried_moves(m_batch->carried_moves());
+  digest.set_carried_weight(m_batch->carried_weight());
   return digest;
 }
 
--- a/src/coordination/replica_batch.cc
+++ b/src/coordination/replica_batch.cc
@@ -77,7 +77,8 @@
 }
 
 void Replica::ApplyBatch(Batch batch, BatchPath path) {
-  batch = CarryMoves(*m_batch, std::move(batch));
+  batch = CarryMoves(*m_batch, m_replaced_moves, std::move(batch));
+  NoteReplacedMoves(*m_batch, batch, &m_replaced_moves);
   Rumour rumour;
   *rumour.mutable_delta() = MakeDelta(*m_batch, batch);
   for (const auto& service : rumour.delta().changed()) {
--- a/src/coordination/replica_sync.cc
+++ b/src/coordination/replica_sync.cc
@@ -59,7 +59,7 @@
   request.set_zone(m_options.zone);
   request.set_have_revision(m_batch->revision());
   request.set_config_version(m_batch->config_version());
-  request.set_carried_moves(m_batch->carried_moves());
+  request.set_carried_weight(m_batch->carried_weight());
   request.set_joining(joining);
   request.set_accepts_delta(!m_needs_whole_batch);
   for (uint64_t hash : m_members.BucketHashes()) {
--- a/src/coordination/store_generation_test.cc
+++ b/src/coordination/store_generation_test.cc
@@ -15,10 +15,11 @@
 // A batch with one route for each version of the operators' configuration.
 Batch BatchOf(const BatchStamp& stamp) {
   Batch batch = BuildBatch({}, std::vector<TableRow>{{"a", "v1", 100}}, {}, {});
-  batch.mutable_services(0)->set_move_revision(0);
+  // A carried move that has ended weighs twice its revision and one.
+  batch.mutable_services(0)->set_move_revision(stamp.carried_weight / 2);
   batch.set_revision(stamp.revision);
   batch.set_config_version(stamp.config_version);
-  batch.set_carried_moves(stamp.carried_moves);
+  batch.set_carried_weight(stamp.carried_weight);
   for (uint64_t version = 1; version <= stamp.config_version; ++version) {
     HttpRoute* route = batch.add_routes();
     route->set_name("route" + std::to_string(version));
@@ -121,7 +122,7 @@
 TEST_CASE("A batch with carried moves replaces the same one without",
           "[generation]") {
   BatchStamp carried = kRewritten;
-  carried.carried_moves = 1;
+  carried.carried_weight = 11;
   Pair pair;
   REQUIRE(pair.a.Offer(BatchOf(carried)) == OfferOutcome::kApplied);
   REQUIRE(pair.b.Offer(BatchOf(kRewritten)) == OfferOutcome::kApplied);
--- a/src/node/control_loop_log.cc
+++ b/src/node/control_loop_log.cc
@@ -81,7 +81,7 @@
                   m_replica.TimeBehind(Clock::now()).count())) +
          line("kumquatmoor_batches_held_total", m_replica.HeldBackCount()) +
          line("kumquatmoor_carried_moves",
-              m_replica.CurrentBatch().carried_moves()) +
+              CountCarriedMoves(m_replica.CurrentBatch())) +
          line("kumquatmoor_members", m_replica.Members().size()) +
          line("kumquatmoor_ready", m_ready ? 1 : 0) +
          line("kumquatmoor_control_sent_bytes_total", m_socket.BytesSent()) +
--- a/src/state/batch.cc
+++ b/src/state/batch.cc
@@ -202,7 +202,7 @@
   delta.set_author(to.author());
   delta.set_written_ms(to.written_ms());
   delta.set_config_version(to.config_version());
-  delta.set_carried_moves(to.carried_moves());
+  delta.set_carried_weight(to.carried_weight());
   CompareSorted(
       from.services(), to.services(),
       [](const ServiceConfig& config) { return config.service(); },
@@ -243,7 +243,7 @@
   batch.set_author(delta.author());
   batch.set_written_ms(delta.written_ms());
   batch.set_config_version(delta.config_version());
-  batch.set_carried_moves(delta.carried_moves());
+  batch.set_carried_weight(delta.carried_weight());
   for (const auto& [name, service] : services) {
     *batch.add_services() = *service;
   }
--- a/src/state/store_revision.cc
+++ b/src/state/store_revision.cc
@@ -12,7 +12,7 @@
 BatchStamp StampOfMessage(const Message& message) {
   return {.revision = message.revision(),
           .config_version = message.config_version(),
-          .carried_moves = message.carried_moves()};
+          .carried_weight = message.carried_weight()};
 }
 
 // True if the operators' versions decide, which only rise: the batches are of
@@ -53,13 +53,13 @@
 BatchStamp StampOf(const SyncRequest& request) {
   return {.revision = request.have_revision(),
           .config_version = request.config_version(),
-          .carried_moves = request.carried_moves()};
+          .carried_weight = request.carried_weight()};
 }
 
 bool IsNewer(const BatchStamp& a, const BatchStamp& b) {
   if (VersionsDecide(a, b)) return a.config_version > b.config_version;
   if (a.revision != b.revision) return a.revision > b.revision;
-  return a.carried_moves > b.carried_moves;
+  return a.carried_weight > b.carried_weight;
 }
 
 bool IsHeldBack(const BatchStamp& a, const BatchStamp& b) {
--- a/src/state/store_revision_test.cc
+++ b/src/state/store_revision_test.cc
@@ -20,11 +20,11 @@
 
 TEST_CASE("The stamps of a batch and of the messages that describe it agree") {
   const BatchStamp stamp{
-      .revision = MakeRevision(1, 7), .config_version = 5, .carried_moves = 2};
+      .revision = MakeRevision(1, 7), .config_version = 5, .carried_weight = 2};
   const auto fill = [&](auto* message) {
     message->set_revision(stamp.revision);
     message->set_config_version(stamp.config_version);
-    message->set_carried_moves(stamp.carried_moves);
+    message->set_carried_weight(stamp.carried_weight);
   };
   Batch batch;
   fill(&batch);
@@ -38,7 +38,7 @@
   SyncRequest request;
   request.set_have_revision(stamp.revision);
   request.set_config_version(stamp.config_version);
-  request.set_carried_moves(stamp.carried_moves);
+  request.set_carried_weight(stamp.carried_weight);
   CHECK(StampOf(request) == stamp);
 }
 
@@ -46,7 +46,7 @@
   CHECK(IsNewer({.revision = 8, .config_version = 1},
                 {.revision = 7, .config_version = 9}));
   CHECK_FALSE(IsNewer({.revision = 7}, {.revision = 7}));
-  CHECK(IsNewer({.revision = 7, .carried_moves = 1}, {.revision = 7}));
+  CHECK(IsNewer({.revision = 7, .carried_weight = 1}, {.revision = 7}));
   CHECK_FALSE(IsHeldBack({.revision = 7}, {.revision = 8}));
 }
 
@@ -77,7 +77,7 @@
         stamps.push_back({.revision = MakeRevision(
                               generation, 10 * version + 7 - 3 * generation),
                           .config_version = version,
-                          .carried_moves = carried});
+                          .carried_weight = carried});
       }
     }
   }
