--- a/src/node/odd_backend_test.cc
+++ b/src/node/odd_backend_test.cc
@@ -7,6 +7,7 @@
 #include "node/odd_backend.h"
 
 #include <sched.h>
+#include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
 #include <array>
@@ -37,7 +38,6 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-using asio::ip::tcp;
 using std::chrono::milliseconds;
 
 // Of the slow host: a tenth of a processor, a link of 10 Mbit/s.
@@ -265,7 +265,7 @@
                                std::string kind, milliseconds pause) {
     while (true) {
       const std::string target =
-          "/" + service + "/" + std::to_string(++m_last_target) + "/" + kind;
+          fmt::format("/{}/{}/{}", service, ++m_last_target, kind);
       const unsigned status = co_await Call(node, target);
       {
         const std::lock_guard lock(m_mutex);
--- a/src/node/silent_seed_test.cc
+++ b/src/node/silent_seed_test.cc
@@ -3,9 +3,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include <atomic>
-#include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -28,7 +26,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using asio::ip::tcp;
 using std::chrono::milliseconds;
 
 constexpr int kSeeds = 3;
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -84,21 +84,16 @@
 // Brings a target in absolute form ("http://host/path") into origin form
 // ("/path"). Its host replaces that of the Host field (RFC 9112, 3.2.2).
 void ToOriginForm(http::request_header<>* head) {
-  constexpr std::string_view kSchemes[] = {"http://", "https://"};
-  const std::string target(head->target());
-  for (const std::string_view scheme : kSchemes) {
-    const std::string_view start =
-        std::string_view(target).substr(0, scheme.size());
-    if (!beast::iequals({start.data(), start.size()},
-                        {scheme.data(), scheme.size()})) {
-      continue;
-    }
-    const std::string_view rest =
-        std::string_view(target).substr(scheme.size());
+  constexpr beast::string_view kSchemes[] = {"http://", "https://"};
+  const std::string whole(head->target());
+  const beast::string_view target(whole);
+  for (const beast::string_view scheme : kSchemes) {
+    if (!beast::iequals(target.substr(0, scheme.size()), scheme)) continue;
+    const beast::string_view rest = target.substr(scheme.size());
     const size_t end = std::min(rest.find_first_of("/?#"), rest.size());
     std::string path(rest.substr(end));
     if (!path.starts_with('/')) path.insert(0, 1, '/');
-    head->set(http::field::host, {rest.data(), end});
+    head->set(http::field::host, rest.substr(0, end));
     head->target(path);
     return;
   }
