A process that was stopped hears of others before it decides

A node that had been stopped for seconds ran the requests that arrived meanwhile by the configuration of before, and its gateway went on from its old position: it fetched every version since, or found the history gone. Callers saw removed routes run and added ones answered 404 until the first digest.

The proxy now decides only as long as the control thread has said, 1 s ahead. After a gap it refuses with 503, not run, Retry-After, until the ACK of a probe that was sent after the gap, for 1 s at most; alone, a node serves on. After 3 s a gateway reads the complete state.

Before: outdated_node_test, both threads held up for 2 s: 200 on the removed route and a run, where 503 is expected; gateway_reads_test, 4 s: 0 reads of the state where 1 is expected. Now 503 and no run, served again after it; 1 read. An ACK of an earlier probe does not count (outdated_replica_test).

Not shown: how often a starved control thread causes a false alarm.

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -119,6 +119,11 @@
   // declares suspects dead. To be called several times per second: a gap of
   // more than 300 ms between two calls counts as a pause of the process.
   std::vector<OutgoingDatagram> Tick(TimePoint now);
+  // Forgets the open probes and sends others, so that each ACK that is matched
+  // from now on was sent after `now`. For a process that was paused.
+  std::vector<OutgoingDatagram> ProbeAnew(TimePoint now);
+  // When the latest ACK of one of this node's probes arrived.
+  TimePoint LastAcknowledged() const { return m_last_acknowledged; }
   // Applies a received datagram and returns the responses.
   std::vector<OutgoingDatagram> OnDatagram(const Datagram& datagram,
                                            TimePoint now);
@@ -335,6 +340,7 @@
   std::map<uint64_t, std::pair<std::string, uint64_t>> m_relayed_probes;
   uint64_t m_sequence = 0;
   ProbeDelays m_probe_delays;
+  TimePoint m_last_acknowledged;
   TimePoint m_next_probe;
   TimePoint m_last_tick;
   uint32_t m_digest_mismatches = 0;  // Consecutive ones.
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -149,7 +149,8 @@
   // gateways, has not joined yet, is isolated, has had an older batch than
   // other members for too long, or holds other contents than they do.
   bool IsGateway() const;
-  // True if it should read the complete state instead of changes.
+  // True if it should read the complete state instead of changes: it holds
+  // other contents than other members, or was paused for long.
   bool NeedsCompleteRead() const;
   // Revision, membership and control traffic in the Prometheus text format.
   std::string ControlMetrics() const;
@@ -165,6 +166,12 @@
   // Tells the proxy since when this node has known of a newer batch, and stops
   // accepting callers while the proxy refuses them.
   void PublishBehindSince();
+  // Notices that the process did not run for some time, and asks other members
+  // for a sign of life.
+  void NotePause(TimePoint now);
+  // Lets the proxy decide for some more time, unless the process was stopped
+  // and has not heard of other members since.
+  void ExtendDecisions(TimePoint now);
   void PublishBackends();
   // Passes changed crash records to the proxy and logs requests that are newly
   // blocked or no longer blocked.
@@ -218,6 +225,13 @@
   uint64_t m_published_change = 0;
   std::optional<TimePoint> m_published_behind_since;
   bool m_is_too_far_behind = false;  // The proxy refuses callers.
+  TimePoint m_last_tick;
+  // When the process was found to have been paused; empty once it has heard of
+  // another member.
+  std::optional<TimePoint> m_resumed_at;
+  // The same after a long pause; empty once the complete state has been read.
+  std::optional<TimePoint> m_unread_since;
+  TimePoint m_decides_until;         // As the proxy was told.
   uint64_t m_published_crashes = 0;  // Hash of the crash records.
   std::set<std::string> m_blocked;   // Keys of the blocked requests.
   uint64_t m_backend_crashes = 0;    // Of local backend servers.
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -98,6 +98,10 @@
   // its own, and after `max_time_behind_serving` every request of a caller is
   // refused.
   void SetBehindSince(std::optional<TimePoint> since);
+  // Until when this node may decide requests of callers without another call of
+  // this function. A process that was stopped finds the time expired and thus
+  // refuses what arrived meanwhile. Without a call there is no limit.
+  void SetDecidesUntil(TimePoint until);
   // True if callers are refused at `now` by a node that has been behind since
   // `since`. Safe from any thread.
   bool IsTooFarBehind(std::optional<TimePoint> since, TimePoint now) const;
@@ -183,7 +187,8 @@
                                           Call* call);
   // Reads what requests from callers and from other nodes have in common.
   Call ReadCall(const InboundRequest& inbound, const CallHeaders& names);
-  // Refuses the request if the node has been behind for too long.
+  // Refuses the request if the node has been behind for too long, or has just
+  // been stopped.
   std::optional<Rejection> RefuseWhileBehind() const;
   // The rejection to send in the place of one that follows from a configuration
   // which is known to be replaced.
@@ -235,6 +240,7 @@
   LinkPacer m_pacer;    // Of messages that leave by the host's link.
   std::shared_ptr<const RouteTable> m_routes;
   std::optional<TimePoint> m_behind_since;
+  TimePoint m_decides_until = TimePoint::max();
   TimePoint m_revision_since;  // Since when the revision is in force.
   std::shared_ptr<const CrashSuspects> m_crashes =
       std::make_shared<const CrashSuspects>();
--- a/src/coordination/outdated_replica_test.cc
+++ b/src/coordination/outdated_replica_test.cc
@@ -170,5 +170,39 @@
   CHECK(IsOutdated());
 }
 
+// Guards against a process that takes an ACK from before its pause for a sign
+// of the present.
+TEST_CASE_METHOD(OutdatedReplica, "After a pause only new probes count",
+                 "[outdated]") {
+  const auto pings = [](const std::vector<OutgoingDatagram>& sent) {
+    std::vector<Datagram> found;
+    for (const auto& out : sent) {
+      if (out.datagram.kind() == Datagram::PING) found.push_back(out.datagram);
+    }
+    return found;
+  };
+  const auto acknowledge = [&](const Datagram& ping) {
+    Datagram ack;
+    ack.set_kind(Datagram::ACK);
+    ack.set_from("a");
+    ack.set_sequence(ping.sequence());
+    replica.OnDatagram(ack, now);
+  };
+  Join("a", "z");
+  now += milliseconds(1'000);
+  const auto before = pings(replica.Tick(now));
+  REQUIRE(before.size() == 1);
+  now += milliseconds(5'000);
+  const auto after = pings(replica.ProbeAnew(now));
+  REQUIRE_FALSE(after.empty());
+  acknowledge(before.front());
+  CHECK(replica.LastAcknowledged() < now);
+  // The next tick keeps the new probes.
+  now += kStep;
+  replica.Tick(now);
+  acknowledge(after.front());
+  CHECK(replica.LastAcknowledged() == now);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/coordination/replica_probe.cc
+++ b/src/coordination/replica_probe.cc
@@ -30,6 +30,8 @@
 constexpr int kMaxProbeDraws = 16;
 // A longer time between two ticks counts as a pause of the process.
 constexpr std::chrono::milliseconds kMaxTickInterval{300};
+// Probes after a pause. One may go to a member that is lost.
+constexpr int kProbesAfterPause = 3;
 // A zone is unreachable when at least this fraction of its members, and at
 // least kMinLostMembers, are suspected or died within kCorrelatedLossWindow.
 constexpr double kUnreachableFraction = 0.5;
@@ -69,6 +71,14 @@
   m_probes.clear();
 }
 
+std::vector<OutgoingDatagram> Replica::ProbeAnew(TimePoint now) {
+  m_last_tick = now;
+  m_probes.clear();
+  std::vector<OutgoingDatagram> out;
+  for (int i = 0; i < kProbesAfterPause; ++i) StartProbe(now, &out);
+  return out;
+}
+
 void Replica::StartProbe(TimePoint now, std::vector<OutgoingDatagram>* out) {
   const MemberRecord* subject = PickProbeSubject();
   if (subject == nullptr) return;
@@ -210,6 +220,7 @@
   if (probe == m_probes.end()) return;
   const auto round_trip = std::chrono::duration_cast<std::chrono::milliseconds>(
       now - probe->second.sent);
+  m_last_acknowledged = now;
   ++m_probe_delays.acknowledged;
   m_probe_delays.max_round_trip =
       std::max(m_probe_delays.max_round_trip, round_trip);
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -9,6 +9,7 @@
 
 #include "kumquatmoor/node/gateway_selection.h"
 #include "kumquatmoor/state/batch.h"
+#include "kumquatmoor/state/observed_clock.h"
 #include "kumquatmoor/state/routes.h"
 
 namespace kumquatmoor {
@@ -20,6 +21,15 @@
 constexpr milliseconds kTickInterval{50};
 constexpr milliseconds kMoveUpdateInterval{250};
 constexpr milliseconds kAckUpdateInterval{500};
+// For which the proxy may decide without a sign of the control thread.
+constexpr milliseconds kDecisionTime{1'000};
+constexpr milliseconds kDecisionExtension{250};
+// Longest wait for a sign of another member after a pause. An isolated node
+// serves on.
+constexpr milliseconds kMaxWaitAfterPause{1'000};
+// After a longer pause, the changes since are larger than the complete state,
+// or gone.
+constexpr milliseconds kLongPause{3'000};
 // Fewer bytes of datagrams do not delay anything noticeably.
 constexpr uint64_t kMinChargedBytes = 4'096;
 
@@ -63,7 +73,10 @@
 }
 
 void ControlLoop::RunPostedCommands() {
-  while (auto command = m_commands.TryPop()) (*command)(*this);
+  while (auto command = m_commands.TryPop()) {
+    NotePause(Clock::now());
+    (*command)(*this);
+  }
   PublishNewBatch();
   PublishBehindSince();
   PublishCrashes();
@@ -71,6 +84,8 @@
 
 void ControlLoop::Tick() {
   const TimePoint now = Clock::now();
+  NotePause(now);
+  m_last_tick = now;
   if (m_tick_due != TimePoint()) {
     m_max_tick_delay =
         std::max(m_max_tick_delay,
@@ -103,6 +118,7 @@
   if (auto peer = m_replica.PopSyncPeer()) m_syncs->TryPush(std::move(*peer));
   PublishRoutes();
   PublishBehindSince();
+  ExtendDecisions(now);
   PublishCrashes();
   LogChanges();
   LogDelays(now);
@@ -120,6 +136,7 @@
     return;
   }
   const TimePoint now = Clock::now();
+  NotePause(now);
   m_last_datagram_at = now;
   if (datagram.kind() == Datagram::EVIDENCE) {
     m_move_controller.OnOutcomeCounts(datagram.from(), datagram.incarnation(),
@@ -130,6 +147,7 @@
   Send(m_replica.OnDatagram(datagram, now));
   PublishNewBatch();
   PublishBehindSince();
+  ExtendDecisions(now);
   PublishCrashes();
 }
 
@@ -282,11 +300,39 @@
 }
 
 bool ControlLoop::NeedsCompleteRead() const {
-  return m_replica.NeedsCompleteRead(Clock::now());
+  return m_unread_since || m_replica.NeedsCompleteRead(Clock::now());
+}
+
+// What the socket's buffer holds may be as old as the pause. Only an ACK of a
+// probe that was sent after it is a sign of the present.
+void ControlLoop::NotePause(TimePoint now) {
+  const auto gap = std::chrono::duration_cast<milliseconds>(now - m_last_tick);
+  if (m_last_tick == TimePoint() || gap <= ObservedClock::kMaxTickInterval) {
+    return;
+  }
+  spdlog::warn("node: event=resumed gap_ms={}", gap.count());
+  m_last_tick = now;
+  m_resumed_at = now;
+  if (gap >= kLongPause) m_unread_since = now;
+  if (m_ready) Send(m_replica.ProbeAnew(now));
+}
+
+void ControlLoop::ExtendDecisions(TimePoint now) {
+  if (m_resumed_at) {
+    const bool has_heard = m_replica.LastAcknowledged() >= *m_resumed_at;
+    const bool is_alone = m_replica.Members().Alive().size() <= 1;
+    const bool waited = now - *m_resumed_at >= kMaxWaitAfterPause;
+    if (!has_heard && !is_alone && !waited) return;
+    m_resumed_at.reset();
+  }
+  if (m_decides_until - now > kDecisionTime - kDecisionExtension) return;
+  m_decides_until = now + kDecisionTime;
+  m_proxy->SetDecidesUntil(m_decides_until);
 }
 
 bool ControlLoop::IsGateway() const {
-  if (!m_ready || IsIsolated() || NeedsCompleteRead()) return true;
+  const bool has_conflict = m_replica.NeedsCompleteRead(Clock::now());
+  if (!m_ready || IsIsolated() || has_conflict) return true;
   if (m_replica.IsBehindFor(m_options.max_time_behind, Clock::now())) {
     return true;
   }
@@ -315,6 +361,9 @@
 void ControlLoop::ApplySourceUpdate(const SourceUpdate& update,
                                     std::optional<TimePoint> complete_since) {
   const TimePoint now = Clock::now();
+  if (complete_since && m_unread_since && *complete_since >= *m_unread_since) {
+    m_unread_since.reset();
+  }
   const bool has_batch = update.batch && update.batch->revision() > 0;
   if (has_batch && complete_since) {
     m_replica.OfferComplete(*update.batch, *complete_since);
--- a/src/node/gateway_reads_test.cc
+++ b/src/node/gateway_reads_test.cc
@@ -33,6 +33,7 @@
   }
   Result<SourceUpdate> Await(milliseconds /*wait*/) override {
     ++awaits;
+    std::this_thread::sleep_for(await_time.exchange(milliseconds(0)));
     return SourceUpdate();
   }
   Result<bool> Report(const MeshProgress& /*progress*/) override {
@@ -47,6 +48,8 @@
 
   std::atomic<int> loads{0};
   std::atomic<int> awaits{0};
+  // How long the next Await takes.
+  std::atomic<milliseconds> await_time{milliseconds(0)};
   // Called during a Load. Set it before the gateway reads.
   std::function<void()> on_load;
 
@@ -248,5 +251,24 @@
   CHECK(Await([&] { return Author() == "next"; }));
 }
 
+// Guards against a gateway that was stopped and then fetches every version of a
+// large configuration since, or waits for history that is gone.
+TEST_CASE_METHOD(GatewayFixture,
+                 "A gateway that was stopped for long reads the state",
+                 "[gateway]") {
+  constexpr milliseconds kStop{4'000};
+  REQUIRE(Await([&] { return m_source.awaits > 0; }));
+  const int loads = m_source.loads;
+  // Both threads are held up, as by a stop of the process.
+  m_source.await_time = kStop;
+  REQUIRE(Await([&] { return m_source.await_time.load().count() == 0; }));
+  m_loop.Post([kStop](ControlLoop&) { std::this_thread::sleep_for(kStop); });
+  std::this_thread::sleep_for(kStop);
+  CHECK(Await([&] { return m_source.loads > loads; }));
+  // One read is enough.
+  std::this_thread::sleep_for(milliseconds(1'000));
+  CHECK(m_source.loads == loads + 1);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/node/outdated_node_test.cc
+++ b/src/node/outdated_node_test.cc
@@ -98,6 +98,17 @@
       return loop.GetReplica().BehindSince().has_value();
     });
   }
+  // Holds up both threads of the node, as a stop of the process does. The
+  // control thread goes on after Resume.
+  void Freeze(milliseconds time) {
+    m_resume = std::promise<void>();
+    m_loop.Post([resumed = m_resume.get_future().share()](ControlLoop&) {
+      resumed.wait();
+    });
+    m_proxy.ReadMetrics(
+        [time](const CallMetrics&) { std::this_thread::sleep_for(time); });
+  }
+  void Resume() { m_resume.set_value(); }
   bool AcceptsCallers() const { return m_loop.AcceptsCallers(); }
 
   // Sends a request with `body` and `fields`. The status is 0 without response.
@@ -157,6 +168,7 @@
 
   std::string m_id;
   std::string m_caller_address;
+  std::promise<void> m_resume;
   asio::io_context m_context{1};
   asio::io_context m_proxy_context{1};
   FaultPlan m_faults;  // Without rules.
@@ -369,6 +381,37 @@
   CHECK(late.AcceptsCallers());
 }
 
+// Guards against a process that runs what arrived while it was stopped by the
+// configuration of before.
+TEST_CASE_METHOD(OutdatedFixture,
+                 "A node that was stopped hears of others before it serves",
+                 "[outdated]") {
+  // The other node is known as alive before and after.
+  std::this_thread::sleep_for(milliseconds(1'200));
+  const int runs_before = runs;
+  late.Freeze(milliseconds(2'000));
+  std::this_thread::sleep_for(milliseconds(100));
+  const auto first = late.Call("/removed/");
+  CHECK(first.result_int() == 503);
+  CHECK(IsRefusal(first));
+  CHECK(runs == runs_before);
+  late.Resume();
+  CHECK(Await([&] { return late.Call("/kept/").result_int() == 200; }));
+}
+
+// Guards against a node that serves no callers after a stop since it has nobody
+// to hear of.
+TEST_CASE_METHOD(OutdatedFixture,
+                 "A node that was stopped serves on without other nodes",
+                 "[outdated]") {
+  ahead.Kill();
+  late.Freeze(milliseconds(2'000));
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(late.Call("/kept/").result_int() == 503);
+  late.Resume();
+  CHECK(Await([&] { return late.Call("/kept/").result_int() == 200; }));
+}
+
 // Guards against routes that stay those of a batch which was replaced by other
 // contents under its revision.
 TEST_CASE_METHOD(OutdatedFixture,
--- a/src/node/proxy_behind.cc
+++ b/src/node/proxy_behind.cc
@@ -4,6 +4,11 @@
 // denies nothing by it, since a caller takes a 404 or 413 for final and a 503
 // with a Retry-After for a reason to come back. After a longer time it refuses
 // every request, as the newer configuration has to be in force by then.
+//
+// The control thread extends the time for which the proxy may decide again and
+// again. A process that was stopped knows nothing of what happened meanwhile:
+// it finds the time expired, whichever of its threads runs first, and refuses
+// what arrived until the control thread has heard of other nodes.
 
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -24,24 +29,37 @@
   boost::asio::post(m_context, [this, since] { m_behind_since = since; });
 }
 
+void Proxy::SetDecidesUntil(TimePoint until) {
+  boost::asio::post(m_context, [this, until] { m_decides_until = until; });
+}
+
 bool Proxy::IsTooFarBehind(std::optional<TimePoint> since,
                            TimePoint now) const {
   return since && now - *since >= m_options.max_time_behind_serving;
 }
 
 std::optional<Proxy::Rejection> Proxy::RefuseWhileBehind() const {
-  if (!IsTooFarBehind(m_behind_since, Clock::now())) return std::nullopt;
+  const TimePoint now = Clock::now();
+  if (now >= m_decides_until) {
+    return Rejection{.status = 503,
+                     .reason =
+                         "the node was stopped and has not heard of "
+                         "others since",
+                     .is_behind = true};
+  }
+  if (!IsTooFarBehind(m_behind_since, now)) return std::nullopt;
   return Rejection{.status = 503,
                    .reason = "a newer configuration is in force",
                    .is_behind = true};
 }
 
 Proxy::Rejection Proxy::WithoutDenialWhileBehind(Rejection rejection) const {
-  if (!m_behind_since || !FollowsFromConfiguration(rejection.status)) {
+  const bool is_outdated = m_behind_since || Clock::now() >= m_decides_until;
+  if (!is_outdated || !FollowsFromConfiguration(rejection.status)) {
     return rejection;
   }
   return {.status = 503,
-          .reason = "a newer configuration is in force, by an older one: " +
+          .reason = "a newer configuration may be in force, by an older one: " +
                     rejection.reason,
           .is_behind = true};
 }
