Write every response before a drained process ends

What callers saw: at the end of a planned stop, connections ended without a response, or in the middle of one.

Now the drain waits until no caller is connected and no request of a node is in progress, for 0.06 of the grace after the drain timeout. In that time it aborts what begins to use a connection, and ends reads of incomplete requests: 503 if nothing was passed on, 502 otherwise. Responses to nodes say "close" during a drain. The sum from SIGTERM to exit for a grace of 6 s: 5.28 + 0.36 + 0.03 + 0.1 s. The drain has a source file of its own.

Ruled out: Node::Drain waits no longer than its bound, if the proxy's thread never reports.

--- a/include/kumquatmoor/node/node_settings.h
+++ b/include/kumquatmoor/node/node_settings.h
@@ -39,6 +39,8 @@
   std::chrono::milliseconds probe_interval{1'000};
   // Time after which a drain aborts the requests in flight.
   std::chrono::milliseconds drain_timeout{10'000};
+  // Time after that to write responses.
+  std::chrono::milliseconds reply_timeout{200};
   int64_t max_attempts = 3;  // Per request, unless its route sets a limit.
   int64_t gateways_per_zone = 2;
   // The source of the configuration.
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -72,6 +72,9 @@
   // aborted. Their callers receive a response that states whether the request
   // may have run.
   std::chrono::milliseconds drain_timeout{10'000};
+  // Time after the drain timeout in which responses can be written, also to
+  // callers that read slowly.
+  std::chrono::milliseconds reply_timeout{200};
   // Rate of the host's link in bytes per second, 0 if unknown.
   double link_rate = 0;
   // Responses to callers leave by this link, too. False if callers run on this
@@ -118,7 +121,8 @@
   void OpenVersion(std::string service, std::string version);
   // Refuses new requests for the local backend servers. Calls `drained` once
   // none of their requests and no request of a caller is left. The requests
-  // that are left at the drain timeout are aborted.
+  // that are left at the drain timeout are aborted, and responses that are left
+  // at the reply timeout are cut short.
   void StartDrain(std::function<void()> drained);
   // Calls `reader` with the current metrics on the proxy's thread.
   void ReadMetrics(std::function<void(const CallMetrics&)> reader);
@@ -197,8 +201,12 @@
   void RememberNotice(const std::string& member_id,
                       const ForwardResult& result);
   std::string NewRequestId();
-  // Ends sessions that have been idle for some time.
-  void CloseIdleCallers();
+  // Ends sessions that have been idle for this time.
+  void CloseIdleCallers(std::chrono::milliseconds idle_time);
+  // True if a request is in progress, or a caller is connected.
+  bool IsBusy() const;
+  // Ends the requests in progress, other than responses that are written.
+  void AbortRequests();
   // Logs the numbers of suppressed log lines.
   void LogSuppressed();
   // Logs the requests to the local backend servers since the last call, by
@@ -240,7 +248,9 @@
       std::make_shared<CallerConnections>();
   // Connections to other nodes that carry a request.
   std::shared_ptr<ActiveStreams> m_active = std::make_shared<ActiveStreams>();
+  size_t m_node_requests = 0;  // Requests of other nodes in progress.
   bool m_draining = false;
+  TimePoint m_caller_grace_end = TimePoint::max();
   TimePoint m_drain_end = TimePoint::max();
 };
 
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -91,7 +91,11 @@
   // the connection fails.
   boost::asio::awaitable<ReadOutcome> ReadHead(
       std::function<void()> on_first_byte = {});
-  // The HTTP status for a rejected request: 400, 408, 413 or 431.
+  // Ends the wait for the rest of a request that has begun, if there is one:
+  // ReadHead rejects the request with 503, ReadChunk fails.
+  void CancelRead();
+  bool IsReadCancelled() const { return m_read_cancelled; }
+  // The HTTP status for a rejected request: 400, 408, 413, 431 or 503.
   unsigned RejectionStatus() const { return m_rejection_status; }
   // The error that caused the rejection.
   std::string RejectionReason() const { return m_rejection.message(); }
@@ -124,6 +128,8 @@
   CallerBounds m_bounds;
   std::string m_buffered_body;
   bool m_fully_buffered = false;
+  bool m_is_reading = false;  // The rest of a request that has begun.
+  bool m_read_cancelled = false;
   unsigned m_rejection_status = 0;
   boost::system::error_code m_rejection;
 };
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -26,10 +26,8 @@
 constexpr char kText[] = "text/plain; version=0.0.4";
 // Time for a leaving node to send its last datagrams.
 constexpr std::chrono::milliseconds kLeaveDelay{100};
-
-// Upper bound of the time to respond to the requests that a drain aborts at its
-// timeout.
-constexpr std::chrono::milliseconds kMaxAbortReplyTime{200};
+// Time for the proxy's thread to report that its time is over.
+constexpr std::chrono::milliseconds kReportDelay{30};
 
 int64_t UnixMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -58,6 +56,7 @@
                                              settings.retry_ratio}},
           .caller_grace = settings.caller_grace,
           .drain_timeout = settings.drain_timeout,
+          .reply_timeout = settings.reply_timeout,
           .link_rate = settings.link_mbps * kBytesPerSecondPerMbps,
           .callers_use_link = settings.callers_use_link,
           .seed = RandomSeed()};
@@ -182,8 +181,8 @@
   auto drained = std::make_shared<std::promise<void>>();
   auto done = drained->get_future();
   m_proxy.StartDrain([drained] { drained->set_value(); });
-  if (done.wait_for(m_settings.drain_timeout + kMaxAbortReplyTime) !=
-      std::future_status::ready) {
+  if (done.wait_for(m_settings.drain_timeout + m_settings.reply_timeout +
+                    kReportDelay) != std::future_status::ready) {
     spdlog::warn(
         "node: event=drain_timeout drain_timeout_ms={} reason=\"requests are "
         "still in flight\"",
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -56,8 +56,9 @@
 
 // Derives the times of a drain from the time between SIGTERM and SIGKILL.
 void ApplyShutdownGrace(milliseconds grace, NodeSettings* settings) {
-  // The rest is left to answer the requests that are aborted and to exit.
   constexpr double kDrainPart = 0.88;
+  // The rest of the grace is left to exit.
+  constexpr double kReplyPart = 0.06;
   // Callers are told within a few readiness checks. Half of the grace is left
   // to the requests that arrive last.
   constexpr double kMaxCallerPart = 0.5;
@@ -66,6 +67,7 @@
     return std::chrono::duration_cast<milliseconds>(grace * fraction);
   };
   settings->drain_timeout = part(kDrainPart);
+  settings->reply_timeout = part(kReplyPart);
   settings->caller_grace = std::min(kMaxCallerGrace, part(kMaxCallerPart));
 }
 
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -1,5 +1,6 @@
-// This file has the sessions, the drain and the functions that other threads
-// call. How a request is routed and retried is in proxy_calls.cc.
+// This file has the sessions and the functions that other threads call. How a
+// request is routed and retried is in proxy_calls.cc, the drain in
+// proxy_drain.cc.
 
 #include "kumquatmoor/node/proxy.h"
 
@@ -12,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "node/caller_connection.h"
 #include "node/local_runner.h"
 
 namespace kumquatmoor {
@@ -22,11 +24,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kDrainPollInterval{20};
-// Time to write the responses to the requests that a drain aborts.
-constexpr milliseconds kAbortReplyTime{50};
-// After the grace of a drain, connections that have been idle for this time are
-// closed. A caller that has just connected needs some time to send its request.
-constexpr milliseconds kIdleTimeAfterGrace{500};
 // Interval at which idle pooled connections are closed and the numbers of
 // suppressed log lines are reported.
 constexpr std::chrono::seconds kHousekeepingInterval{1};
@@ -60,12 +57,6 @@
 
 }  // namespace
 
-struct Proxy::CallerConnection {
-  beast::tcp_stream stream;
-  // Not set while a request is read or served.
-  std::optional<TimePoint> idle_since;
-};
-
 Proxy::Proxy(asio::io_context& context, ProxyOptions options,
              const FaultPlan* faults, BoundedRing<Outcome>* outcomes)
     : m_context(context),
@@ -183,60 +174,11 @@
   closed();
 }
 
-void Proxy::StartDrain(std::function<void()> drained) {
-  asio::post(m_context, [this, drained = std::move(drained)]() mutable {
-    m_draining = true;
-    m_drain_end = Clock::now() + m_options.drain_timeout;
-    m_runner->GetAdmission().StartDrain();
-    m_runner->WakeWaiting();
-    asio::co_spawn(m_context, WaitUntilDrained(std::move(drained)),
-                   asio::detached);
-  });
-}
-
 void Proxy::ReadMetrics(std::function<void(const CallMetrics&)> reader) {
   asio::post(m_context,
              [this, reader = std::move(reader)] { reader(m_metrics); });
 }
 
-asio::awaitable<void> Proxy::WaitUntilDrained(std::function<void()> drained) {
-  asio::steady_timer timer(m_context);
-  timer.expires_after(m_options.caller_grace);
-  co_await timer.async_wait(asio::use_awaitable);
-  m_caller_server.StopAccepting();
-  const auto busy = [this] {
-    return m_runner->GetAdmission().TotalInFlight() > 0 ||
-           m_caller_server.Connections() > 0;
-  };
-  do {
-    CloseIdleCallers();
-    timer.expires_after(kDrainPollInterval);
-    co_await timer.async_wait(asio::use_awaitable);
-  } while (busy() && Clock::now() < m_drain_end);
-  if (busy()) {
-    spdlog::warn("node: event=cut_off callers={} local_requests={}",
-                 m_callers->size(), m_runner->GetAdmission().TotalInFlight());
-    m_runner->AbortAll();
-    for (auto* stream : *m_active) stream->close();
-    timer.expires_after(kAbortReplyTime);
-    co_await timer.async_wait(asio::use_awaitable);
-  }
-  m_data_server.StopAccepting();
-  drained();
-}
-
-// Cancels the wait for the next request, which ends the session unless bytes of
-// a request have arrived by then.
-void Proxy::CloseIdleCallers() {
-  const auto now = Clock::now();
-  for (CallerConnection* caller : *m_callers) {
-    if (caller->idle_since &&
-        now - *caller->idle_since >= kIdleTimeAfterGrace) {
-      caller->stream.cancel();
-    }
-  }
-}
-
 void Proxy::LogSuppressed() {
   for (const auto& [kind, lines] : m_log_budget.TakeSuppressedCounts()) {
     spdlog::warn("log: event=left_out kind={} lines={}", LogKindName(kind),
@@ -285,6 +227,7 @@
   while (keep_open) {
     InboundRequest inbound(caller.stream, buffer, m_bounds);
     caller.idle_since = Clock::now();
+    caller.inbound = &inbound;
     const ReadOutcome read =
         co_await inbound.ReadHead([this, &caller, &inbound] {
           caller.idle_since.reset();
@@ -313,7 +256,13 @@
   while (keep_open) {
     InboundRequest inbound(stream, buffer);
     if (co_await inbound.ReadHead() != ReadOutcome::kRequest) break;
-    keep_open = co_await ServeNode(inbound);
+    ++m_node_requests;
+    try {
+      keep_open = co_await ServeNode(inbound);
+    } catch (const std::exception&) {
+      keep_open = false;
+    }
+    --m_node_requests;
   }
 }
 
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -547,18 +547,20 @@
       ReadNoticeHeaders(head), call.started);
   LocalRun run;
   co_await m_runner->Run(inbound, head, call, run);
+  const bool close = m_draining;
   if (run.result.answered) {
     if (run.result.fully_buffered) m_runner->Finish(call, run, true);
     const unsigned status = run.result.head.result_int();
     const bool complete =
         co_await RelayResponse(inbound, run.result, m_runner->Pool(),
-                               {.pacer = &m_pacer,
+                               {.close = close,
+                                .pacer = &m_pacer,
                                 .deadline = call.deadline,
                                 .sent_bytes = run.link.SentBytes()});
     if (!complete) m_metrics.OnWastedBytes(*run.link.SentBytes());
     run.result.head.result(status);
     m_runner->Finish(call, run, complete);
-    co_return complete&& inbound.KeepAlive();
+    co_return complete&& inbound.KeepAlive() && !close;
   }
   m_runner->Finish(call, run, false);
   if (run.result.caller_gone) co_return false;
@@ -568,6 +570,7 @@
   answer.request_id = call.request_id;
   answer.request_id_header = m_options.headers.request_id;
   answer.offered = run.result.offered;
+  answer.close = close;
   // Without a Retry-After header, the other node avoids this target for a
   // while.
   answer.blocked = run.admission.blocked;
@@ -597,7 +600,7 @@
         answer.reason);
   }
   co_await WriteLocalReply(inbound, answer);
-  co_return inbound.KeepAlive() && inbound.IsFullyBuffered();
+  co_return inbound.KeepAlive() && inbound.IsFullyBuffered() && !close;
 }
 
 }  // namespace kumquatmoor
--- /dev/null
+++ b/src/node/proxy_drain.cc
@@ -0,0 +1,98 @@
+// The drain has three phases. In the caller grace, new connections and requests
+// are served. Until the drain timeout, requests on open connections are served.
+// Then the requests that are left are aborted, and there is some time to write
+// the responses.
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "kumquatmoor/node/proxy.h"
+#include "node/caller_connection.h"
+#include "node/local_runner.h"
+
+namespace kumquatmoor {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kDrainPollInterval{20};
+// After the grace of a drain, connections that have been idle for this time are
+// closed. A caller that has just connected needs some time to send its request.
+constexpr milliseconds kIdleTimeAfterGrace{500};
+
+}  // namespace
+
+void Proxy::StartDrain(std::function<void()> drained) {
+  const TimePoint start = Clock::now();
+  asio::post(m_context, [this, start, drained = std::move(drained)]() mutable {
+    m_draining = true;
+    m_caller_grace_end = start + m_options.caller_grace;
+    m_drain_end = start + m_options.drain_timeout;
+    m_runner->GetAdmission().StartDrain();
+    m_runner->WakeWaiting();
+    asio::co_spawn(m_context, WaitUntilDrained(std::move(drained)),
+                   asio::detached);
+  });
+}
+
+bool Proxy::IsBusy() const {
+  return m_runner->GetAdmission().TotalInFlight() > 0 ||
+         m_caller_server.Connections() > 0 || m_node_requests > 0;
+}
+
+asio::awaitable<void> Proxy::WaitUntilDrained(std::function<void()> drained) {
+  asio::steady_timer timer(m_context);
+  timer.expires_at(m_caller_grace_end);
+  co_await timer.async_wait(asio::use_awaitable);
+  m_caller_server.StopAccepting();
+  do {
+    CloseIdleCallers(kIdleTimeAfterGrace);
+    timer.expires_after(kDrainPollInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  } while (IsBusy() && Clock::now() < m_drain_end);
+  if (IsBusy()) {
+    spdlog::warn("node: event=aborted callers={} local_requests={}",
+                 m_callers->size(), m_runner->GetAdmission().TotalInFlight());
+  }
+  while (IsBusy() && Clock::now() < m_drain_end + m_options.reply_timeout) {
+    AbortRequests();
+    timer.expires_after(kDrainPollInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  if (IsBusy()) {
+    spdlog::warn("node: event=cut_off callers={} node_requests={}",
+                 m_callers->size(), m_node_requests);
+  }
+  m_data_server.StopAccepting();
+  drained();
+}
+
+// A request may begin to use a connection after an earlier call.
+void Proxy::AbortRequests() {
+  m_runner->AbortAll();
+  for (auto* stream : *m_active) stream->close();
+  for (CallerConnection* caller : *m_callers) {
+    if (caller->inbound != nullptr) caller->inbound->CancelRead();
+  }
+  CloseIdleCallers(milliseconds(0));
+}
+
+// Cancels the wait for the next request, which ends the session unless bytes of
+// a request have arrived by then.
+void Proxy::CloseIdleCallers(milliseconds idle_time) {
+  const auto now = Clock::now();
+  for (CallerConnection* caller : *m_callers) {
+    if (caller->idle_since && now - *caller->idle_since >= idle_time) {
+      caller->stream.cancel();
+    }
+  }
+}
+
+}  // namespace kumquatmoor
--- a/src/node/test_mesh.h
+++ b/src/node/test_mesh.h
@@ -92,6 +92,12 @@
 
   boost::asio::io_context& Context() { return m_context; }
   Proxy& NodeOf(size_t host) { return *m_hosts[host]->proxy; }
+  const std::string& CallerAddress(size_t host) const {
+    return m_hosts[host]->caller_address;
+  }
+  const std::string& DataAddress(size_t host) const {
+    return m_hosts[host]->data_address;
+  }
   const std::vector<Arrival>& Arrivals() const { return m_arrivals; }
   // What all nodes know of crashes.
   const CrashSuspects& Crashes() const { return m_crashes; }
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -218,7 +218,8 @@
   try {
     co_return co_await SendStreamed(*result.connection, inbound, options);
   } catch (const boost::system::system_error& error) {
-    result.caller_gone = true;  // The body could not be read completely.
+    // The body could not be read completely.
+    result.caller_gone = !inbound.IsReadCancelled();
     co_return error.code();
   }
 }
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -144,7 +144,9 @@
     return ReadOutcome::kClosed;
   }
   m_rejection = error;
-  if (error == beast::error::timeout) {
+  if (m_read_cancelled && error == asio::error::operation_aborted) {
+    m_rejection_status = 503;
+  } else if (error == beast::error::timeout) {
     m_rejection_status = 408;
   } else if (error == http::error::header_limit) {
     m_rejection_status = 431;
@@ -169,7 +171,9 @@
   if (error) throw boost::system::system_error(error);
   if (on_first_byte) on_first_byte();
   m_stream.expires_after(m_bounds.header_timeout);
+  m_is_reading = true;
   error = co_await ReadWholeHead(m_stream, m_buffer, m_parser);
+  m_is_reading = false;
   if (error) co_return Reject(error);
   if (Head()[http::field::expect] == "100-continue") {
     http::response<http::string_body> continue_response(http::status::continue_,
@@ -191,6 +195,12 @@
   co_return ReadOutcome::kRequest;
 }
 
+void InboundRequest::CancelRead() {
+  if (!m_is_reading) return;
+  m_read_cancelled = true;
+  m_stream.cancel();
+}
+
 bool InboundRequest::CallerHasLeft() {
   char byte = 0;
   Error error;
@@ -206,8 +216,10 @@
   chunk->clear();
   if (m_parser.is_done()) co_return;
   m_stream.expires_after(kCallerBodyTimeout);
+  m_is_reading = true;
   const Error error =
       co_await ReadBodyPart(m_stream, m_buffer, m_parser, chunk);
+  m_is_reading = false;
   if (error) throw boost::system::system_error(error);
 }
 
