Refuse in a drain what may not end before the process does

Causes: - An idempotent request from before SIGTERM that the drain aborted at its end was sent to a further target, and cut when the process ended 0.15 s later. - A request sent later than the caller grace (3 s) on a connection made shortly before was passed on whatever its deadline, and broken off at 5.3 s.

Now a request is refused as not run (503, Retry-After, close) before it is passed on or tried again: from half a second before the end of the caller grace on if its deadline is later than the end of the drain, before that if its route usually takes longer than is left.

Ruled out: requests on connections idle since before SIGTERM (closed at 3 s), slow bodies and slow readers in calm: no cut in these plays.

With the guards taken out, the three new tests of drain_test fail (status 0 instead of 502 and a second arrival; 200 and 504 instead of 503).

--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -42,6 +42,7 @@
 #include "kumquatmoor/state/outcome_counters.h"
 #include "kumquatmoor/state/picker.h"
 #include "kumquatmoor/state/routes.h"
+#include "kumquatmoor/state/run_times.h"
 #include "kumquatmoor/state/typical_deadlines.h"
 #include "kumquatmoor/transport/bounded_ring.h"
 #include "kumquatmoor/transport/exchange.h"
@@ -122,7 +123,8 @@
   // Refuses new requests for the local backend servers. Calls `drained` once
   // none of their requests and no request of a caller is left. The requests
   // that are left at the drain timeout are aborted, and responses that are left
-  // at the reply timeout are cut short.
+  // at the reply timeout are cut short. Requests of callers that may not end by
+  // then are refused.
   void StartDrain(std::function<void()> drained);
   // Calls `reader` with the current metrics on the proxy's thread.
   void ReadMetrics(std::function<void(const CallMetrics&)> reader);
@@ -203,6 +205,8 @@
   std::string NewRequestId();
   // Ends sessions that have been idle for this time.
   void CloseIdleCallers(std::chrono::milliseconds idle_time);
+  // False if the request may not end before the drain does.
+  bool EndsInGrace(const Call& call) const;
   // True if a request is in progress, or a caller is connected.
   bool IsBusy() const;
   // Ends the requests in progress, other than responses that are written.
@@ -249,6 +253,8 @@
   // Connections to other nodes that carry a request.
   std::shared_ptr<ActiveStreams> m_active = std::make_shared<ActiveStreams>();
   size_t m_node_requests = 0;  // Requests of other nodes in progress.
+  // Times from a request of a caller to the end of its response.
+  RunTimes m_call_times;
   bool m_draining = false;
   TimePoint m_caller_grace_end = TimePoint::max();
   TimePoint m_drain_end = TimePoint::max();
--- a/src/node/drain_test.cc
+++ b/src/node/drain_test.cc
@@ -126,6 +126,74 @@
 
 }  // namespace
 
+// Guards against a request that is sent to a further target when the drain has
+// aborted it, and is cut without a response when the process ends.
+TEST_CASE_METHOD(DrainFixture, "A drain that aborts a request sends no retry") {
+  constexpr int kFirstRequests = 40;  // Without these, retries are refused.
+  run_time = milliseconds(1);
+  Start({.caller_grace = milliseconds(50),
+         .drain_timeout = milliseconds(600),
+         .reply_timeout = milliseconds(400)});
+  mesh.Run([&]() -> asio::awaitable<void> {
+    for (int i = 0; i < kFirstRequests; ++i) {
+      co_await Call("first" + std::to_string(i), milliseconds(1'000));
+    }
+    run_time = milliseconds(1'500);
+    Send("r1", milliseconds(10'000));
+    co_await Sleep(mesh.Context(), milliseconds(200));
+    StartDrain(kFront);
+    co_await AwaitDrained(milliseconds(3'000));
+    co_await Sleep(mesh.Context(), milliseconds(20));
+    CHECK(received["r1"].status == 502);
+    CHECK(mesh.Arrivals().size() == kFirstRequests + 1);
+    // The mesh cannot be destroyed while a backend server runs a request.
+    co_await Sleep(mesh.Context(), run_time);
+  });
+}
+
+// Guards against a request that arrives late on an open connection, is passed
+// on and is broken off at the end of the drain.
+TEST_CASE_METHOD(DrainFixture,
+                 "A late request is served only if its deadline is in time") {
+  Start({.caller_grace = milliseconds(700),
+         .drain_timeout = milliseconds(2'500)});
+  mesh.Run([&]() -> asio::awaitable<void> {
+    StartDrain(kFront);
+    co_await Sleep(mesh.Context(), milliseconds(20));
+    // An early one is passed on, as such requests take a short time.
+    co_await Call("early", milliseconds(9'000));
+    CHECK(received["early"].status == 200);
+    co_await Sleep(mesh.Context(), milliseconds(350));
+    co_await Call("late", milliseconds(9'000));
+    CHECK(received["late"].status == 503);
+    CHECK_FALSE(received["late"].keep_alive);
+    CHECK(received["late"].has_retry_after);
+    co_await Call("short", milliseconds(500));
+    CHECK(received["short"].status == 200);
+    CHECK(mesh.Arrivals().size() == 2);
+    co_await AwaitDrained(milliseconds(4'000));
+  });
+}
+
+// Guards against a request that is passed on early in a drain although requests
+// of its route take longer than the drain.
+TEST_CASE_METHOD(DrainFixture,
+                 "A drain refuses requests that usually outlast it") {
+  run_time = milliseconds(700);
+  Start(
+      {.caller_grace = milliseconds(600), .drain_timeout = milliseconds(600)});
+  mesh.Run([&]() -> asio::awaitable<void> {
+    co_await Call("before", milliseconds(9'000));
+    StartDrain(kFront);
+    co_await Sleep(mesh.Context(), milliseconds(10));
+    co_await Call("during", milliseconds(9'000));
+    CHECK(received["during"].status == 503);
+    CHECK(mesh.Arrivals().size() == 1);
+    co_await AwaitDrained(milliseconds(3'000));
+    co_await Sleep(mesh.Context(), run_time);
+  });
+}
+
 // Guards against a process that ends while it still writes a response to
 // another node: the response is complete, so its slot is free.
 TEST_CASE_METHOD(DrainFixture,
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -198,6 +198,9 @@
 asio::awaitable<bool> Proxy::ServeCaller(InboundRequest& inbound) {
   Call call;
   auto rejection = ReadCallerCall(inbound, &call);
+  if (!rejection && !EndsInGrace(call)) {
+    rejection = Rejection{503, "the node stops before the request could end"};
+  }
   call.deadline = std::min(call.deadline, m_drain_end);
   if (rejection) {
     co_return co_await Reject(inbound, rejection->status,
@@ -241,6 +244,7 @@
     attempt.call.version = pick.target->version;
     attempt.call.known_crashes = attempt.crashes;
     attempt.call.attempt_kind = kind;
+    attempt.call.deadline = std::min(call.deadline, m_drain_end);
     co_await TryTarget(inbound, pick, attempt);
     RecordAttempt(pick, attempt);
     if (attempt.MayHaveArrived()) ++attempt.offers;
@@ -271,7 +275,7 @@
   if (attempt.crashed && crashes >= kCrashesToIsolate) return false;
   // A response with a large body cannot be kept until the next attempt ends.
   if (result.answered && !result.fully_buffered) return false;
-  if (Clock::now() >= call.deadline) return false;
+  if (Clock::now() >= call.deadline || !EndsInGrace(call)) return false;
   if (!refused && !call.idempotent) return false;
   if (refused && !result.offered) {
     return attempt.refusals < kMaxRefusalsPerCall &&
@@ -490,7 +494,12 @@
     attempt.local->result.head.result(status);
     m_runner->Finish(attempt.call, *attempt.local, complete);
   }
-  m_metrics.OnCall(verdict, ElapsedMs(attempt.call.started));
+  const double elapsed_ms = ElapsedMs(attempt.call.started);
+  if (complete) {
+    m_call_times.Add(attempt.call.route,
+                     milliseconds(static_cast<int64_t>(elapsed_ms)));
+  }
+  m_metrics.OnCall(verdict, elapsed_ms);
   co_return complete&& inbound.KeepAlive() && !close;
 }
 
--- a/src/node/proxy_drain.cc
+++ b/src/node/proxy_drain.cc
@@ -2,6 +2,11 @@
 // are served. Until the drain timeout, requests on open connections are served.
 // Then the requests that are left are aborted, and there is some time to write
 // the responses.
+//
+// To abort a request at which a backend server works is the last resort, and it
+// must not hit a request that was sent after the caller grace, when the caller
+// could know better. So a request is not passed on if it may not end in time:
+// see EndsInGrace.
 
 #include <spdlog/spdlog.h>
 
@@ -13,6 +18,7 @@
 #include <utility>
 
 #include "kumquatmoor/node/proxy.h"
+#include "node/call.h"
 #include "node/caller_connection.h"
 #include "node/local_runner.h"
 
@@ -26,6 +32,8 @@
 // After the grace of a drain, connections that have been idle for this time are
 // closed. A caller that has just connected needs some time to send its request.
 constexpr milliseconds kIdleTimeAfterGrace{500};
+// Bounds the time from the signal to the start of the drain on a slow host.
+constexpr milliseconds kMaxSignalDelay{500};
 
 }  // namespace
 
@@ -42,6 +50,15 @@
   });
 }
 
+bool Proxy::EndsInGrace(const Call& call) const {
+  // The deadline of a request that was taken during the drain is at most the
+  // end of the drain.
+  if (!m_draining || call.deadline < m_drain_end) return true;
+  const TimePoint now = Clock::now();
+  if (now >= m_caller_grace_end - kMaxSignalDelay) return false;
+  return now + m_call_times.Expected(call.route) < m_drain_end;
+}
+
 bool Proxy::IsBusy() const {
   return m_runner->GetAdmission().TotalInFlight() > 0 ||
          m_caller_server.Connections() > 0 || m_node_requests > 0;
--- a/standins/fake_backend.cc
+++ b/standins/fake_backend.cc
@@ -143,11 +143,14 @@
            FLAGS_fault_rate;
   }
 
-  // Draws a service time: 3/4 of --latency_ms is constant, the rest has an
-  // exponential distribution.
+  // The service time that a path "/...?ms=N" asks for. Otherwise draws one: 3/4
+  // of --latency_ms is constant, the rest has an exponential distribution.
   double ServiceTimeMs(const std::string& target) {
     double time_ms = 0;
-    if (FLAGS_latency_ms > 0) {
+    const size_t ms_at = target.find("ms=");
+    if (ms_at != std::string::npos) {
+      time_ms = std::stod(target.substr(ms_at + 3));
+    } else if (FLAGS_latency_ms > 0) {
       std::exponential_distribution<double> extra_ms(4 / FLAGS_latency_ms);
       time_ms = FLAGS_latency_ms * 0.75 + extra_ms(m_rng);
     }
--- /dev/null
+++ b/tools/proof_grace.py
@@ -0,0 +1,88 @@
+"""Proofs of planned stops of single nodes; see tools/grace.py."""
+
+import os
+import sys
+
+from cluster import Cluster
+from grace import Plan, play
+
+GRACE_S = 6
+# Time left when the process has ended.
+MARGIN_S = 0.1
+BUSY_PROCESSES = 9
+BUSY = "import time\nend = time.time() + 30\nwhile time.time() < end: pass"
+
+
+def check(condition, message):
+    if not condition:
+        raise AssertionError(message)
+
+
+def small_cluster(network):
+    """Four nodes in one zone, one of them beside the backend server."""
+    cluster = Cluster("deploy/sagarmatha", network,
+                      keep_logs="--keep_logs" in sys.argv)
+    zone = cluster.spec["zones"][0]
+    cluster.spec["zones"] = [zone]
+    cluster.spec["hosts"] = [host for host in cluster.spec["hosts"]
+                             if host["zone"] == zone]
+    cluster.spec["backend"] = {"latency_ms": 0, "slots": 3000}
+    cluster.spec.setdefault("node_settings", {})["shutdown_grace_s"] = GRACE_S
+    cluster.place_hosts()
+    return cluster
+
+
+def check_report(report):
+    print(report.text())
+    check(report.exit_s < GRACE_S - MARGIN_S, "the node did not end in its grace")
+    for name in ("cut", "false_refusals", "broken_off"):
+        found = getattr(report, name)
+        check(not found, f"{name}: {len(found)} requests, such as "
+                         f"{found[:1]}")
+
+
+def start(cluster):
+    """Starts the cluster, with a second and a third backend server of the
+    service that is called. Returns the hosts by name."""
+    cluster.start()
+    by_name = {host.name: host for host in cluster.hosts}
+    for name in ("media-1", "reports-1"):
+        cluster.start_backend(by_name[name], "bookings", "v1", 8001)
+    cluster.wait_targets(6)
+    cluster.apply_first_table()
+    return by_name
+
+
+def grace_ends_every_request():
+    """A node is stopped while callers send requests of many kinds throughout
+    its grace. Each one that was taken gets a complete response, and none that
+    was refused has run."""
+    with small_cluster(35) as cluster:
+        by_name = start(cluster)
+        check_report(play(cluster, Plan(node=by_name["listings-1"],
+                                        grace_s=GRACE_S)))
+
+
+def grace_of_both_hops():
+    """The node that callers use and the node beside one of the three backend
+    servers are stopped at the same time."""
+    with small_cluster(36) as cluster:
+        by_name = start(cluster)
+        check_report(play(cluster, Plan(node=by_name["listings-1"],
+                                        grace_s=GRACE_S,
+                                        also=[by_name["bookings-1"].node])))
+
+
+def grace_of_a_slow_node():
+    """A node that is stopped shares its core with nine busy processes."""
+    with small_cluster(37) as cluster:
+        by_name = start(cluster)
+        node = by_name["listings-1"]
+        core = {max(os.sched_getaffinity(0))}
+        for task in os.listdir(f"/proc/{node.node.pid}/task"):
+            os.sched_setaffinity(int(task), core)
+        for _ in range(BUSY_PROCESSES):
+            busy = cluster.run("busy", sys.executable, "-c", BUSY)
+            os.sched_setaffinity(busy.pid, core)
+        check_report(play(cluster, Plan(node=node, grace_s=GRACE_S,
+                                        step_s=0.3)))
