Do not probe when a node that knew no other has left

What an operator would see: a node that is stopped while it knows no other member crashes in the last tenth of a second of its drain (SIGSEGV here; a division by zero on processors that trap it) instead of ending with 0. That is the case for the last nodes of a mesh that stops as a whole, and for one that is stopped right after its start.

Cause: after Leave the node is not in its list of live members, so the list is empty, and the next tick draws a random index modulo its size.

Before: the new test of odd_members_test ends with SIGSEGV.

--- a/src/coordination/odd_members_test.cc
+++ b/src/coordination/odd_members_test.cc
@@ -32,6 +32,19 @@
           kNow};
 }
 
+// Guards against a process that crashes during its shutdown: with no other
+// member known, there is nobody to probe after the node has left.
+TEST_CASE("A node without other members can leave", "[odd]") {
+  Replica node = MakeReplica("a", "127.0.0.1:1");
+  TimePoint now = kNow;
+  node.Leave(now);
+  for (int tick = 0; tick < 100; ++tick) {
+    now += std::chrono::milliseconds(50);
+    node.Tick(now);
+  }
+  CHECK(node.Members().Alive().empty());
+}
+
 // Guards against an entry with a number that is too large, which hides the
 // live node of that id from all others until the entry's tombstone expires.
 TEST_CASE("A directory entry never outranks the record of a live node",
--- a/src/coordination/replica_probe.cc
+++ b/src/coordination/replica_probe.cc
@@ -51,6 +51,8 @@
   const auto& own_zone = m_members.AliveIn(m_options.zone);
   const auto& candidates =
       own_zone.size() > 1 && m_rng() % 2 == 0 ? own_zone : m_members.Alive();
+  // A node that has left and knew no other.
+  if (candidates.empty()) return nullptr;
   for (int draws = 0; draws < kMaxProbeDraws; ++draws) {
     const MemberRecord* member = candidates[m_rng() % candidates.size()];
     if (member->id() != m_options.id) return member;
