Keep the signals that arrive while a process starts

What an operator would see: SIGTERM while a node starts ended it without a drain although it accepted callers' connections already, and SIGHUP ended it, too. SIGHUP right behind SIGTERM could make it run on until SIGKILL.

Causes: the handlers were installed after the start, so that the default action held until then. The handler of a reload waited for the next one even if the handler of the stop had run just before, which ended only the wait that was pending at that time; then the wait for signals never ended.

Now ProcessSignals takes the signals at the beginning of main and keeps those that arrive before the wait, and a stop ends the wait whatever follows it. At the end of the process the log is written without destroying the logger, which other threads still use.

--- a/include/kumquatmoor/node/log_sink.h
+++ b/include/kumquatmoor/node/log_sink.h
@@ -33,6 +33,10 @@
   BufferedSink(const BufferedSink&) = delete;
   BufferedSink& operator=(const BufferedSink&) = delete;
 
+  // Writes all lines before the process ends. Later lines are not written, but
+  // other threads may still log. Call it at most once.
+  void Finish();
+
  protected:
   void sink_it_(const spdlog::details::log_msg& message) override;
   void flush_() override {}
--- a/include/kumquatmoor/node/node.h
+++ b/include/kumquatmoor/node/node.h
@@ -5,7 +5,7 @@
 //
 //   Node node(settings, {.platform = &platform, .source = &source});
 //   if (std::string problem = node.Start(); !problem.empty()) ...
-//   node.WaitForSignal();  // Returns after SIGTERM and the drain.
+//   node.WaitForSignal(signals);  // Returns after SIGTERM and the drain.
 //
 // Each thread has one duty: the proxy thread forwards requests; the control
 // thread handles membership, batches, moves and the admin address; the sync
@@ -14,7 +14,6 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -27,6 +26,7 @@
 #include "kumquatmoor/node/control_service.h"
 #include "kumquatmoor/node/gateway.h"
 #include "kumquatmoor/node/node_settings.h"
+#include "kumquatmoor/node/process_signals.h"
 #include "kumquatmoor/node/proxy.h"
 #include "kumquatmoor/node/sync_worker.h"
 #include "kumquatmoor/transport/fault_plan.h"
@@ -57,7 +57,7 @@
   std::string Start();
   // Blocks until SIGTERM or SIGINT arrives and the drain that it starts has
   // ended.
-  void WaitForSignal();
+  void WaitForSignal(ProcessSignals& signals);
 
   // An adapter to a deployment serves its own addresses on this context, which
   // the control thread runs.
--- a/programs/kumquatmoord.cc
+++ b/programs/kumquatmoord.cc
@@ -14,6 +14,7 @@
 #include "kumquatmoor/node/log_sink.h"
 #include "kumquatmoor/node/node.h"
 #include "kumquatmoor/node/node_settings.h"
+#include "kumquatmoor/node/process_signals.h"
 #include "platform/deployment_server.h"
 #include "platform/operator_source.h"
 #include "platform/store_client.h"
@@ -38,15 +39,17 @@
               kReadableByAll);
 }
 
-bool StartLogging(const kumquatmoor::NodeSettings& settings) {
+// Returns null if the log file cannot be opened.
+std::shared_ptr<kumquatmoor::BufferedSink> StartLogging(
+    const kumquatmoor::NodeSettings& settings) {
   const int descriptor = OpenLog(settings.log_file);
-  if (descriptor < 0) return false;
-  auto logger = std::make_shared<spdlog::logger>(
-      "node", std::make_shared<kumquatmoor::BufferedSink>(descriptor));
+  if (descriptor < 0) return nullptr;
+  auto sink = std::make_shared<kumquatmoor::BufferedSink>(descriptor);
+  auto logger = std::make_shared<spdlog::logger>("node", sink);
   logger->set_level(spdlog::level::from_str(settings.log_level));
   logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %L " + settings.id + " %v");
   spdlog::set_default_logger(logger);
-  return true;
+  return sink;
 }
 
 bool IsOperatorDeployment(const kumquatmoor::NodeSettings& settings) {
@@ -73,6 +76,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  kumquatmoor::ProcessSignals signals;
   gflags::SetUsageMessage(
       "The kumquatmoor node.\n\n"
       "  kumquatmoord --settings=node.json\n\n"
@@ -94,7 +98,8 @@
     std::cout << FLAGS_settings << ": good\n";
     return 0;
   }
-  if (!StartLogging(settings)) {
+  const auto log = StartLogging(settings);
+  if (log == nullptr) {
     std::cerr << "log_file: " << settings.log_file << " cannot be opened\n";
     return kExitBadSettings;
   }
@@ -123,8 +128,8 @@
     std::cerr << "kumquatmoord: " << problem << "\n";
     return kExitFailed;
   }
-  node.WaitForSignal();
-  spdlog::shutdown();
+  node.WaitForSignal(signals);
+  log->Finish();  // Other threads still use the logger.
   // Skips the destructors: joining a thread that waits for a response of the
   // platform could take seconds, and the drain has already ended.
   std::_Exit(0);
--- a/src/node/log_sink.cc
+++ b/src/node/log_sink.cc
@@ -19,6 +19,10 @@
     : m_descriptor(descriptor), m_thread([this] { WriteLoop(); }) {}
 
 BufferedSink::~BufferedSink() {
+  if (m_thread.joinable()) Finish();
+}
+
+void BufferedSink::Finish() {
   m_stopping = true;
   m_thread.join();
   WriteOut(TakeBuffer());
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -156,20 +156,8 @@
   return {};
 }
 
-void Node::WaitForSignal() {
-  asio::io_context context(1);
-  asio::signal_set signals(context, SIGTERM, SIGINT);
-  asio::signal_set reload(context, SIGHUP);
-  std::function<void()> await_reload = [&] {
-    reload.async_wait([&](boost::system::error_code error, int) {
-      if (error) return;
-      if (m_options.on_reload) m_options.on_reload();
-      await_reload();
-    });
-  };
-  await_reload();
-  signals.async_wait([&](boost::system::error_code, int) { reload.cancel(); });
-  context.run();
+void Node::WaitForSignal(ProcessSignals& signals) {
+  signals.WaitForStop(m_options.on_reload);
   spdlog::info("node: event=draining");
   Drain();
 }
--- a/tools/proof_grace.py
+++ b/tools/proof_grace.py
@@ -1,9 +1,12 @@
 """Proofs of planned stops of single nodes; see tools/grace.py."""
 
 import os
+import signal
+import socket
 import sys
+import time
 
-from cluster import Cluster
+from cluster import CALLER_PORT, Cluster
 from grace import Plan, play
 
 GRACE_S = 6
@@ -86,3 +89,26 @@
             os.sched_setaffinity(busy.pid, core)
         check_report(play(cluster, Plan(node=node, grace_s=GRACE_S,
                                         step_s=0.3)))
+
+
+def early_signals_are_kept():
+    """SIGTERM or SIGHUP arrives as soon as a node accepts connections, while it
+    still starts. SIGTERM drains it; SIGHUP does not end it."""
+    with small_cluster(38) as cluster:
+        cluster.start_platform()
+        host = cluster.hosts[0]
+        for first in (signal.SIGTERM, signal.SIGHUP):
+            for _ in range(5):
+                cluster.start_node(host)
+                cluster.wait(lambda: accepts(host), "the node to listen",
+                             pause=0)
+                host.node.send_signal(first)
+                time.sleep(1 if first == signal.SIGHUP else 0)
+                host.node.send_signal(signal.SIGTERM)
+                code = host.node.wait(timeout=GRACE_S)
+                check(code == 0, f"exit code {code} after signal {first}")
+
+
+def accepts(host):
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as link:
+        return link.connect_ex((host.address, CALLER_PORT)) == 0
