--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -42,6 +42,7 @@
 #include "kumquatmoor/state/outcome_counters.h"
 #include "kumquatmoor/state/picker.h"
 #include "kumquatmoor/state/routes.h"
+#include "kumquatmoor/state/run_times.h"
 #include "kumquatmoor/state/typical_deadlines.h"
 #include "kumquatmoor/transport/bounded_ring.h"
 #include "kumquatmoor/transport/exchange.h"
@@ -75,6 +76,9 @@
   // Time after which a node that knows of a newer configuration than its own
   // serves no callers.
   std::chrono::milliseconds max_time_behind_serving{1'000};
+  // Time after the drain timeout in which responses can be written, also to
+  // callers that read slowly.
+  std::chrono::milliseconds reply_timeout{200};
   // Rate of the host's link in bytes per second, 0 if unknown.
   double link_rate = 0;
   // Responses to callers leave by this link, too. False if callers run on this
@@ -130,7 +134,9 @@
   void OpenVersion(std::string service, std::string version);
   // Refuses new requests for the local backend servers. Calls `drained` once
   // none of their requests and no request of a caller is left. The requests
-  // that are left at the drain timeout are aborted.
+  // that are left at the drain timeout are aborted, and responses that are left
+  // at the reply timeout are cut short. Requests of callers that may not end by
+  // then are refused.
   void StartDrain(std::function<void()> drained);
   // Calls `reader` with the current metrics on the proxy's thread.
   void ReadMetrics(std::function<void(const CallMetrics&)> reader);
@@ -217,8 +223,14 @@
   void RememberNotice(const std::string& member_id,
                       const ForwardResult& result);
   std::string NewRequestId();
-  // Ends sessions that have been idle for some time.
-  void CloseIdleCallers();
+  // Ends sessions that have been idle for this time.
+  void CloseIdleCallers(std::chrono::milliseconds idle_time);
+  // False if the request may not end before the drain does.
+  bool EndsInGrace(const Call& call) const;
+  // True if a request is in progress, or a caller is connected.
+  bool IsBusy() const;
+  // Ends the requests in progress, other than responses that are written.
+  void AbortRequests();
   // Logs the numbers of suppressed log lines.
   void LogSuppressed();
   // Logs the requests to the local backend servers since the last call, by
@@ -261,7 +273,11 @@
       std::make_shared<CallerConnections>();
   // Connections to other nodes that carry a request.
   std::shared_ptr<ActiveStreams> m_active = std::make_shared<ActiveStreams>();
+  size_t m_node_requests = 0;  // Requests of other nodes in progress.
+  // Times from a request of a caller to the end of its response.
+  RunTimes m_call_times;
   bool m_draining = false;
+  TimePoint m_caller_grace_end = TimePoint::max();
   TimePoint m_drain_end = TimePoint::max();
 };
 
--- a/programs/kumquatmoord.cc
+++ b/programs/kumquatmoord.cc
@@ -14,6 +14,7 @@
 #include "kumquatmoor/node/log_sink.h"
 #include "kumquatmoor/node/node.h"
 #include "kumquatmoor/node/node_settings.h"
+#include "kumquatmoor/node/process_signals.h"
 #include "platform/deployment_server.h"
 #include "platform/operator_source.h"
 #include "platform/store_client.h"
@@ -73,6 +74,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  kumquatmoor::ProcessSignals signals;
   gflags::SetUsageMessage(
       "The kumquatmoor node.\n\n"
       "  kumquatmoord --settings=node.json\n\n"
@@ -123,7 +125,7 @@
     std::cerr << "kumquatmoord: " << problem << "\n";
     return kExitFailed;
   }
-  node.WaitForSignal();
+  node.WaitForSignal(signals);
   kumquatmoor::FinishLogging();
   // Skips the destructors: joining a thread that waits for a response of the
   // platform could take seconds, and the drain has already ended.
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -198,6 +198,9 @@
 asio::awaitable<bool> Proxy::ServeCaller(InboundRequest& inbound) {
   Call call;
   auto rejection = ReadCallerCall(inbound, &call);
+  if (!rejection && !EndsInGrace(call)) {
+    rejection = Rejection{503, "the node stops before the request could end"};
+  }
   call.deadline = std::min(call.deadline, m_drain_end);
   if (rejection) {
     co_return co_await Reject(inbound, std::move(*rejection));
@@ -241,6 +244,7 @@
     attempt.call.version = pick.target->version;
     attempt.call.known_crashes = attempt.crashes;
     attempt.call.attempt_kind = kind;
+    attempt.call.deadline = std::min(call.deadline, m_drain_end);
     co_await TryTarget(inbound, pick, attempt);
     RecordAttempt(pick, attempt);
     if (attempt.MayHaveArrived()) ++attempt.offers;
@@ -271,7 +275,7 @@
   if (attempt.crashed && crashes >= kCrashesToIsolate) return false;
   // A response with a large body cannot be kept until the next attempt ends.
   if (result.answered && !result.fully_buffered) return false;
-  if (Clock::now() >= call.deadline) return false;
+  if (Clock::now() >= call.deadline || !EndsInGrace(call)) return false;
   if (!refused && !call.idempotent) return false;
   if (refused && !result.offered) {
     return attempt.refusals < kMaxRefusalsPerCall &&
@@ -491,7 +495,12 @@
     attempt.local->result.head.result(status);
     m_runner->Finish(attempt.call, *attempt.local, complete);
   }
-  m_metrics.OnCall(verdict, ElapsedMs(attempt.call.started));
+  const double elapsed_ms = ElapsedMs(attempt.call.started);
+  if (complete) {
+    m_call_times.Add(attempt.call.route,
+                     milliseconds(static_cast<int64_t>(elapsed_ms)));
+  }
+  m_metrics.OnCall(verdict, elapsed_ms);
   co_return complete&& inbound.KeepAlive() && !close;
 }
 
@@ -548,18 +557,20 @@
       ReadNoticeHeaders(head), call.started);
   LocalRun run;
   co_await m_runner->Run(inbound, head, call, run);
+  const bool close = m_draining;
   if (run.result.answered) {
     if (run.result.fully_buffered) m_runner->Finish(call, run, true);
     const unsigned status = run.result.head.result_int();
     const bool complete =
         co_await RelayResponse(inbound, run.result, m_runner->Pool(),
-                               {.pacer = &m_pacer,
+                               {.close = close,
+                                .pacer = &m_pacer,
                                 .deadline = call.deadline,
                                 .sent_bytes = run.link.SentBytes()});
     if (!complete) m_metrics.OnWastedBytes(*run.link.SentBytes());
     run.result.head.result(status);
     m_runner->Finish(call, run, complete);
-    co_return complete&& inbound.KeepAlive();
+    co_return complete&& inbound.KeepAlive() && !close;
   }
   m_runner->Finish(call, run, false);
   if (run.result.caller_gone) co_return false;
@@ -569,6 +580,7 @@
   answer.request_id = call.request_id;
   answer.request_id_header = m_options.headers.request_id;
   answer.offered = run.result.offered;
+  answer.close = close;
   // Without a Retry-After header, the other node avoids this target for a
   // while.
   answer.blocked = run.admission.blocked;
@@ -598,7 +610,7 @@
         answer.reason);
   }
   co_await WriteLocalReply(inbound, answer);
-  co_return inbound.KeepAlive() && inbound.IsFullyBuffered();
+  co_return inbound.KeepAlive() && inbound.IsFullyBuffered() && !close;
 }
 
 }  // namespace kumquatmoor
