Publish no backend server before the node has joined

Seen: platform_test "A backend server that left gets no requests after a return": 2 to 6 of 60 requests reached a backend server whose leaving its node had acknowledged, after that node was started again and a late announcement came, in 9 of 10 runs; 2 to 3 of 60 in 3 of 3 without a return of the store. Cause: a node that restarts hears from the others what it had acknowledged, but it published the announced server before it had joined, and in the first tick after it before it applied what it had heard. Fix: backend servers are published once the node has joined, after the leaving ones are restored, and restoring goes before pushing in each tick. Ruled out: the return of the store, by the runs without.

--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -93,7 +93,7 @@
   const MoveController& GetMoveController() const { return m_move_controller; }
   // The node has joined the mesh: from now on it publishes routes, probes other
   // members and takes part in moves.
-  void SetReady() { m_ready = true; }
+  void SetReady();
   bool IsReady() const { return m_ready; }
   // The configuration was read from the platform and applied.
   void SetStoreLoaded() { m_store_loaded = true; }
@@ -172,6 +172,8 @@
   // Lets the proxy decide for some more time, unless the process was stopped
   // and has not heard of other members since.
   void ExtendDecisions(TimePoint now);
+  // Before the node has joined, it does not know which of its backend servers
+  // had said before a restart that they leave, so it publishes none.
   void PublishBackends();
   // Passes changed crash records to the proxy and logs requests that are newly
   // blocked or no longer blocked.
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -99,6 +99,7 @@
         "announcement\"");
     PublishBackends();
   }
+  RestoreLeavingInstances();
   if (m_ready) Send(m_replica.Tick(now));
   if (now >= m_next_move_update) {
     m_next_move_update = now + kMoveUpdateInterval;
@@ -109,7 +110,6 @@
     UpdateAckTree(now);
     m_replica.DropExpiredCrashes(UnixMs());
   }
-  RestoreLeavingInstances();
   ClearPlatformFailure(now);
   if (m_socket.BytesSent() - m_charged_bytes >= kMinChargedBytes) {
     ChargeLink(m_socket.BytesSent() - m_charged_bytes);
@@ -530,7 +530,14 @@
   m_blocked = std::move(blocked);
 }
 
+void ControlLoop::SetReady() {
+  m_ready = true;
+  RestoreLeavingInstances();
+  PublishBackends();
+}
+
 void ControlLoop::PublishBackends() {
+  if (!m_ready) return;
   m_proxy->SetBackends(m_registry.Backends());
   std::vector<Endpoint> endpoints = m_registry.Endpoints();
   for (auto& endpoint : endpoints) {
