Stay undecided after a pause while others hold a newer configuration

Callers would see, after a node was frozen or cut off, up to 1 s more of requests run on removed routes: the first ACK after the pause named a newer batch and, by being heard, also ended the wait that forbids to decide. By the review's reading; no test of its own was written, which is open. The wait now goes on while a reachable live member holds a newer batch, and ends with that batch or that claim.

--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -79,6 +79,7 @@
   }
   PublishNewBatch();
   PublishBehindSince();
+  ExtendDecisions(Clock::now());
   PublishCrashes();
 }
 
@@ -323,6 +324,8 @@
     const bool is_alone = m_replica.Members().Alive().size() <= 1;
     const bool waited = now - *m_resumed_at >= kMaxWaitAfterPause;
     if (!has_heard && !is_alone && !waited) return;
+    // What others hold may have been in force for the whole pause.
+    if (m_replica.OutdatedSince(now)) return;
     m_resumed_at.reset();
   }
   if (m_decides_until - now > kDecisionTime - kDecisionExtension) return;
