Count the time behind from the first batch that is lacking

Cause: the time behind was kept per peer and began anew with each batch that the peer named, so after each late batch it was a fraction of a second. It could also count from a batch that only a member that is gone had named, and refuse early. Now the first digest of each newer batch is remembered; the time counts from the first that is lacking and that a live, reachable peer still holds, or a newer one. Ruled out: the time until a batch is applied, which is what it was for a node that applies none.

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -239,8 +239,12 @@
   struct PeerAhead {
     std::string id;
     BatchStamp stamp;
-    TimePoint since;  // When the peer first named that batch.
-    TimePoint heard;  // When it last did.
+    TimePoint heard;  // When it last named that batch.
+  };
+  // A batch that a digest named as newer than the one of that time.
+  struct NewerBatch {
+    BatchStamp stamp;
+    TimePoint since;  // When the first digest did.
   };
   // Contents that a peer holds under the revision of the current batch.
   struct Conflict {
@@ -314,6 +318,13 @@
   // the current one, and logs it once.
   void NoteHeldBack(const BatchStamp& stamp);
   void ForgetPeersReached();
+  // When the first batch was named that is newer than the current one and at
+  // most as new as the newest that one of `peers` holds. Empty if they hold
+  // none.
+  std::optional<TimePoint> FirstNamed(
+      std::span<const PeerAhead* const> peers) const;
+  // Updates what follows from m_peers_ahead.
+  void UpdateBehindSince();
   // The peer's latest digest does not name a newer batch.
   void ForgetPeerAhead(const std::string& id);
   // Forgets the peers that are no longer alive or have been silent for long.
@@ -359,6 +370,7 @@
   // When a digest with a newer batch was first received; empty if the current
   // batch is the newest known.
   std::optional<TimePoint> m_behind_since;
+  std::deque<NewerBatch> m_newer_batches;  // The earliest first.
   uint64_t m_newer_batch_bytes = 0;  // Size of that batch, 0 if there is none.
   std::deque<PeerAhead> m_peers_ahead;     // The most recent first.
   std::deque<uint64_t> m_refused_batches;  // Digests, the most recent last.
--- a/src/coordination/outdated_replica_test.cc
+++ b/src/coordination/outdated_replica_test.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "kumquatmoor/coordination/replica.h"
 #include "kumquatmoor/state/batch.h"
@@ -138,6 +139,40 @@
   CHECK(replica.OutdatedSince(now) == since);
 }
 
+// Guards against a time behind that begins anew with each newer batch, so that
+// a node which is always some seconds late never refuses callers.
+TEST_CASE_METHOD(OutdatedReplica,
+                 "The time behind counts from the first batch that is lacking",
+                 "[outdated]") {
+  Join("a", "z");
+  std::vector<TimePoint> named;
+  for (uint64_t revision = 2; revision <= 9; ++revision) {
+    named.push_back(now);
+    Hear("a", ValidBatch(revision));
+    now += milliseconds(160);
+  }
+  CHECK(replica.OutdatedSince(now) == named.front());
+  REQUIRE(replica.Offer(ValidBatch(4)) == OfferOutcome::kApplied);
+  CHECK(replica.OutdatedSince(now) == named[3]);
+  CHECK(replica.BehindSince() == named[3]);
+}
+
+// Guards against a time behind that counts from a batch which only a member
+// that is gone has named.
+TEST_CASE_METHOD(OutdatedReplica,
+                 "The time behind counts what present members hold",
+                 "[outdated]") {
+  Join("a", "z");
+  Join("b", "z");
+  Hear("a", ValidBatch(3));
+  now += milliseconds(950);
+  const TimePoint named = now;
+  Hear("b", ValidBatch(2));
+  Hear("a", ValidBatch(1));
+  CHECK(replica.OutdatedSince(now) == named);
+  CHECK(replica.BehindSince() == named);
+}
+
 // Guards against a node that refuses callers for good since it finds the newer
 // batch of other nodes invalid.
 TEST_CASE_METHOD(OutdatedReplica,
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -196,7 +196,6 @@
   const Digest own = MakeDigest();
   if (IsNewer(StampOf(received), StampOf(own)) &&
       !IsRefusedBatch(received.batch_digest())) {
-    if (!m_behind_since) m_behind_since = now;
     m_newer_batch_bytes = received.batch_bytes();
     NotePeerAhead(datagram.from(), StampOf(received), now);
     ScheduleSync(datagram.from());
--- a/src/coordination/replica_behind.cc
+++ b/src/coordination/replica_behind.cc
@@ -15,6 +15,9 @@
 
 // Members remembered to hold a newer batch.
 constexpr size_t kMaxPeersAhead = 8;
+// Newer batches whose first digest is remembered: those of some seconds, also
+// when configurations come in quick succession.
+constexpr size_t kMaxNewerBatches = 32;
 // Invalid batches that are remembered.
 constexpr size_t kMaxRefusedBatches = 8;
 // A node that is not cut off receives several digests in this time, of its own
@@ -25,14 +28,16 @@
 
 void Replica::NotePeerAhead(const std::string& id, const BatchStamp& stamp,
                             TimePoint now) {
-  PeerAhead noted{.id = id, .stamp = stamp, .since = now, .heard = now};
-  std::erase_if(m_peers_ahead, [&](const PeerAhead& peer) {
-    if (peer.id != id) return false;
-    if (peer.stamp == stamp) noted.since = peer.since;
-    return true;
-  });
-  m_peers_ahead.push_front(std::move(noted));
+  std::erase_if(m_peers_ahead,
+                [&](const PeerAhead& peer) { return peer.id == id; });
+  m_peers_ahead.push_front({.id = id, .stamp = stamp, .heard = now});
   if (m_peers_ahead.size() > kMaxPeersAhead) m_peers_ahead.pop_back();
+  const bool is_known = std::any_of(
+      m_newer_batches.begin(), m_newer_batches.end(),
+      [&](const NewerBatch& newer) { return newer.stamp == stamp; });
+  if (!is_known) m_newer_batches.push_back({.stamp = stamp, .since = now});
+  if (m_newer_batches.size() > kMaxNewerBatches) m_newer_batches.pop_front();
+  UpdateBehindSince();
 }
 
 // The node stays behind while it knows of a batch that it still lacks.
@@ -42,19 +47,13 @@
     return !IsNewer(peer.stamp, StampOf(*m_batch)) || member == nullptr ||
            member->status() != ALIVE;
   });
-  m_behind_since.reset();
-  for (const auto& peer : m_peers_ahead) {
-    m_behind_since = std::min(m_behind_since.value_or(peer.since), peer.since);
-  }
-  if (m_peers_ahead.empty()) m_newer_batch_bytes = 0;
+  UpdateBehindSince();
 }
 
 void Replica::ForgetPeerAhead(const std::string& id) {
   std::erase_if(m_peers_ahead,
                 [&](const PeerAhead& peer) { return peer.id == id; });
-  if (!m_peers_ahead.empty()) return;
-  m_behind_since.reset();
-  m_newer_batch_bytes = 0;
+  UpdateBehindSince();
 }
 
 void Replica::ForgetLostPeersAhead(TimePoint now) {
@@ -63,8 +62,29 @@
     const bool is_lost = member != nullptr && member->status() != ALIVE;
     return is_lost || now - peer.heard > kMaxClaimAge;
   });
-  if (!m_peers_ahead.empty()) return;
-  m_behind_since.reset();
+  UpdateBehindSince();
+}
+
+std::optional<TimePoint> Replica::FirstNamed(
+    std::span<const PeerAhead* const> peers) const {
+  const BatchStamp current = StampOf(*m_batch);
+  for (const auto& newer : m_newer_batches) {
+    if (!IsNewer(newer.stamp, current)) continue;
+    const bool is_held =
+        std::any_of(peers.begin(), peers.end(), [&](const PeerAhead* peer) {
+          return !IsNewer(newer.stamp, peer->stamp);
+        });
+    if (is_held) return newer.since;
+  }
+  return std::nullopt;
+}
+
+void Replica::UpdateBehindSince() {
+  std::vector<const PeerAhead*> peers;
+  for (const auto& peer : m_peers_ahead) peers.push_back(&peer);
+  m_behind_since = FirstNamed(peers);
+  if (!peers.empty()) return;
+  m_newer_batches.clear();
   m_newer_batch_bytes = 0;
 }
 
@@ -84,13 +104,13 @@
 std::optional<TimePoint> Replica::OutdatedSince(TimePoint now) const {
   if (m_peers_ahead.empty()) return std::nullopt;
   const auto unreachable = UnreachableZones(now);
-  const bool is_confirmed = std::any_of(
-      m_peers_ahead.begin(), m_peers_ahead.end(), [&](const PeerAhead& peer) {
-        const MemberRecord* member = m_members.Find(peer.id);
-        return member != nullptr && member->status() == ALIVE &&
-               unreachable.count(member->zone()) == 0;
-      });
-  return is_confirmed ? m_behind_since : std::nullopt;
+  std::vector<const PeerAhead*> peers;
+  for (const auto& peer : m_peers_ahead) {
+    const MemberRecord* member = m_members.Find(peer.id);
+    if (member == nullptr || member->status() != ALIVE) continue;
+    if (unreachable.count(member->zone()) == 0) peers.push_back(&peer);
+  }
+  return FirstNamed(peers);
 }
 
 bool Replica::IsBehindFor(std::chrono::milliseconds time, TimePoint now) const {
--- a/src/coordination/store_generation_test.cc
+++ b/src/coordination/store_generation_test.cc
@@ -68,7 +68,7 @@
     a.HandleSyncRequest(b.MakeSyncRequest(true), now);
   }
   void Deliver(Replica* from, Replica* to,
-               std::vector<OutgoingDatagram> outgoing) {
+               const std::vector<OutgoingDatagram>& outgoing) {
     for (const auto& out : outgoing) {
       for (const auto& reply : to->OnDatagram(out.datagram, now)) {
         from->OnDatagram(reply.datagram, now);
