Forget replaced moves of removed services

Fix: NoteReplacedMoves removes the entries of services that the new batch lacks. The configuration decides the services, and a copy of the store with an older one is held back, so no copy brings such an order back beside them.

--- a/include/kumquatmoor/state/carried_moves.h
+++ b/include/kumquatmoor/state/carried_moves.h
@@ -43,7 +43,8 @@
 // store.
 size_t CountCarriedMoves(const Batch& batch);
 
-// Adds the moves of `before` that `after` replaces by others.
+// Adds the moves of `before` that `after` replaces by others, and removes those
+// of services that `after` lacks.
 void NoteReplacedMoves(const Batch& before, const Batch& after,
                        ReplacedMoves* replaced);
 
--- a/src/state/carried_moves.cc
+++ b/src/state/carried_moves.cc
@@ -139,6 +139,9 @@
 
 void NoteReplacedMoves(const Batch& before, const Batch& after,
                        ReplacedMoves* replaced) {
+  std::erase_if(*replaced, [&](const auto& entry) {
+    return FindService(after, entry.first) == nullptr;
+  });
   for (const auto& config : after.services()) {
     const ServiceConfig* move = FindService(before, config.service());
     if (move == nullptr || move->move_revision() == 0) continue;
--- a/src/state/carried_moves_test.cc
+++ b/src/state/carried_moves_test.cc
@@ -188,5 +188,23 @@
   CHECK(BatchDigest(both) == BatchDigest(Carry(by_later, both)));
 }
 
+// Guards against memory that grows with each service that ever had two moves.
+TEST_CASE("Replaced moves of removed services are forgotten") {
+  ReplacedMoves replaced;
+  Batch before;
+  for (uint64_t i = 1; i <= 300; ++i) {
+    Batch first = Read(3 * i, Order{.revision = 3 * i});
+    Batch second = Read(3 * i + 1, Order{.revision = 3 * i + 1});
+    const std::string service = "s" + std::to_string(i);
+    first.mutable_services(0)->set_service(service);
+    second.mutable_services(0)->set_service(service);
+    NoteReplacedMoves(before, first, &replaced);
+    NoteReplacedMoves(first, second, &replaced);
+    REQUIRE(replaced.count(service) == 1);
+    REQUIRE(replaced.size() == 1);
+    before = second;
+  }
+}
+
 }  // namespace
 }  // namespace kumquatmoor
