Postpone the read after a conflict when it fails

Cause: a node with a conflict counts as gateway until a read succeeds, and only the gateway's backoff (1 s at most, jittered) lies between two reads. Fix: a failed read is postponed by 0.5 to 1 s, 1 to 2 s, then 2 to 4 s each. The delay is capped so that a node that is wrong recovers within 5 s of the end of the refusal; the test checks this. Not changed: a store that answers. Then each node that sees the conflict reads once, spread over 0.5 s. Change to a test's model: Mesh reads through ReadPlatform, which does the same as before unless the platform refuses.

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -138,6 +138,9 @@
   // the complete state. A short random time after the first digest that shows
   // it, once for each of the other contents.
   bool NeedsCompleteRead(TimePoint now) const;
+  // The read that NeedsCompleteRead() asked for has failed. The time until the
+  // next one doubles with each failure.
+  void PostponeCompleteRead(TimePoint now);
   // Offers the batch of a read of the complete state that began at `began`. It
   // also replaces a batch of the same revision with other contents if a
   // conflict had been seen by then.
@@ -253,6 +256,7 @@
     TimePoint seen;
     TimePoint read_at;         // When the platform should be read.
     bool is_resolved = false;  // It has been read.
+    int failures = 0;          // Reads that failed.
   };
   // The key of a batch's update in the outbox.
   static constexpr char kBatchUpdateKey[] = "batch";
--- a/src/coordination/replica_conflict.cc
+++ b/src/coordination/replica_conflict.cc
@@ -7,7 +7,8 @@
 // Each node reads at most once for each of the other contents, so that nodes
 // which disagree for good do not load the platform. The read begins after a
 // random time. By then the node that is wrong has often recovered, and the
-// others need not read.
+// others need not read. A node whose read fails waits longer, as the platform
+// may be refusing all of them.
 
 #include <spdlog/spdlog.h>
 
@@ -21,6 +22,9 @@
 
 constexpr size_t kMaxConflicts = 8;
 constexpr uint64_t kMaxReadDelayMs = 500;
+// A read that failed is postponed by this to twice this, doubled up to twice.
+constexpr std::chrono::milliseconds kMinPostponement{500};
+constexpr int kMaxDoublings = 2;
 
 }  // namespace
 
@@ -52,6 +56,16 @@
                      });
 }
 
+void Replica::PostponeCompleteRead(TimePoint now) {
+  for (auto& conflict : m_conflicts) {
+    if (conflict.is_resolved || now < conflict.read_at) continue;
+    const int doublings = std::min(conflict.failures++, kMaxDoublings);
+    const std::chrono::milliseconds least = kMinPostponement * (1 << doublings);
+    const auto jitter = m_rng() % static_cast<uint64_t>(least.count());
+    conflict.read_at = now + least + std::chrono::milliseconds(jitter);
+  }
+}
+
 bool Replica::ResolveConflicts(TimePoint began) {
   bool any = false;
   for (auto& conflict : m_conflicts) {
--- a/src/coordination/replica_test.cc
+++ b/src/coordination/replica_test.cc
@@ -45,6 +45,8 @@
   bool sync_down = false;  // No synchronisation succeeds.
 
   int complete_reads = 0;  // Of the platform, after conflicts.
+  bool platform_refuses = false;
+  std::map<std::string, int> refused_reads;  // By node.
 
   void Start(int i) {
     ReplicaOptions options;
@@ -70,10 +72,7 @@
     }
     for (auto& [id, node] : m_nodes) {
       Send(id, node->Tick(m_now));
-      if (node->NeedsCompleteRead(m_now) && !platform_down) {
-        ++complete_reads;
-        node->OfferComplete(m_latest, m_now);
-      }
+      if (node->NeedsCompleteRead(m_now)) ReadPlatform(id);
       if (const auto peer = node->PopSyncPeer()) Sync(id, peer->id);
     }
     CheckInvariants();
@@ -209,6 +208,20 @@
     return *it->second;
   }
 
+  // Reads as a gateway does that backs off after a failure.
+  void ReadPlatform(const std::string& id) {
+    Replica& node = *m_nodes.at(id);
+    if (platform_down || m_now < m_read_after[id]) return;
+    if (platform_refuses) {
+      ++refused_reads[id];
+      m_read_after[id] = m_now + milliseconds(1 + m_rng() % 1'000);
+      node.PostponeCompleteRead(m_now);
+      return;
+    }
+    ++complete_reads;
+    node.OfferComplete(m_latest, m_now);
+  }
+
   bool IsConnected(const std::string& from, const std::string& to) const {
     const std::string a = m_nodes.at(from)->Self().zone();
     const std::string b = m_nodes.at(to)->Self().zone();
@@ -334,6 +347,7 @@
     return text;
   }
 
+  std::map<std::string, TimePoint> m_read_after;  // After a refusal, by node.
   std::mt19937_64 m_rng;
   TimePoint m_now = TimePoint() + std::chrono::hours(1);
   TimePoint m_next_read;
@@ -535,6 +549,51 @@
   }
 }
 
+// Guards against a storm of reads: after one conflict each node read the
+// platform again and again for as long as that refused.
+TEST_CASE("A platform that refuses is asked seldom after a conflict") {
+  constexpr int kNodes = 195;
+  for (uint64_t seed = 1; seed <= 3; ++seed) {
+    INFO("seed " << seed);
+    Mesh mesh(seed, kNodes);
+    mesh.Run(milliseconds(5'000));
+    mesh.platform_refuses = true;
+    mesh.OfferNextAndFork();
+    mesh.Run(milliseconds(3'500));
+    int most = 0;
+    int sum = 0;
+    for (const auto& [id, reads] : mesh.refused_reads) {
+      most = std::max(most, reads);
+      sum += reads;
+    }
+    INFO(sum << " refused reads in 3.5 s, most of one node " << most);
+    CHECK(most <= 3);
+    mesh.Run(milliseconds(6'500));
+    most = 0;
+    for (const auto& [id, reads] : mesh.refused_reads) {
+      most = std::max(most, reads);
+    }
+    CHECK(most <= 7);  // One each 2 s.
+    mesh.platform_refuses = false;
+    mesh.Run(milliseconds(5'000));
+    CHECK(mesh.CountOtherContents() == 0);
+    CHECK(mesh.complete_reads <= kNodes);
+  }
+}
+
+// Guards against a short refusal that keeps a node wrong for long.
+TEST_CASE("A conflict is decided soon after a short refusal") {
+  constexpr int kNodes = 80;
+  Mesh mesh(1, kNodes);
+  mesh.Run(milliseconds(5'000));
+  mesh.platform_refuses = true;
+  mesh.OfferNextAndFork();
+  mesh.Run(milliseconds(600));
+  mesh.platform_refuses = false;
+  mesh.Run(milliseconds(2'000));
+  CHECK(mesh.CountOtherContents() == 0);
+}
+
 // Guards against nodes that miss the push of a batch and then wait for the next
 // probe and a synchronisation, which may fail.
 TEST_CASE("A batch reaches 99% of 200 nodes by pushes alone") {
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -347,7 +347,10 @@
 
 void ControlLoop::SetPlatformReachable(bool reachable) {
   const TimePoint now = Clock::now();
-  if (!reachable) m_platform_retry_at = now + m_options.platform_retry_delay;
+  if (!reachable) {
+    m_platform_retry_at = now + m_options.platform_retry_delay;
+    m_replica.PostponeCompleteRead(now);
+  }
   m_replica.SetPlatformUnavailable(!reachable, now);
   // Sends the failure at once, so that the zone's next gateway takes over
   // without waiting for the next tick.
