Refuse callers only for newer batches that decide otherwise

Callers could see every request refused with 503 by a node that had known for 1 s of any newer batch, also of one in which a move's status became "running" or "completed", or in which the operators had written the same configuration once more. A move writes at least two such statuses, and a node on a slow host may be late with each.

Cause: OutdatedSince compared revisions only. A digest now names a hash of what decides how requests are handled: routes, limits, rows of moves without the weights before the move, by which alone a completed move differs from a running one. A batch with the hash of the node's own is fetched as any other, but is no reason to refuse. New orders, rolled-back moves and changes of routes and limits are. Digests of earlier versions of the program have no hash and count as before; earlier versions skip the field. Two contents under one revision count as unknown.

Ruled out: comparing the operators' version, which the digest had. It misses orders and rolled-back moves, by which requests are sent otherwise, and it is 0 for tables.

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -219,7 +219,8 @@
   // When a digest first showed that; empty if this node holds the newest batch
   // known.
   std::optional<TimePoint> BehindSince() const { return m_behind_since; }
-  // The same, but only while a reachable live member says so: what this node
+  // The same, but only while a reachable live member says so, and only for a
+  // batch by which requests are handled otherwise than by this node's: what it
   // must not serve callers by its own batch for. Empty if nobody who holds the
   // newer batch is left, or if this node has found that batch to be invalid.
   std::optional<TimePoint> OutdatedSince(TimePoint now) const;
@@ -239,12 +240,14 @@
   struct PeerAhead {
     std::string id;
     BatchStamp stamp;
-    TimePoint heard;  // When it last named that batch.
+    uint64_t decision_digest = 0;  // 0 if unknown.
+    TimePoint heard;               // When it last named that batch.
   };
   // A batch that a digest named as newer than the one of that time.
   struct NewerBatch {
     BatchStamp stamp;
-    TimePoint since;  // When the first digest did.
+    uint64_t decision_digest = 0;  // 0 if unknown.
+    TimePoint since;               // When the first digest did.
   };
   // Contents that a peer holds under the revision of the current batch.
   struct Conflict {
@@ -312,17 +315,20 @@
   void QueueMemberUpdate(const std::string& id);
   void ScheduleSync(const std::string& id);
   SyncPeer PeerOf(const MemberRecord& member) const;
-  void NotePeerAhead(const std::string& id, const BatchStamp& stamp,
+  void NotePeerAhead(const std::string& id, const Digest& digest,
                      TimePoint now);
+  // True unless a batch with that digest handles requests as the current one.
+  bool ChangesDecisions(uint64_t decision_digest) const;
   // Counts a batch of a later generation of the store that is not newer than
   // the current one, and logs it once.
   void NoteHeldBack(const BatchStamp& stamp);
   void ForgetPeersReached();
-  // When the first batch was named that is newer than the current one and at
-  // most as new as the newest that one of `peers` holds. Empty if they hold
-  // none.
-  std::optional<TimePoint> FirstNamed(
-      std::span<const PeerAhead* const> peers) const;
+  // When the first batch of `kind` was named that is newer than the current one
+  // and at most as new as the newest that one of `peers` holds. Empty if they
+  // hold none.
+  enum class NewerKind { kAny, kChangesDecisions };
+  std::optional<TimePoint> FirstNamed(std::span<const PeerAhead* const> peers,
+                                      NewerKind kind) const;
   // Updates what follows from m_peers_ahead.
   void UpdateBehindSince();
   // The peer's latest digest does not name a newer batch.
@@ -343,6 +349,7 @@
   std::mt19937_64 m_rng;
   std::shared_ptr<const Batch> m_batch;
   uint64_t m_batch_digest = 0;
+  uint64_t m_decision_digest = 0;
   uint64_t m_batch_bytes = 0;
   BatchArrival m_arrival;
   DeltaHistory m_deltas;  // Between the latest batches of this node.
--- a/include/kumquatmoor/state/batch.h
+++ b/include/kumquatmoor/state/batch.h
@@ -52,6 +52,11 @@
 // A hash of the contents: equal batches have equal digests.
 uint64_t BatchDigest(const Batch& batch);
 
+// A hash, never 0, of what decides how requests are handled: routes, limits and
+// moves. A batch that only records that a move has started or is complete has
+// the same one as the batch before.
+uint64_t DecisionDigest(const Batch& batch);
+
 // Returns the delta that turns `from` into `to`.
 BatchDelta MakeDelta(const Batch& from, const Batch& to);
 
--- a/src/coordination/outdated_replica_test.cc
+++ b/src/coordination/outdated_replica_test.cc
@@ -26,6 +26,33 @@
   return batch;
 }
 
+// With a move of a service to "v2", as the operators' order and then its
+// outcome change it.
+enum class Move { kNone, kRunning, kCompleted, kRolledBack };
+Batch BatchWithMove(uint64_t revision, Move move) {
+  Batch batch = ValidBatch(revision);
+  ServiceConfig* service = batch.add_services();
+  service->set_service("s");
+  const auto add_row = [&](const char* version, uint32_t weight,
+                           uint32_t from_weight) {
+    Row* row = service->add_rows();
+    row->set_version(version);
+    row->set_weight(weight);
+    row->set_from_weight(from_weight);
+    row->set_revision(service->move_revision());
+  };
+  if (move == Move::kNone) {
+    add_row("*", 100, 100);
+    return batch;
+  }
+  service->set_move_revision(2);
+  const uint32_t weight = move == Move::kRolledBack ? 0 : 100;
+  const uint32_t from_weight = move == Move::kCompleted ? 100 : 0;
+  add_row("*", 100 - weight, 100 - from_weight);
+  add_row("v2", weight, from_weight);
+  return batch;
+}
+
 // Its services are not sorted.
 Batch InvalidBatch(uint64_t revision) {
   Batch batch = ValidBatch(revision);
@@ -70,6 +97,16 @@
     push.mutable_digest()->set_batch_digest(BatchDigest(batch));
     replica.OnDatagram(push, now);
   }
+  // The digest of a replica of this version of the program.
+  void HearReplica(const std::string& id, const Batch& batch) {
+    Replica other({.id = id, .zone = "z", .control_address = id}, now);
+    REQUIRE(other.Offer(batch) == OfferOutcome::kApplied);
+    Datagram push;
+    push.set_kind(Datagram::PUSH);
+    push.set_from(id);
+    *push.mutable_digest() = other.MakeDigest();
+    replica.OnDatagram(push, now);
+  }
   void Pass(milliseconds time) {
     for (milliseconds passed{0}; passed < time; passed += kStep) {
       now += kStep;
@@ -205,6 +242,87 @@
   CHECK(IsOutdated());
 }
 
+// Guards against a node that refuses every request since a newer batch records
+// the progress of a move, or the same configuration once more.
+TEST_CASE_METHOD(OutdatedReplica,
+                 "A batch that decides nothing makes no replica outdated",
+                 "[outdated]") {
+  Join("a", "z");
+  REQUIRE(replica.Offer(BatchWithMove(2, Move::kRunning)) ==
+          OfferOutcome::kApplied);
+  for (const Move move : {Move::kRunning, Move::kCompleted}) {
+    Batch batch = BatchWithMove(3, move);
+    batch.set_config_version(9);
+    HearReplica("a", batch);
+    CHECK_FALSE(IsOutdated());
+    // It is fetched as any other.
+    CHECK(replica.BehindSince());
+    CHECK_FALSE(replica.PeersAhead().empty());
+    HearReplica("a", BatchWithMove(2, Move::kRunning));
+  }
+}
+
+// Guards against a node that serves on by its batch although a newer one
+// changes what is done with a request.
+TEST_CASE_METHOD(OutdatedReplica,
+                 "A batch that decides otherwise makes a replica outdated",
+                 "[outdated]") {
+  Join("a", "z");
+  REQUIRE(replica.Offer(BatchWithMove(2, Move::kRunning)) ==
+          OfferOutcome::kApplied);
+  std::vector<Batch> batches(5, BatchWithMove(4, Move::kRunning));
+  batches[0] = BatchWithMove(4, Move::kRolledBack);
+  batches[1] = BatchWithMove(4, Move::kNone);
+  batches[2].add_routes()->set_name("r");
+  batches[2].mutable_routes(0)->set_prefix("/r/");
+  WeightedService* part = batches[2].mutable_routes(0)->add_parts();
+  part->set_service("s");
+  part->set_weight(1);
+  batches[3].mutable_caller_limits()->set_max_body_bytes(9);
+  batches[4].mutable_services(0)->set_max_connections(9);
+  for (const auto& batch : batches) {
+    HearReplica("a", batch);
+    CHECK(replica.OutdatedSince(now) == now);
+    HearReplica("a", BatchWithMove(2, Move::kRunning));
+    CHECK_FALSE(IsOutdated());
+    now += milliseconds(100);
+  }
+}
+
+// Guards against a time behind that begins with a newer batch which is no
+// reason to refuse, and a reason that is hidden by a later or other one.
+TEST_CASE_METHOD(OutdatedReplica,
+                 "The time outdated counts from a batch that decides otherwise",
+                 "[outdated]") {
+  Join("a", "z");
+  Join("b", "z");
+  REQUIRE(replica.Offer(BatchWithMove(2, Move::kRunning)) ==
+          OfferOutcome::kApplied);
+  HearReplica("a", BatchWithMove(3, Move::kRunning));
+  now += milliseconds(500);
+  const TimePoint rolled_back = now;
+  HearReplica("a", BatchWithMove(4, Move::kRolledBack));
+  CHECK(replica.OutdatedSince(now) == rolled_back);
+  now += milliseconds(500);
+  HearReplica("a", BatchWithMove(5, Move::kRolledBack));
+  CHECK(replica.OutdatedSince(now) == rolled_back);
+  // Another node holds other contents under the revision.
+  HearReplica("b", BatchWithMove(5, Move::kRunning));
+  CHECK(replica.OutdatedSince(now) == rolled_back);
+}
+
+// Guards against a node of an earlier version of the program, whose digests say
+// nothing of decisions, that is not counted.
+TEST_CASE_METHOD(OutdatedReplica,
+                 "A digest without decisions makes a replica outdated",
+                 "[outdated]") {
+  Join("a", "z");
+  REQUIRE(replica.Offer(BatchWithMove(2, Move::kRunning)) ==
+          OfferOutcome::kApplied);
+  Hear("a", BatchWithMove(3, Move::kCompleted));
+  CHECK(replica.OutdatedSince(now) == now);
+}
+
 // Guards against a process that takes an ACK from before its pause for a sign
 // of the present.
 TEST_CASE_METHOD(OutdatedReplica, "After a pause only new probes count",
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -40,6 +40,7 @@
       m_rng(m_options.seed),
       m_batch(std::make_shared<const Batch>()),
       m_batch_digest(BatchDigest(*m_batch)),
+      m_decision_digest(DecisionDigest(*m_batch)),
       m_next_probe(now) {
   MemberRecord self;
   self.set_id(m_options.id);
@@ -63,6 +64,7 @@
   digest.set_crashes_hash(m_crashes.Hash());
   digest.set_config_version(m_batch->config_version());
   digest.set_carried_weight(m_batch->carried_weight());
+  digest.set_decision_digest(m_decision_digest);
   return digest;
 }
 
@@ -197,7 +199,7 @@
   if (IsNewer(StampOf(received), StampOf(own)) &&
       !IsRefusedBatch(received.batch_digest())) {
     m_newer_batch_bytes = received.batch_bytes();
-    NotePeerAhead(datagram.from(), StampOf(received), now);
+    NotePeerAhead(datagram.from(), received, now);
     ScheduleSync(datagram.from());
     return;
   }
--- a/src/coordination/replica_batch.cc
+++ b/src/coordination/replica_batch.cc
@@ -88,6 +88,7 @@
                             rumour.delta().removed().end());
   const bool is_replacement = batch.revision() == m_batch->revision();
   m_batch = std::make_shared<const Batch>(std::move(batch));
+  m_decision_digest = DecisionDigest(*m_batch);
   m_arrival = {.path = path, .behind_since = m_behind_since};
   ForgetPeersReached();
   m_needs_whole_batch = false;
--- a/src/coordination/replica_behind.cc
+++ b/src/coordination/replica_behind.cc
@@ -4,6 +4,9 @@
 // batch, or when the peer names an older one, is no longer alive or has
 // been silent for kMaxClaimAge: a batch that nobody holds any more cannot be
 // had, so no node may wait for it.
+//
+// A newer batch by which requests are handled as by the current one is fetched
+// as any other, but does not make the node outdated.
 
 #include <algorithm>
 #include <utility>
@@ -26,16 +29,24 @@
 
 }  // namespace
 
-void Replica::NotePeerAhead(const std::string& id, const BatchStamp& stamp,
+void Replica::NotePeerAhead(const std::string& id, const Digest& digest,
                             TimePoint now) {
+  const BatchStamp stamp = StampOf(digest);
+  const uint64_t decisions = digest.decision_digest();
   std::erase_if(m_peers_ahead,
                 [&](const PeerAhead& peer) { return peer.id == id; });
-  m_peers_ahead.push_front({.id = id, .stamp = stamp, .heard = now});
+  m_peers_ahead.push_front(
+      {.id = id, .stamp = stamp, .decision_digest = decisions, .heard = now});
   if (m_peers_ahead.size() > kMaxPeersAhead) m_peers_ahead.pop_back();
-  const bool is_known = std::any_of(
+  const auto known = std::find_if(
       m_newer_batches.begin(), m_newer_batches.end(),
       [&](const NewerBatch& newer) { return newer.stamp == stamp; });
-  if (!is_known) m_newer_batches.push_back({.stamp = stamp, .since = now});
+  if (known == m_newer_batches.end()) {
+    m_newer_batches.push_back(
+        {.stamp = stamp, .decision_digest = decisions, .since = now});
+  } else if (known->decision_digest != decisions) {
+    known->decision_digest = 0;  // Two contents under one revision.
+  }
   if (m_newer_batches.size() > kMaxNewerBatches) m_newer_batches.pop_front();
   UpdateBehindSince();
 }
@@ -66,10 +77,14 @@
 }
 
 std::optional<TimePoint> Replica::FirstNamed(
-    std::span<const PeerAhead* const> peers) const {
+    std::span<const PeerAhead* const> peers, NewerKind kind) const {
   const BatchStamp current = StampOf(*m_batch);
   for (const auto& newer : m_newer_batches) {
     if (!IsNewer(newer.stamp, current)) continue;
+    if (kind == NewerKind::kChangesDecisions &&
+        !ChangesDecisions(newer.decision_digest)) {
+      continue;
+    }
     const bool is_held =
         std::any_of(peers.begin(), peers.end(), [&](const PeerAhead* peer) {
           return !IsNewer(newer.stamp, peer->stamp);
@@ -79,10 +94,14 @@
   return std::nullopt;
 }
 
+bool Replica::ChangesDecisions(uint64_t decision_digest) const {
+  return decision_digest != m_decision_digest;
+}
+
 void Replica::UpdateBehindSince() {
   std::vector<const PeerAhead*> peers;
   for (const auto& peer : m_peers_ahead) peers.push_back(&peer);
-  m_behind_since = FirstNamed(peers);
+  m_behind_since = FirstNamed(peers, NewerKind::kAny);
   if (!peers.empty()) return;
   m_newer_batches.clear();
   m_newer_batch_bytes = 0;
@@ -108,9 +127,12 @@
   for (const auto& peer : m_peers_ahead) {
     const MemberRecord* member = m_members.Find(peer.id);
     if (member == nullptr || member->status() != ALIVE) continue;
-    if (unreachable.count(member->zone()) == 0) peers.push_back(&peer);
+    const bool is_reachable = unreachable.count(member->zone()) == 0;
+    if (is_reachable && ChangesDecisions(peer.decision_digest)) {
+      peers.push_back(&peer);
+    }
   }
-  return FirstNamed(peers);
+  return FirstNamed(peers, NewerKind::kChangesDecisions);
 }
 
 bool Replica::IsBehindFor(std::chrono::milliseconds time, TimePoint now) const {
--- a/src/node/outdated_node_test.cc
+++ b/src/node/outdated_node_test.cc
@@ -353,6 +353,23 @@
   CHECK(late.AcceptsCallers());
 }
 
+// Guards against a node that refuses every request since another node holds a
+// newer batch by which requests are handled as by its own.
+TEST_CASE_METHOD(OutdatedFixture,
+                 "A node serves on behind a batch that decides nothing",
+                 "[outdated]") {
+  ahead.Offer(SecondBatch());
+  Batch as_before = FirstBatch();
+  as_before.set_revision(3);
+  ahead.Offer(as_before);
+  REQUIRE(Await([&] { return late.IsBehind(); }));
+  std::this_thread::sleep_for(kLongBehind);
+  CHECK(late.IsBehind());
+  CHECK(late.Call("/removed/").result_int() == 200);
+  CHECK(late.Call("/added/").result_int() == 404);
+  CHECK(late.AcceptsCallers());
+}
+
 // Guards against a node that refuses its callers for good since another node
 // named a newer batch and then left with it.
 TEST_CASE_METHOD(OutdatedFixture,
--- a/src/state/batch.cc
+++ b/src/state/batch.cc
@@ -191,6 +191,23 @@
   return XXH3_64bits(bytes.data(), bytes.size());
 }
 
+uint64_t DecisionDigest(const Batch& batch) {
+  std::string bytes;
+  const auto append = [&bytes](const auto& message) {
+    const std::string part = message.SerializeAsString();
+    bytes += std::to_string(part.size()) + ':' + part;
+  };
+  for (ServiceConfig service : batch.services()) {
+    service.clear_order_revision();
+    // The weights before a move differ by its completion only.
+    for (auto& row : *service.mutable_rows()) row.clear_from_weight();
+    append(service);
+  }
+  for (const auto& route : batch.routes()) append(route);
+  append(batch.caller_limits());
+  return std::max<uint64_t>(XXH3_64bits(bytes.data(), bytes.size()), 1);
+}
+
 BatchDelta MakeDelta(const Batch& from, const Batch& to) {
   BatchDelta delta;
   delta.set_base_revision(from.revision());
