Note a stop of the process during a posted command

Cause: RunPostedCommands looked for a pause before each command, then extended the proxy's time to decide after the last one. A process that was stopped while a command ran got the extension without having heard of others. It now looks for a pause before the extension as well. Tick and OnBytes extend from the time at which they began, so a stop during either leaves an extension that has expired (by reading).

Ruled out: the batch being unknown to the node (its digest had arrived, since the same test refuses with the fix).

--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -79,7 +79,10 @@
   }
   PublishNewBatch();
   PublishBehindSince();
-  ExtendDecisions(Clock::now());
+  // The process may have been stopped while a command ran.
+  const TimePoint now = Clock::now();
+  NotePause(now);
+  ExtendDecisions(now);
   PublishCrashes();
 }
 
--- a/src/node/outdated_node_test.cc
+++ b/src/node/outdated_node_test.cc
@@ -416,6 +416,30 @@
   CHECK(Await([&] { return late.Call("/kept/").result_int() == 200; }));
 }
 
+// Guards against a node that runs removed routes for 1 s after it was stopped,
+// since the ACK that it waited for also names the newer batch.
+TEST_CASE_METHOD(OutdatedFixture,
+                 "A node that was stopped decides nothing by a replaced batch",
+                 "[outdated]") {
+  late.Freeze(milliseconds(2'000));
+  ahead.Offer(SecondBatch());
+  std::this_thread::sleep_for(milliseconds(1'800));
+  const int runs_before = runs;
+  late.Resume();
+  // Longer than ACKs take, shorter than a node serves behind a newer batch.
+  const auto end = Clock::now() + milliseconds(900);
+  int refused = 0;
+  while (Clock::now() < end) {
+    if (IsRefusal(late.Call("/removed/"))) ++refused;
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  CHECK(refused > 0);
+  CHECK(runs == runs_before);
+  late.Offer(SecondBatch());
+  CHECK(Await([&] { return late.Call("/kept/").result_int() == 200; }));
+  CHECK(late.Call("/removed/").result_int() == 404);
+}
+
 // Guards against a node that serves no callers after a stop since it has nobody
 // to hear of.
 TEST_CASE_METHOD(OutdatedFixture,
