Answer 503 for every request while there is no configuration

Callers could get 431, 413 or 400 from a node that knew no configuration: from its first accepted connection on, while its store was down, held no configuration or one that cannot be read, and after it had joined others that had none either. A 4xx is final for a caller, a 503 brings it back.

Cause: until a batch is in force, requests are read by the default limits of the program (16 KiB of head, 256 MiB of body). What exceeds them was rejected by the reader, before the check for a configuration. A node that has joined without a batch has routes of revision 0, which that check took for a configuration.

Routes of revision 0 are no configuration, and without one every 400, 404, 413 and 431 of the node is sent as 503 with a Retry-After.

Ruled out: 404 and "no id" before the first configuration were 503 already. Raising the limits instead of the status: the request would still be refused.

--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -196,9 +196,15 @@
   // Refuses the request if the node has been behind for too long, or has just
   // been stopped.
   std::optional<Rejection> RefuseWhileBehind() const;
+  // False until the routes of a batch are in force. A node that has joined a
+  // mesh without a batch has routes of revision 0.
+  bool HasConfiguration() const {
+    return m_routes != nullptr && m_routes->revision > 0;
+  }
   // The rejection to send in the place of one that follows from a configuration
-  // which is known to be replaced.
+  // which is known to be replaced, or from no configuration.
   Rejection WithoutDenialWhileBehind(Rejection rejection) const;
+  Rejection WithoutDenialByDefaults(Rejection rejection) const;
   void ApplyRoute(const HttpRoute& route, Call* call);
   // Expected time to pass on a response, which is received completely before it
   // is sent to the caller.
--- a/src/node/denial_fixture.cc
+++ b/src/node/denial_fixture.cc
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-DenialFixture::DenialFixture()
+DenialFixture::DenialFixture(bool configured)
     : m_proxy(m_context, Options("n1", kCallerAddress, kDataAddress), nullptr,
               &m_outcomes),
       m_remote(m_context,
@@ -45,7 +45,7 @@
                         .instance = "i-1",
                         .address = kBackendAddress,
                         .slots = 1}});
-  Configure(1, {});
+  if (configured) Configure(1, {});
   m_thread = std::thread([this] {
     const auto work = asio::make_work_guard(m_context);
     m_context.run();
@@ -89,6 +89,13 @@
   m_remote.SetRoutes(routes);
 }
 
+void DenialFixture::JoinWithoutConfiguration() {
+  const auto routes =
+      BuildRoutes(Batch(), {}, std::vector<MemberRecord>{}, "z");
+  m_proxy.SetRoutes(routes);
+  m_remote.SetRoutes(routes);
+}
+
 std::string DenialFixture::Metrics() {
   std::promise<std::string> text;
   m_proxy.ReadMetrics([&](const CallMetrics& metrics) {
--- a/src/node/denial_fixture.h
+++ b/src/node/denial_fixture.h
@@ -53,7 +53,8 @@
   std::string reply =
       "HTTP/1.1 200 OK\r\nSigned: y\r\nContent-Length: 2\r\n\r\nok";
 
-  DenialFixture();
+  // Puts revision 1 in force, unless `configured` is false.
+  explicit DenialFixture(bool configured = true);
   ~DenialFixture();
   DenialFixture(const DenialFixture&) = delete;
   DenialFixture& operator=(const DenialFixture&) = delete;
@@ -61,6 +62,9 @@
   // Puts a configuration with one route in force: host Huts.example, prefix
   // "/a/".
   void Configure(uint64_t revision, const DenialOptions& options);
+  // Puts routes of revision 0 in force: the node has joined a mesh in which no
+  // configuration is known.
+  void JoinWithoutConfiguration();
   // The metrics of the node beside the backend server.
   std::string Metrics();
   // The head of the last request that the backend server has read.
--- a/src/node/denied_request_test.cc
+++ b/src/node/denied_request_test.cc
@@ -110,6 +110,47 @@
   CHECK(idle.Status() == 200);
 }
 
+// Guards against a 413 or 431 by default limits, which no configuration has
+// set, of a node that has just started.
+TEST_CASE("A node without a configuration denies nothing", "[unconfigured]") {
+  struct Case {
+    const char* name;
+    std::string bytes;
+  };
+  const std::string get = "GET /a/1 HTTP/1.1";
+  const std::string post = "POST /a/1 HTTP/1.1";
+  const auto sized = [&](const std::string& size) {
+    return Head(post, "Content-Length: " + size + "\r\n\r\n");
+  };
+  const Case cases[] = {
+      {"a short head", Head(get) + "\r\n"},
+      {"no id", "GET /a/1 HTTP/1.1\r\nHost: huts.example\r\n\r\n"},
+      {"no route", "GET /b/1 HTTP/1.1\r\nHost: h\r\nId: u1\r\n\r\n"},
+      {"a head of the default limit", PaddedHead(Head(get), 16'384)},
+      {"a head beyond the default limit", PaddedHead(Head(get), 17'000)},
+      {"a large head", LargeHead(Head(get), 60'000)},
+      {"a field beyond the library's limit", PaddedHead(Head(get), 70'000)},
+      {"a body", sized("5") + "abcde"},
+      {"a body beyond the default limit", sized("268435457")},
+      {"a body of the largest length", sized("18446744073709551615")},
+      {"a chunk beyond the default limit",
+       Head(post, "Transfer-Encoding: chunked\r\n\r\n") + "10000001\r\n"},
+      {"bytes that are no request", "nonsense\r\n\r\n"},
+  };
+  DenialFixture fixture(false);
+  for (const bool has_joined : {false, true}) {
+    if (has_joined) fixture.JoinWithoutConfiguration();
+    for (const auto& c : cases) {
+      INFO(c.name << (has_joined ? ", joined" : ""));
+      RawCaller caller;
+      caller.Send({c.bytes});
+      CHECK(caller.Status() == 503);
+    }
+  }
+  CHECK(fixture.Metrics().find("kumquatmoor_denied_total{") ==
+        std::string::npos);
+}
+
 // Guards against a 400 for a request of which only a part arrived.
 TEST_CASE_METHOD(DenialFixture,
                  "A request that ends early is not counted as malformed") {
--- a/src/node/proxy_behind.cc
+++ b/src/node/proxy_behind.cc
@@ -18,9 +18,14 @@
 namespace kumquatmoor {
 namespace {
 
+// True for the statuses that follow from limits.
+bool FollowsFromLimits(unsigned status) {
+  return status == 413 || status == 431;
+}
+
 // True for the statuses that follow from routes or limits.
 bool FollowsFromConfiguration(unsigned status) {
-  return status == 404 || status == 413 || status == 431;
+  return status == 404 || FollowsFromLimits(status);
 }
 
 }  // namespace
@@ -64,4 +69,14 @@
           .is_behind = true};
 }
 
+// While there is no configuration, a request is read by default limits.
+Proxy::Rejection Proxy::WithoutDenialByDefaults(Rejection rejection) const {
+  const bool is_denial =
+      rejection.status == 400 || FollowsFromConfiguration(rejection.status);
+  if (HasConfiguration() || !is_denial) return rejection;
+  return {
+      .status = 503,
+      .reason = "this node holds no configuration yet: " + rejection.reason};
+}
+
 }  // namespace kumquatmoor
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -116,7 +116,7 @@
   }
   const RequestHead& head = inbound.Head();
   const std::string_view method = Text(head.method_string());
-  if (m_routes == nullptr) {
+  if (!HasConfiguration()) {
     return Rejection{503, "this node holds no configuration yet"};
   }
   if (auto refusal = RefuseWhileBehind()) return refusal;
--- a/src/node/proxy_errors.cc
+++ b/src/node/proxy_errors.cc
@@ -96,6 +96,7 @@
 
 asio::awaitable<bool> Proxy::Reject(InboundRequest& inbound,
                                     Rejection rejection) {
+  rejection = WithoutDenialByDefaults(std::move(rejection));
   rejection = WithoutDenialWhileBehind(std::move(rejection));
   if (rejection.is_behind) m_metrics.OnRefusedBehind();
   ReportRejection(inbound, rejection.status, rejection.reason);
--- a/tools/proof_grace.py
+++ b/tools/proof_grace.py
@@ -109,6 +109,40 @@
                 check(code == 0, f"exit code {code} after signal {first}")
 
 
+def first_requests_are_not_denied():
+    """A node that starts while the platform is down responds with 503 from the
+    first connection on, whatever the size of a request."""
+    line = b"%s /bookings/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n"
+    large_head = line % b"GET" + b"Pad: %s\r\n" % (b"p" * 20_000)
+    requests = {
+        "a small request": line % b"GET" + b"\r\n",
+        "a large head": large_head + b"\r\n",
+        "a large body": line % b"POST" + b"Content-Length: 268435457\r\n\r\n",
+    }
+    with small_cluster(39) as cluster:
+        host = cluster.hosts[0]
+        for _ in range(3):
+            cluster.start_node(host)
+            cluster.wait(lambda: accepts(host), "the node to listen", pause=0)
+            for name, request in requests.items():
+                line_of_response = status_line(host, request)
+                check(b" 503 " in line_of_response,
+                      f"{name}: {line_of_response}")
+            host.node.send_signal(signal.SIGTERM)
+            host.node.wait(timeout=GRACE_S)
+
+
+def status_line(host, request):
+    """The first line of the response. The node may close the connection while
+    the request is still sent."""
+    with socket.create_connection((host.address, CALLER_PORT), 5) as link:
+        try:
+            link.sendall(request)
+        except OSError:
+            pass
+        return link.makefile("rb").readline()
+
+
 def accepts(host):
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as link:
         return link.connect_ex((host.address, CALLER_PORT)) == 0
