Deny nothing by limits that were replaced while a request arrived

A caller whose request began to arrive while the node had no configuration, or an older one that it knew to be replaced, could get 413 or 431 by the limits of that time, though the configuration in force by then allows it.

Cause: limits are taken with the first byte of a request. Whether the node is behind, or has a configuration, is asked when the request is rejected. A configuration that comes into force in between makes both checks pass.

Evidence, on the code before: "A request is not denied by limits that were replaced" failed in 3 of 4 cases (431 without a configuration, 431 and 413 behind). All pass with the fix.

A 413 or 431 is sent only if the limits that the request was read by are still in force, else a 503. "Limits in force still deny" guards the other direction and passed before.

--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -202,9 +202,12 @@
     return m_routes != nullptr && m_routes->revision > 0;
   }
   // The rejection to send in the place of one that follows from a configuration
-  // which is known to be replaced, or from no configuration.
+  // which is known to be replaced, from no configuration, or from limits that
+  // were replaced while the request was read.
   Rejection WithoutDenialWhileBehind(Rejection rejection) const;
   Rejection WithoutDenialByDefaults(Rejection rejection) const;
+  Rejection WithoutDenialByReplacedLimits(const InboundRequest& inbound,
+                                          Rejection rejection) const;
   void ApplyRoute(const HttpRoute& route, Call* call);
   // Expected time to pass on a response, which is received completely before it
   // is sent to the caller.
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -63,6 +63,8 @@
   std::chrono::milliseconds header_timeout{10'000};
   // For the first byte of the request.
   std::chrono::milliseconds idle_timeout{60'000};
+
+  bool operator==(const CallerBounds&) const = default;
 };
 
 using RequestHead = boost::beast::http::request_header<>;
--- a/src/node/denial_fixture.cc
+++ b/src/node/denial_fixture.cc
@@ -96,6 +96,11 @@
   m_remote.SetRoutes(routes);
 }
 
+void DenialFixture::SetBehind(bool is_behind) {
+  m_proxy.SetBehindSince(is_behind ? std::optional(Clock::now())
+                                   : std::nullopt);
+}
+
 std::string DenialFixture::Metrics() {
   std::promise<std::string> text;
   m_proxy.ReadMetrics([&](const CallMetrics& metrics) {
--- a/src/node/denial_fixture.h
+++ b/src/node/denial_fixture.h
@@ -65,6 +65,8 @@
   // Puts routes of revision 0 in force: the node has joined a mesh in which no
   // configuration is known.
   void JoinWithoutConfiguration();
+  // Lets the node beside the backend server know of a newer configuration.
+  void SetBehind(bool is_behind);
   // The metrics of the node beside the backend server.
   std::string Metrics();
   // The head of the last request that the backend server has read.
--- a/src/node/denied_request_test.cc
+++ b/src/node/denied_request_test.cc
@@ -5,8 +5,10 @@
 #include <spdlog/spdlog.h>
 
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "node/denial_fixture.h"
@@ -151,6 +153,59 @@
         std::string::npos);
 }
 
+// Guards against a 413 or 431 by limits that were replaced while the request
+// arrived: those of a node without a configuration, or of one that was behind.
+TEST_CASE("A request is not denied by limits that were replaced",
+          "[unconfigured]") {
+  constexpr uint32_t kLargeHeader = 100'000;
+  constexpr uint64_t kLargeBody = 400'000;
+  const DenialOptions raised{.header_limit = kLargeHeader,
+                             .body_limit = kLargeBody};
+  const std::string head =
+      LargeHead(Head("GET /a/1 HTTP/1.1"), kLargeHeader - 2'000);
+  const std::string body =
+      Head("POST /a/1 HTTP/1.1", "Transfer-Encoding: chunked\r\n\r\n") +
+      Chunk(kLargeBody - 10) + "0\r\n\r\n";
+  for (const bool was_configured : {false, true}) {
+    for (const auto* request : {&head, &body}) {
+      const std::string& bytes = *request;
+      INFO((was_configured ? "behind, " : "unconfigured, ") << bytes[0]);
+      DenialFixture fixture(was_configured);
+      if (was_configured) fixture.SetBehind(true);
+      fixture.Metrics();
+      RawCaller caller;
+      caller.Send({bytes.substr(0, 50)});
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      fixture.Configure(2, raised);
+      fixture.SetBehind(false);
+      fixture.Metrics();
+      caller.Send({bytes.substr(50)});
+      // The default limit on bodies is larger.
+      const bool was_within = !was_configured && &bytes == &body;
+      CHECK(caller.Status() == (was_within ? 200 : 503));
+      RawCaller next;
+      next.Send({bytes});
+      CHECK(next.Status() == 200);
+    }
+  }
+}
+
+// Guards against a 503, which callers repeat, for a request that exceeds the
+// limits in force.
+TEST_CASE_METHOD(DenialFixture, "Limits in force still deny",
+                 "[unconfigured]") {
+  Configure(2, {.header_limit = 2 * kHeaderLimit, .body_limit = kBodyLimit});
+  Metrics();
+  RawCaller large;
+  large.Send({PaddedHead(Head("GET /a/1 HTTP/1.1"), size_t{3} * kHeaderLimit)});
+  CHECK(large.Status() == 431);
+  RawCaller body;
+  body.Send(
+      {Head("POST /a/1 HTTP/1.1",
+            "Content-Length: " + std::to_string(kBodyLimit + 1) + "\r\n\r\n")});
+  CHECK(body.Status() == 413);
+}
+
 // Guards against a 400 for a request of which only a part arrived.
 TEST_CASE_METHOD(DenialFixture,
                  "A request that ends early is not counted as malformed") {
--- a/src/node/proxy_behind.cc
+++ b/src/node/proxy_behind.cc
@@ -79,4 +79,15 @@
       .reason = "this node holds no configuration yet: " + rejection.reason};
 }
 
+// A request is read by the limits that were in force when it began. They may be
+// those of a node without a configuration, or of one that was behind.
+Proxy::Rejection Proxy::WithoutDenialByReplacedLimits(
+    const InboundRequest& inbound, Rejection rejection) const {
+  if (!FollowsFromLimits(rejection.status) || inbound.Bounds() == m_bounds) {
+    return rejection;
+  }
+  return {.status = 503,
+          .reason = "the limits have changed since: " + rejection.reason};
+}
+
 }  // namespace kumquatmoor
--- a/src/node/proxy_errors.cc
+++ b/src/node/proxy_errors.cc
@@ -98,6 +98,7 @@
                                     Rejection rejection) {
   rejection = WithoutDenialByDefaults(std::move(rejection));
   rejection = WithoutDenialWhileBehind(std::move(rejection));
+  rejection = WithoutDenialByReplacedLimits(inbound, std::move(rejection));
   if (rejection.is_behind) m_metrics.OnRefusedBehind();
   ReportRejection(inbound, rejection.status, rejection.reason);
   LocalReply answer;
