--- a/src/node/denied_request_forms_test.cc
+++ b/src/node/denied_request_forms_test.cc
@@ -244,6 +244,48 @@
   CHECK(StatusOf(Head(get) + kNoBody, kRemoteCallerPort) == 404);
 }
 
+// Guards against a status of an odd response that reaches the next request on
+// either of its connections.
+TEST_CASE_METHOD(DenialFixture,
+                 "A request after an odd response gets its own response",
+                 "[forms]") {
+  const std::string sound =
+      "HTTP/1.1 200 OK\r\nSigned: y\r\nId: ID\r\nContent-Length: 2\r\n\r\nok";
+  const std::string denial =
+      "HTTP/1.1 404 Not Found\r\nSigned: y\r\nId: ID\r\nContent-Length: "
+      "0\r\n\r\n";
+  struct Case {
+    std::string odd;
+    unsigned status;
+  };
+  const Case cases[] = {
+      {"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", 502},
+      {"HTTP/1.1 301 Moved\r\nLocation: /b/\r\nContent-Length: 0\r\n\r\n", 502},
+      {"HTTP/1.1 404 Not F\r\n" + sound, 502},
+      {"HTTP/1.1 4040 No\r\nContent-Length: 0\r\n\r\n", 502},
+      {"nonsense\r\n\r\n", 502},
+      {denial, 404},
+      {sound + denial, 200},
+      {sound + "HTTP/1.1 404 ", 200},
+  };
+  for (const uint16_t port : {kCallerPort, kRemoteCallerPort}) {
+    for (const auto& c : cases) {
+      INFO(port << " " << c.odd);
+      reply = c.odd;
+      RawCaller caller(port);
+      caller.Send({Head("GET /a/1 HTTP/1.1") + kNoBody});
+      CHECK(caller.Status() == c.status);
+      reply = sound;
+      // Two requests at once, then one that follows.
+      caller.Send({Head("GET /a/2 HTTP/1.1") + kNoBody +
+                   Head("GET /a/3 HTTP/1.1") + kNoBody});
+      for (int i = 0; i < 2; ++i) CHECK(caller.Status() == 200);
+      caller.Send({Head("GET /a/4 HTTP/1.1") + kNoBody});
+      CHECK(caller.Status() == 200);
+    }
+  }
+}
+
 // Guards against a status, or a refusal, that belongs to an earlier response
 // whose head was cut before its id, and that the next response completes.
 TEST_CASE_METHOD(DenialFixture, "Two heads that run together are no response",
