Bound the time to write out the log of a process that ends

What could be seen: a process that has drained is still there at the end of its grace and is killed.

Cause: FinishLogging waited for as long as the reader of the log took any bytes within 100 ms. A slow reader and megabytes of collected lines (4 MiB at most) hold a process for as long as the reader likes.

Now the rest is discarded after 1/50 of shutdown_grace_s. Without that setting the time is not bounded, as before. One that reads nothing ended the wait before, too ("A pipe without a reader ...").

--- a/include/kumquatmoor/node/log_sink.h
+++ b/include/kumquatmoor/node/log_sink.h
@@ -27,6 +27,8 @@
  public:
   static constexpr size_t kMaxBufferedBytes = 4U << 20U;
   static constexpr std::chrono::milliseconds kWriteInterval{20};
+  static constexpr std::chrono::milliseconds kNoTimeout =
+      std::chrono::hours(24);
 
   // Writes to `descriptor` and does not close it.
   explicit BufferedSink(int descriptor);
@@ -34,9 +36,9 @@
   BufferedSink(const BufferedSink&) = delete;
   BufferedSink& operator=(const BufferedSink&) = delete;
 
-  // Writes out the collected lines and ends the writer thread. Lines that are
-  // logged later are lost. Called by one thread.
-  void Finish();
+  // Writes out the collected lines, for at most `timeout`, and ends the writer
+  // thread. Lines that are logged later are lost. Called by one thread.
+  void Finish(std::chrono::milliseconds timeout = kNoTimeout);
 
  protected:
   void sink_it_(const spdlog::details::log_msg& message) override;
@@ -51,12 +53,16 @@
   std::string m_buffer;
   size_t m_dropped = 0;
   std::atomic<bool> m_stopping{false};
+  // After which nothing is written. Set before m_stopping.
+  std::atomic<std::chrono::steady_clock::time_point> m_write_until{
+      std::chrono::steady_clock::time_point::max()};
   std::thread m_thread;
 };
 
-// Writes out what the default logger has collected, before the process ends by
-// std::_Exit. Other threads may go on logging.
-void FinishLogging();
+// Writes out what the default logger has collected, for at most `timeout`,
+// before the process ends by std::_Exit. Other threads may go on logging.
+void FinishLogging(
+    std::chrono::milliseconds timeout = BufferedSink::kNoTimeout);
 
 }  // namespace kumquatmoor
 
--- a/include/kumquatmoor/node/node_settings.h
+++ b/include/kumquatmoor/node/node_settings.h
@@ -37,6 +37,8 @@
   std::chrono::milliseconds default_deadline{2'000};
   // Time between two membership probes.
   std::chrono::milliseconds probe_interval{1'000};
+  // Time between SIGTERM and SIGKILL. Zero: unknown.
+  std::chrono::milliseconds shutdown_grace{0};
   // Time after which a drain aborts the requests in flight.
   std::chrono::milliseconds drain_timeout{10'000};
   // Time after that to write responses.
--- a/programs/kumquatmoord.cc
+++ b/programs/kumquatmoord.cc
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <cstdlib>
 #include <iostream>
 #include <memory>
@@ -62,6 +63,16 @@
   return std::make_unique<kumquatmoor::TableSource>(store);
 }
 
+// The time to write out the log of a process that ends.
+std::chrono::milliseconds LogTimeout(
+    const kumquatmoor::NodeSettings& settings) {
+  constexpr int kGraceParts = 50;
+  if (settings.shutdown_grace.count() == 0) {
+    return kumquatmoor::BufferedSink::kNoTimeout;
+  }
+  return settings.shutdown_grace / kGraceParts;
+}
+
 kumquatmoor::platform::DeploymentServerOptions MakeServerOptions(
     const kumquatmoor::NodeSettings& settings) {
   return {.readiness_address = settings.readiness_address,
@@ -126,7 +137,7 @@
     return kExitFailed;
   }
   node.WaitForSignal(signals);
-  kumquatmoor::FinishLogging();
+  kumquatmoor::FinishLogging(LogTimeout(settings));
   // Skips the destructors: joining a thread that waits for a response of the
   // platform could take seconds, and the drain has already ended.
   std::_Exit(0);
--- a/src/node/log_sink.cc
+++ b/src/node/log_sink.cc
@@ -10,6 +10,9 @@
 namespace kumquatmoor {
 namespace {
 
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
 // Bounds the time for which the destructor waits for a pipe's reader.
 constexpr int kPollTimeoutMs = 100;
 
@@ -20,8 +23,9 @@
 
 BufferedSink::~BufferedSink() { Finish(); }
 
-void BufferedSink::Finish() {
+void BufferedSink::Finish(milliseconds timeout) {
   if (!m_thread.joinable()) return;
+  m_write_until = steady_clock::now() + timeout;
   m_stopping = true;
   m_thread.join();
   WriteOut(TakeBuffer());
@@ -54,10 +58,11 @@
 }
 
 // Waits while the descriptor is a full pipe, and discards the rest of the text
-// if the sink is destroyed before the pipe has room.
+// if the sink is destroyed before the pipe has room, or its timeout has passed.
 void BufferedSink::WriteOut(const std::string& text) const {
   size_t written = 0;
   while (written < text.size()) {
+    if (m_stopping && steady_clock::now() >= m_write_until.load()) return;
     pollfd ready{.fd = m_descriptor, .events = POLLOUT, .revents = 0};
     const int events = poll(&ready, 1, kPollTimeoutMs);
     if (events == 0 && m_stopping) return;
@@ -71,10 +76,10 @@
 }
 
 // spdlog::shutdown would destroy the logger, which other threads still use.
-void FinishLogging() {
+void FinishLogging(milliseconds timeout) {
   for (const auto& sink : spdlog::default_logger()->sinks()) {
     auto* buffered = dynamic_cast<BufferedSink*>(sink.get());
-    if (buffered != nullptr) buffered->Finish();
+    if (buffered != nullptr) buffered->Finish(timeout);
   }
 }
 
--- a/src/node/log_sink_test.cc
+++ b/src/node/log_sink_test.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <memory>
@@ -61,6 +62,34 @@
   close(ends[1]);
 }
 
+// Guards against a process that is killed at the end of its grace since it
+// waits until a slow reader has taken all of its log.
+TEST_CASE("A slow reader of a pipe delays the end of the log by a fixed time") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  std::atomic<bool> stopped = false;
+  std::thread reader([&] {
+    std::array<char, 4'096> chunk{};
+    while (!stopped && read(ends[0], chunk.data(), chunk.size()) > 0) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    }
+  });
+  {
+    const auto sink = std::make_shared<BufferedSink>(ends[1]);
+    spdlog::logger logger("test", sink);
+    const std::string text(1'000, 'x');
+    for (int i = 0; i < 1'000; ++i) logger.info(text);
+    const auto start = std::chrono::steady_clock::now();
+    sink->Finish(std::chrono::milliseconds(300));
+    CHECK(std::chrono::steady_clock::now() - start <
+          std::chrono::milliseconds(2'000));
+  }
+  stopped = true;
+  close(ends[1]);
+  reader.join();
+  close(ends[0]);
+}
+
 // Ends a child process in the way of kumquatmoord, while `threads` of its
 // threads log. Returns its wait status.
 int EndWhileLogging(int threads) {
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -66,6 +66,7 @@
   const auto part = [&](double fraction) {
     return std::chrono::duration_cast<milliseconds>(grace * fraction);
   };
+  settings->shutdown_grace = grace;
   settings->drain_timeout = part(kDrainPart);
   settings->reply_timeout = part(kReplyPart);
   settings->caller_grace = std::min(kMaxCallerGrace, part(kMaxCallerPart));
