Wait in a drain for a request that another node sends

What callers could see: a node beside a backend server stops and ends while another node still sends it a request. Its connection ends without a response, so the request counts as one that may have run: 502 for one that is not idempotent, although it has not run.

Cause: requests of other nodes held the drain only once their head and the buffered part of their body had arrived.

Evidence: with the old count, "A drain waits for a request that another node sends" fails: the drain has ended 300 ms after it began, with the body outstanding, and there is no response. Now it waits; at the drain timeout an incomplete request is refused with 503 as not run.

Connections that stream a response are not among those that the drain timeout aborts. They end with the process.

--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -138,6 +138,10 @@
   // at the reply timeout are cut short. Requests of callers that may not end by
   // then are refused.
   void StartDrain(std::function<void()> drained);
+  // What a drain still waits for, as KEY=VALUE: numbers of requests and
+  // connections, and the first requests with their ids and states. Call on the
+  // proxy's thread.
+  std::string DescribePending() const;
   // Calls `reader` with the current metrics on the proxy's thread.
   void ReadMetrics(std::function<void(const CallMetrics&)> reader);
 
@@ -273,7 +277,11 @@
       std::make_shared<CallerConnections>();
   // Connections to other nodes that carry a request.
   std::shared_ptr<ActiveStreams> m_active = std::make_shared<ActiveStreams>();
-  size_t m_node_requests = 0;  // Requests of other nodes in progress.
+  // Requests of other nodes, from their first byte on. Shared with the
+  // sessions.
+  using NodeRequests = std::set<InboundRequest*>;
+  std::shared_ptr<NodeRequests> m_node_requests =
+      std::make_shared<NodeRequests>();
   // Times from a request of a caller to the end of its response.
   RunTimes m_call_times;
   bool m_draining = false;
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -95,6 +95,8 @@
   // ReadHead rejects the request with 503, ReadChunk fails.
   void CancelRead();
   bool IsReadCancelled() const { return m_read_cancelled; }
+  // True while the rest of a request that has begun is awaited.
+  bool IsReading() const { return m_is_reading; }
   // The HTTP status for a rejected request: 400, 408, 413, 431 or 503.
   unsigned RejectionStatus() const { return m_rejection_status; }
   // The error that caused the rejection.
@@ -117,6 +119,8 @@
   // True once Forward has begun to stream the body, so that the request
   // cannot be retried.
   bool streamed = false;
+  // True once a response is written.
+  bool responding = false;
 
  private:
   boost::beast::tcp_stream& m_stream;
--- a/src/node/drain_test.cc
+++ b/src/node/drain_test.cc
@@ -14,6 +14,8 @@
 #include <optional>
 #include <string>
 
+#include "kumquatmoor/protocol/headers.h"
+#include "kumquatmoor/protocol/verdict.h"
 #include "kumquatmoor/transport/endpoint_address.h"
 #include "node/test_mesh.h"
 
@@ -238,6 +240,28 @@
   });
 }
 
+// Guards against a response that is too large to be buffered and is cut at the
+// drain timeout, while it is streamed.
+TEST_CASE_METHOD(DrainFixture,
+                 "A streamed response goes on after the drain timeout") {
+  response_bytes = kMaxBufferedResponseBytes + 500'000;
+  constexpr double kLinkRate = 2'000'000;
+  Start({.caller_grace = milliseconds(50),
+         .drain_timeout = milliseconds(350),
+         .reply_timeout = milliseconds(5'000),
+         .link_rate = kLinkRate,
+         .callers_use_link = true});
+  mesh.Run([&]() -> asio::awaitable<void> {
+    Send("r1", milliseconds(9'000));
+    co_await Sleep(mesh.Context(), milliseconds(200));
+    StartDrain(kFront);
+    co_await AwaitDrained(milliseconds(8'000));
+    co_await Sleep(mesh.Context(), milliseconds(50));
+    CHECK(received["r1"].status == 200);
+    CHECK(received["r1"].bytes == response_bytes);
+  });
+}
+
 // Guards against a request whose body is still awaited at the end of a drain
 // and that gets no response.
 TEST_CASE_METHOD(DrainFixture,
@@ -268,6 +292,45 @@
   });
 }
 
+// Guards against a process that ends while another node sends it a request,
+// which then counts as one that may have run.
+TEST_CASE_METHOD(DrainFixture,
+                 "A drain waits for a request that another node sends") {
+  Start({}, {.caller_grace = milliseconds(50),
+             .drain_timeout = milliseconds(600),
+             .reply_timeout = milliseconds(400)});
+  const bool completed = GENERATE(true, false);
+  mesh.Run([&]() -> asio::awaitable<void> {
+    beast::tcp_stream stream(mesh.Context());
+    co_await stream.async_connect(*TcpEndpoint(mesh.DataAddress(kBack)),
+                                  asio::use_awaitable);
+    const std::string head =
+        "PUT /s/1 HTTP/1.1\r\nHost: h\r\nId: r1\r\nKumquatmoor-Service: s\r\n"
+        "Kumquatmoor-Version: v1\r\nContent-Length: 1000\r\n\r\n";
+    co_await asio::async_write(stream, asio::buffer(head), asio::use_awaitable);
+    co_await Sleep(mesh.Context(), milliseconds(20));
+    StartDrain(kBack);
+    co_await Sleep(mesh.Context(), milliseconds(300));
+    CHECK_FALSE(drained);
+    if (completed) {
+      const std::string body(1'000, 'b');
+      co_await asio::async_write(stream, asio::buffer(body),
+                                 asio::use_awaitable);
+    }
+    beast::flat_buffer buffer;
+    HttpResponse response;
+    beast::error_code error;
+    co_await http::async_read(stream, buffer, response,
+                              asio::redirect_error(asio::use_awaitable, error));
+    CHECK_FALSE(error);
+    CHECK(response.result_int() == 503);
+    CHECK(response[headers::kVerdict] == VerdictName(Verdict::kNotRun));
+    CHECK_FALSE(response.keep_alive());
+    CHECK(mesh.Arrivals().empty());
+    co_await AwaitDrained(milliseconds(2'000));
+  });
+}
+
 // Guards against a connection that another node uses again although the node at
 // its other end stops.
 TEST_CASE_METHOD(DrainFixture,
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -269,14 +269,25 @@
   bool keep_open = true;
   while (keep_open) {
     InboundRequest inbound(stream, buffer, BoundsForNodes(m_bounds));
-    if (co_await inbound.ReadHead() != ReadOutcome::kRequest) break;
-    ++m_node_requests;
+    const auto unregister = [requests = m_node_requests](InboundRequest* done) {
+      requests->erase(done);
+    };
+    const std::unique_ptr<InboundRequest, decltype(unregister)> registration(
+        &inbound, unregister);
+    const ReadOutcome read = co_await inbound.ReadHead(
+        [this, &inbound] { m_node_requests->insert(&inbound); });
+    if (inbound.IsReadCancelled()) {
+      LocalReply reply;
+      reply.reason = "the node stops before the request has arrived";
+      reply.close = true;
+      co_await WriteLocalReply(inbound, reply);
+    }
+    if (read != ReadOutcome::kRequest) break;
     try {
       keep_open = co_await ServeNode(inbound);
     } catch (const std::exception&) {
       keep_open = false;
     }
-    --m_node_requests;
   }
 }
 
--- a/src/node/proxy_drain.cc
+++ b/src/node/proxy_drain.cc
@@ -8,6 +8,8 @@
 // could know better. So a request is not passed on if it may not end in time:
 // see EndsInGrace.
 
+#include <spdlog/fmt/fmt.h>
+#include <spdlog/fmt/ranges.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -15,7 +17,10 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 #include "kumquatmoor/node/proxy.h"
 #include "node/call.h"
@@ -34,6 +39,14 @@
 constexpr milliseconds kIdleTimeAfterGrace{500};
 // Bounds the time from the signal to the start of the drain on a slow host.
 constexpr milliseconds kMaxSignalDelay{500};
+constexpr size_t kMaxDescribedRequests = 8;
+constexpr size_t kMaxDescribedIdBytes = 64;
+
+std::string_view StateOf(const InboundRequest& inbound) {
+  if (inbound.responding) return "responding";
+  if (inbound.IsReading()) return "reading";
+  return inbound.streamed ? "streaming" : "awaiting";
+}
 
 }  // namespace
 
@@ -61,7 +74,7 @@
 
 bool Proxy::IsBusy() const {
   return m_runner->GetAdmission().TotalInFlight() > 0 ||
-         m_caller_server.Connections() > 0 || m_node_requests > 0;
+         m_caller_server.Connections() > 0 || !m_node_requests->empty();
 }
 
 asio::awaitable<void> Proxy::WaitUntilDrained(std::function<void()> drained) {
@@ -85,12 +98,41 @@
   }
   if (IsBusy()) {
     spdlog::warn("node: event=cut_off callers={} node_requests={}",
-                 m_callers->size(), m_node_requests);
+                 m_callers->size(), m_node_requests->size());
   }
   m_data_server.StopAccepting();
   drained();
 }
 
+std::string Proxy::DescribePending() const {
+  std::vector<std::string> requests;
+  const auto add = [&](std::string_view from, const InboundRequest& inbound,
+                       std::string_view state) {
+    if (requests.size() >= kMaxDescribedRequests) return;
+    const auto id = inbound.Head()[m_options.headers.request_id];
+    const std::string_view shown(id.data(), id.size());
+    requests.push_back(fmt::format(
+        "{}/{}/{}", from, shown.substr(0, kMaxDescribedIdBytes), state));
+  };
+  for (const InboundRequest* inbound : *m_node_requests) {
+    add("node", *inbound, StateOf(*inbound));
+  }
+  size_t idle = 0;
+  for (const CallerConnection* caller : *m_callers) {
+    if (caller->idle_since || caller->inbound == nullptr) {
+      ++idle;
+    } else {
+      add("caller", *caller->inbound, StateOf(*caller->inbound));
+    }
+  }
+  return fmt::format(
+      "callers={} idle_callers={} node_requests={} local_requests={} "
+      "node_connections={} requests=\"{}\"",
+      m_callers->size(), idle, m_node_requests->size(),
+      m_runner->GetAdmission().TotalInFlight(), m_active->size(),
+      fmt::join(requests, " "));
+}
+
 // A request may begin to use a connection after an earlier call.
 void Proxy::AbortRequests() {
   m_runner->AbortAll();
@@ -98,6 +140,7 @@
   for (CallerConnection* caller : *m_callers) {
     if (caller->inbound != nullptr) caller->inbound->CancelRead();
   }
+  for (InboundRequest* request : *m_node_requests) request->CancelRead();
   CloseIdleCallers(milliseconds(0));
 }
 
--- a/src/transport/relay.cc
+++ b/src/transport/relay.cc
@@ -145,6 +145,7 @@
 asio::awaitable<bool> RelayResponse(InboundRequest& inbound,
                                     ForwardResult& result, UpstreamPool& pool,
                                     RelayOptions options) {
+  inbound.responding = true;
   RemoveHopByHopHeaders(&result.head);
   result.head.version(11);
   if (options.close || !inbound.KeepAlive()) {
@@ -163,6 +164,7 @@
 
 asio::awaitable<void> WriteLocalReply(InboundRequest& inbound,
                                       const LocalReply& reply) {
+  inbound.responding = true;
   http::response<http::string_body> response;
   response.version(11);
   response.result(reply.status);
