Never drop the start of a drain when the control loop's ring is full

What callers could see: a node that stops goes on to count as ready and its backend servers get requests, as other nodes hear nothing of the drain. Node posted StartDrain and Leave once, and ignored that Post drops a command if 1024 others wait.

PostUnbounded queues these two commands in the context, which has no bound. That the ring was ever full in a stop has not been seen.

--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -11,9 +11,9 @@
 //   auto reply = loop.Run<StatusReply>([](ControlLoop& l) { ... });
 //
 // The control thread is the thread that runs `context`. Other threads call
-// Post, Run and AcceptsCallers only; every other method belongs to the control
-// thread. Post and Run queue a command in a bounded ring and fail if the ring
-// is full.
+// Post, PostUnbounded, Run and AcceptsCallers only; every other method belongs
+// to the control thread. Post and Run queue a command in a bounded ring and
+// fail if the ring is full; PostUnbounded queues it in the context.
 //
 // A timer tick drives the periodic work: membership probes, outcome reports,
 // decisions on moves, the acknowledgement tree and the expiry of announcements.
@@ -78,6 +78,9 @@
   // Runs `command` on the control thread later. Returns false, and drops the
   // command, if the ring is full. Safe from any thread.
   bool Post(Command command);
+  // Like Post, but never drops the command. For the few commands that nothing
+  // repeats. Safe from any thread.
+  void PostUnbounded(Command command);
   // Runs `function` on the control thread and waits for its result. Returns
   // nullopt if the ring is full or the result takes longer than `timeout`; in
   // the latter case `function` may still run. Must not be called from the
@@ -158,6 +161,7 @@
  private:
   void Tick();
   void RunPostedCommands();
+  void PublishCommandResults();
   void OnBytes(std::string_view bytes);
   void Send(const std::vector<OutgoingDatagram>& out);
   void SendTo(const std::string& member_id, const Datagram& datagram);
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -72,11 +72,23 @@
   return true;
 }
 
+void ControlLoop::PostUnbounded(Command command) {
+  boost::asio::post(m_context, [this, command = std::move(command)] {
+    NotePause(Clock::now());
+    command(*this);
+    PublishCommandResults();
+  });
+}
+
 void ControlLoop::RunPostedCommands() {
   while (auto command = m_commands.TryPop()) {
     NotePause(Clock::now());
     (*command)(*this);
   }
+  PublishCommandResults();
+}
+
+void ControlLoop::PublishCommandResults() {
   PublishNewBatch();
   PublishBehindSince();
   ExtendDecisions(Clock::now());
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -165,7 +165,7 @@
 // Publishes the local targets as draining, waits for the end of the requests in
 // flight, and then announces that the node itself leaves.
 void Node::Drain() {
-  m_loop.Post([](ControlLoop& loop) { loop.StartDrain(); });
+  m_loop.PostUnbounded([](ControlLoop& loop) { loop.StartDrain(); });
   auto drained = std::make_shared<std::promise<void>>();
   auto done = drained->get_future();
   m_proxy.StartDrain([drained] { drained->set_value(); });
@@ -176,7 +176,7 @@
         "still in flight\"",
         m_settings.drain_timeout.count());
   }
-  m_loop.Post([](ControlLoop& loop) { loop.Leave(); });
+  m_loop.PostUnbounded([](ControlLoop& loop) { loop.Leave(); });
   std::this_thread::sleep_for(kLeaveDelay);
   spdlog::info("node: event=drained");
 }
