--- a/tools/soak.py
+++ b/tools/soak.py
@@ -13,6 +13,7 @@
 import asyncio
 import base64
 import collections
+import itertools
 import json
 import os
 import random
@@ -207,7 +208,7 @@
                                  f"{len(text)}\r\n\r\n{text}".encode())
                     answer = await reader.read()
                 finally:
-                    writer.close()
+                    writer.transport.abort()
         except (OSError, TimeoutError):
             return None
         head, _, rest = answer.partition(b"\r\n\r\n")
@@ -219,10 +220,13 @@
             gap = (0.15, 0.4) if rng.random() < 0.6 else (2.5, 6)
             await asyncio.sleep(rng.uniform(*gap))
             await asyncio.sleep(max(0, self.quiet_until - self.now()))
-            async with self.writing:
-                self.versions.append(self.next_version(rng))
-                await self.write_newest()
-            self.counts["version"] += 1
+            await self.write_version(rng)
+
+    async def write_version(self, rng):
+        async with self.writing:
+            self.versions.append(self.next_version(rng))
+            await self.write_newest()
+        self.counts["version"] += 1
 
     # Disturbances of the store.
 
@@ -238,18 +242,25 @@
                 await kind(rng)
 
     async def return_store(self, rng):
-        """The store comes back from an older copy; the operator's newest
-        version is written again after a moment."""
+        """The store comes back from an older copy. The operator writes the
+        newest version again, mostly another one after it, and is quiet then, so
+        that revisions stay below those of before."""
+        for _ in range(rng.randint(0, 4)):
+            await self.write_version(rng)
+        quiet = rng.random() < 0.7
+        if quiet:
+            self.quiet_until = self.now() + 12
         span = self.span(self.store, "store returns", stretches=True)
-        if rng.random() < 0.6:  # Few revisions are given out at first.
-            self.quiet_until = self.now() + rng.uniform(5, 8)
         await self.store_call("/v1/test", {
             "return_ms": rng.randint(300, 5000)})
-        for _ in range(rng.choice([1, 1, 2])):
-            await asyncio.sleep(rng.uniform(0.1, 2))
-            async with self.writing:
-                await self.write_newest()
+        await asyncio.sleep(rng.uniform(0.1, 2))
+        async with self.writing:
+            await self.write_newest()
         span.end = self.now()
+        if quiet:
+            await asyncio.sleep(rng.uniform(0, 1))
+            await self.write_version(rng)
+            await asyncio.sleep(rng.uniform(4, 6))
 
     async def answer_late(self, rng):
         late_ms = rng.randint(500, 3000)
@@ -454,17 +465,18 @@
         rng = self.random(f"caller {host.name} {number}")
         connection = Connection(host)
         keeps = number % 2 == 0  # It uses a connection until the node ends it.
-        for i in range(1 << 30):
-            await asyncio.sleep(rng.uniform(0.5, 1.5) * CALLER_PAUSE_S)
-            if not keeps and i % 5 == 0:
-                connection.close()
-            if host.node is None or not self.versions:
-                continue
-            outcome = await self.call_once(
-                connection, rng.choice(["GET", "GET", "POST"]),
-                self.pick_prefix(rng), "x", f"{host.name}-{number}-{i}")
-            if outcome == "refused":
-                await asyncio.sleep(0.05)
+        try:
+            for i in itertools.count():
+                await asyncio.sleep(rng.uniform(0.5, 1.5) * CALLER_PAUSE_S)
+                if not keeps and i % 5 == 0:
+                    connection.close()
+                if host.node is not None:
+                    await self.call_once(
+                        connection, rng.choice(["GET", "GET", "POST"]),
+                        self.pick_prefix(rng), "x",
+                        f"{host.name}-{number}-{i}")
+        finally:
+            connection.close()
 
     # The run.
 
@@ -524,7 +536,7 @@
         mesh.keep_logs = mesh.keep_logs or bool(failures)
         with open(mesh.path("requests.log"), "w") as file:
             file.writelines(f"{request}\n" for request in soak.requests)
-    for failure in failures[:20]:
+    for failure in failures[:5]:
         print(f"seed={options.seed} {failure}")
     counts = " ".join(f"{name.replace(' ', '_')}={count}"
                       for name, count in sorted(soak.counts.items()))
