--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 BUILD ?= build
 PYTHON ?= python3
 
-.PHONY: all deps build test demo bench moves choice overload capacity mutants fuzz sanitize lint format proto
+.PHONY: all deps build test demo bench moves choice overload capacity mutants fuzz soak sanitize lint format proto
 
 all: build
 
@@ -64,6 +64,15 @@
 fuzz: build
 	@SEED=$(SEED) SEEDS=$(SEEDS) STEPS=$(STEPS) $(BUILD)/coordination_test [fuzz]
 
+# Fault soaks on real processes, RUNS seeds from SEED on, SECONDS each:
+#   make soak SEED=7 SECONDS=120 RUNS=50
+SECONDS ?= 60
+RUNS ?= 1
+soak: build
+	@failed=0; for seed in $$(seq $(SEED) $$(($(SEED) + $(RUNS) - 1))); do \
+	  KUMQUATMOOR_BUILD=$(abspath $(BUILD)) $(PYTHON) tools/soak.py $$seed \
+	    --seconds $(SECONDS) || failed=1; done; exit $$failed
+
 # The unit tests of src/ and one proof with AddressSanitizer and
 # UndefinedBehaviorSanitizer, in a separate build directory.
 sanitize: deps
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -295,9 +295,14 @@
             for kind in kinds:
                 await asyncio.sleep(rng.uniform(1, 4))
                 free = [h for h in self.mesh.running() if not h.busy]
-                hosts = rng.sample(free, min(len(free), rng.choice([1, 1, 2])))
+                several = kind == self.freeze and rng.random() < 0.6
+                count = rng.choice([3, 4]) if several else rng.choice([1, 1, 2])
+                hosts = rng.sample(free, min(len(free), count))
                 for host in hosts:
                     host.busy = True
+                if several:  # Some have pushed it, some have not, when frozen.
+                    asyncio.create_task(self.write_version(rng))
+                    await asyncio.sleep(rng.uniform(0, 0.1))
                 await asyncio.gather(*[kind(host, rng) for host in hosts])
                 for host in hosts:
                     host.busy = False
