--- a/tools/soak_oracles.py
+++ b/tools/soak_oracles.py
@@ -30,7 +30,7 @@
 
 @dataclasses.dataclass
 class Span:
-    """A disturbance. `stretches` is True if the bounds still hold, stretched."""
+    """A disturbance. `stretches` is True if bounds still hold, stretched."""
     kind: str
     begin: float
     end: float = math.inf
@@ -63,7 +63,8 @@
         store. `nodes`: spans by node."""
         self.versions, self.base = versions, base
         self.store, self.nodes = store, nodes
-        self.checks = {"config": 0, "downgrade": 0, "denied": 0}
+        self.checks = {"config": 0, "config_unstretched": 0, "downgrade": 0,
+                       "denied": 0}
         self.violations = []
 
     def judge(self, requests):
@@ -82,13 +83,16 @@
                                     request.ended)
                        for span in self.nodes[request.node])
 
+    def unstable(self, request):
+        return any(span.touches(request.sent - STABLE_WINDOW_S, request.ended)
+                   for span in self.store)
+
     def required(self, request):
         """Index of the oldest version that the node may still use, or None if
         the rules set no bound."""
         if not self.calm(request):
             return None
-        unstable = any(span.touches(request.sent - STABLE_WINDOW_S,
-                                    request.ended) for span in self.store)
+        unstable = self.unstable(request)
         for i in range(len(self.versions) - 1, -1, -1):
             acked = self.versions[i].acked
             if unstable and any(
@@ -109,6 +113,7 @@
         required = self.required(request)
         if required is not None:
             self.checks["config"] += 1
+            self.checks["config_unstretched"] += not self.unstable(request)
             if newest < required:
                 self.report("CONFIG", request, newest, required, "late")
         shown = max((i for i, ended in seen.items()
