Guard how long a lower version after a return is held

It is held for ever, until a higher version is written; each lower version is counted and logged once (event=held, kumquatmoor_batches_held_total). After a higher version of the new generation, the revision decides, and a lower one comes into force at once. No change of the product, and the test passes on the unchanged code: a guard. Ruled out: to take a write of op/config that is seen after the return. The operators write again what the store has lost; an intermediate version of that series would send nodes back from the configuration in force.

--- a/src/coordination/store_generation_test.cc
+++ b/src/coordination/store_generation_test.cc
@@ -159,5 +159,30 @@
   CHECK_FALSE(pair.a.PopSyncPeer());
 }
 
+// Guards against a lower version that comes into force while the operators
+// write again what the store has lost, oldest first, and against a held version
+// that is not reported. It is held until a version at least as high is written;
+// after that, the revision decides again.
+TEST_CASE(
+    "A lower version after a return is held until a higher one is written",
+    "[generation]") {
+  Replica replica({.id = "n", .control_address = "n"}, {});
+  REQUIRE(replica.Offer(BatchOf(kInForce)) == OfferOutcome::kApplied);
+  uint64_t revision = kCopied.revision;
+  for (uint64_t version = 1; version < kInForce.config_version; ++version) {
+    const BatchStamp lower{.revision = ++revision, .config_version = version};
+    CHECK(replica.Offer(BatchOf(lower)) == OfferOutcome::kOld);
+    CHECK(replica.HeldBackCount() == version);
+    CHECK(replica.Offer(BatchOf(lower)) == OfferOutcome::kOld);
+    CHECK(replica.HeldBackCount() == version);
+    CHECK(replica.CurrentBatch().routes_size() == 7);
+  }
+  CHECK(replica.Offer(BatchOf({.revision = ++revision, .config_version = 8})) ==
+        OfferOutcome::kApplied);
+  CHECK(replica.Offer(BatchOf({.revision = ++revision, .config_version = 6})) ==
+        OfferOutcome::kApplied);
+  CHECK(replica.CurrentBatch().routes_size() == 6);
+}
+
 }  // namespace
 }  // namespace kumquatmoor
