Extend the proxy's time to decide at each tick

Callers could see requests refused with 503 by a node whose control thread was late by 0.75 to 1 s, which is within the time that it is allowed.

Cause: the proxy may decide for 1 s without a sign of the control thread, but that time was extended only when 250 ms of it had passed. It is now extended at each tick, 50 ms.

Kept: a control thread that is late by more than 1 s counts as a stopped process. Telling them apart by a thread that ran meanwhile would not be sound, as the control thread is the one that hears of newer batches; 1 s is what the sums leave on a grown site.

--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -23,7 +23,7 @@
 constexpr milliseconds kAckUpdateInterval{500};
 // For which the proxy may decide without a sign of the control thread.
 constexpr milliseconds kDecisionTime{1'000};
-constexpr milliseconds kDecisionExtension{250};
+constexpr milliseconds kDecisionExtension{50};
 // Longest wait for a sign of another member after a pause. An isolated node
 // serves on.
 constexpr milliseconds kMaxWaitAfterPause{1'000};
--- a/src/node/outdated_node_test.cc
+++ b/src/node/outdated_node_test.cc
@@ -101,12 +101,16 @@
   // Holds up both threads of the node, as a stop of the process does. The
   // control thread goes on after Resume.
   void Freeze(milliseconds time) {
+    HoldUpControl();
+    m_proxy.ReadMetrics(
+        [time](const CallMetrics&) { std::this_thread::sleep_for(time); });
+  }
+  // Holds up the control thread until Resume.
+  void HoldUpControl() {
     m_resume = std::promise<void>();
     m_loop.Post([resumed = m_resume.get_future().share()](ControlLoop&) {
       resumed.wait();
     });
-    m_proxy.ReadMetrics(
-        [time](const CallMetrics&) { std::this_thread::sleep_for(time); });
   }
   void Resume() { m_resume.set_value(); }
   bool AcceptsCallers() const { return m_loop.AcceptsCallers(); }
@@ -440,6 +444,25 @@
   CHECK(late.Call("/removed/").result_int() == 404);
 }
 
+// Guards against a node that takes a control thread which was late by less than
+// the allowed time for a stop of the process. The first delay sets the time of
+// the last extension, the second one begins just before the next.
+TEST_CASE_METHOD(OutdatedFixture,
+                 "A control thread that is late by 0.85 s refuses nothing",
+                 "[outdated]") {
+  for (int round = 0; round < 3; ++round) {
+    late.HoldUpControl();
+    std::this_thread::sleep_for(milliseconds(500));
+    late.Resume();
+    std::this_thread::sleep_for(milliseconds(200));
+    late.HoldUpControl();
+    std::this_thread::sleep_for(milliseconds(850));
+    CHECK(late.Call("/kept/").result_int() == 200);
+    late.Resume();
+    late.Self();
+  }
+}
+
 // Guards against a node that serves no callers after a stop since it has nobody
 // to hear of.
 TEST_CASE_METHOD(OutdatedFixture,
