End a process before its grace does, and log what it waits for

Nothing in a log said what they waited for.

Cause: not known. The end depended on the main thread, the rings, the writer of the log and a sum of fixed times; destructors after a failed start joined threads. Nothing bounded the whole.

ShutdownWatchdog has a thread of its own that catches SIGTERM itself and waits for no other. At 0.90 of the grace another thread logs what is pending, ahead of the collected lines; at 0.97 the process ends by _Exit(3). A signal that arrives within 50 ms of a pause counts from the start of the pause. Without shutdown_grace_s there is neither. The log is now written out for half of the time that is left, and a failed start ends without destructors.

A check of the proof that a store call is in progress depended on its time-outs; the line must name the calls.

--- a/include/kumquatmoor/node/log_sink.h
+++ b/include/kumquatmoor/node/log_sink.h
@@ -40,6 +40,14 @@
   // thread. Lines that are logged later are lost. Called by one thread.
   void Finish(std::chrono::milliseconds timeout = kNoTimeout);
 
+  // Writes a line to the descriptor ahead of the collected ones, from the
+  // calling thread. Waits up to `timeout` for room in a full pipe, then returns
+  // false.
+  bool WriteAhead(const spdlog::details::log_msg& message,
+                  std::chrono::milliseconds timeout);
+  // The collected bytes that the writer thread has not taken yet.
+  size_t CollectedBytes();
+
  protected:
   void sink_it_(const spdlog::details::log_msg& message) override;
   void flush_() override {}
@@ -53,12 +61,19 @@
   std::string m_buffer;
   size_t m_dropped = 0;
   std::atomic<bool> m_stopping{false};
+  std::atomic<bool> m_writes_ahead{false};  // WriteAhead waits for room.
   // After which nothing is written. Set before m_stopping.
   std::atomic<std::chrono::steady_clock::time_point> m_write_until{
       std::chrono::steady_clock::time_point::max()};
   std::thread m_thread;
 };
 
+// Logs a warning to the default logger by BufferedSink::WriteAhead, with the
+// number of bytes that are collected. For a process whose writer thread may not
+// get to write any more. May block if the descriptor is not a pipe of this
+// process alone.
+void LogAhead(const std::string& text, std::chrono::milliseconds timeout);
+
 // Writes out what the default logger has collected, for at most `timeout`,
 // before the process ends by std::_Exit. Other threads may go on logging.
 void FinishLogging(
--- a/include/kumquatmoor/node/node.h
+++ b/include/kumquatmoor/node/node.h
@@ -12,6 +12,7 @@
 // worker joins the mesh and transfers bulk state; the gateway thread calls the
 // platform; gRPC's threads serve ControlService.
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -59,6 +60,10 @@
   // ended.
   void WaitForSignal(ProcessSignals& signals);
 
+  // What this node still waits for, as KEY=VALUE. A thread that does not
+  // respond in time is named. Safe from any thread but those of the contexts.
+  std::string DescribePending();
+
   // An adapter to a deployment serves its own addresses on this context, which
   // the control thread runs.
   boost::asio::io_context& ControlContext() { return m_control_context; }
@@ -90,6 +95,7 @@
   HttpServer m_admin;
   std::thread m_proxy_thread;
   std::thread m_control_thread;
+  std::atomic<const char*> m_phase{"starting"};  // Of the main thread.
 };
 
 }  // namespace kumquatmoor
--- a/programs/kumquatmoord.cc
+++ b/programs/kumquatmoord.cc
@@ -16,6 +16,7 @@
 #include "kumquatmoor/node/node.h"
 #include "kumquatmoor/node/node_settings.h"
 #include "kumquatmoor/node/process_signals.h"
+#include "kumquatmoor/node/shutdown_watchdog.h"
 #include "platform/deployment_server.h"
 #include "platform/operator_source.h"
 #include "platform/store_client.h"
@@ -63,14 +64,13 @@
   return std::make_unique<kumquatmoor::TableSource>(store);
 }
 
-// The time to write out the log of a process that ends.
-std::chrono::milliseconds LogTimeout(
-    const kumquatmoor::NodeSettings& settings) {
-  constexpr int kGraceParts = 50;
-  if (settings.shutdown_grace.count() == 0) {
-    return kumquatmoor::BufferedSink::kNoTimeout;
-  }
-  return settings.shutdown_grace / kGraceParts;
+// Logs what a process whose grace is almost over still waits for.
+void ReportPending(kumquatmoor::Node* node,
+                   const kumquatmoor::platform::StoreClient& store) {
+  constexpr std::chrono::milliseconds kWriteTimeout{100};
+  kumquatmoor::LogAhead("node: event=grace_ends " + node->DescribePending() +
+                            " " + store.DescribePending(),
+                        kWriteTimeout);
 }
 
 kumquatmoor::platform::DeploymentServerOptions MakeServerOptions(
@@ -86,11 +86,13 @@
 
 int main(int argc, char** argv) {
   kumquatmoor::ProcessSignals signals;
+  kumquatmoor::ShutdownWatchdog watchdog;
   gflags::SetUsageMessage(
       "The kumquatmoor node.\n\n"
       "  kumquatmoord --settings=node.json\n\n"
       "SIGTERM drains the node and ends it. Exit codes: 0 drained, 1 an\n"
-      "address cannot be bound, 2 the settings are wrong.");
+      "address cannot be bound, 2 the settings are wrong, 3 the drain did not\n"
+      "end before SIGKILL was due.");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (FLAGS_settings.empty()) {
     std::cerr << "kumquatmoord: --settings is missing; see --help\n";
@@ -107,6 +109,7 @@
     std::cout << FLAGS_settings << ": good\n";
     return 0;
   }
+  watchdog.SetGrace(settings.shutdown_grace);
   if (!StartLogging(settings)) {
     std::cerr << "log_file: " << settings.log_file << " cannot be opened\n";
     return kExitBadSettings;
@@ -128,16 +131,20 @@
   kumquatmoor::Node node(settings, std::move(options));
   kumquatmoor::platform::DeploymentServer server(
       node.ControlContext(), MakeServerOptions(settings), &node.Loop());
+  watchdog.SetReport([&node, &store] { ReportPending(&node, store); });
   std::string problem = node.Start();
   if (problem.empty() && IsOperatorDeployment(settings)) {
     problem = server.Start();
   }
   if (!problem.empty()) {
     std::cerr << "kumquatmoord: " << problem << "\n";
-    return kExitFailed;
+    kumquatmoor::FinishLogging();
+    std::_Exit(kExitFailed);
   }
   node.WaitForSignal(signals);
-  kumquatmoor::FinishLogging(LogTimeout(settings));
+  // The other half is left to the end of the process.
+  kumquatmoor::FinishLogging(
+      watchdog.TimeLeft(kumquatmoor::BufferedSink::kNoTimeout) / 2);
   // Skips the destructors: joining a thread that waits for a response of the
   // platform could take seconds, and the drain has already ended.
   std::_Exit(0);
--- a/src/node/log_sink.cc
+++ b/src/node/log_sink.cc
@@ -2,6 +2,7 @@
 
 #include <limits.h>
 #include <poll.h>
+#include <spdlog/fmt/fmt.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -15,6 +16,8 @@
 
 // Bounds the time for which the destructor waits for a pipe's reader.
 constexpr int kPollTimeoutMs = 100;
+// Interval at which the writer thread checks whether it may write again.
+constexpr milliseconds kYieldInterval{1};
 
 }  // namespace
 
@@ -41,6 +44,29 @@
   m_buffer.append(line.data(), line.size());
 }
 
+bool BufferedSink::WriteAhead(const spdlog::details::log_msg& message,
+                              milliseconds timeout) {
+  spdlog::memory_buf_t line;
+  // The writer thread may have written a part of a line.
+  line.push_back('\n');
+  {
+    const std::lock_guard lock(mutex_);
+    formatter_->format(message, line);
+  }
+  m_writes_ahead = true;
+  pollfd ready{.fd = m_descriptor, .events = POLLOUT, .revents = 0};
+  const int events = poll(&ready, 1, static_cast<int>(timeout.count()));
+  const size_t size = std::min<size_t>(line.size(), PIPE_BUF);
+  const bool written = events > 0 && write(m_descriptor, line.data(), size) > 0;
+  m_writes_ahead = false;
+  return written;
+}
+
+size_t BufferedSink::CollectedBytes() {
+  const std::lock_guard lock(mutex_);
+  return m_buffer.size();
+}
+
 std::string BufferedSink::TakeBuffer() {
   const std::lock_guard lock(mutex_);
   if (m_dropped > 0) {
@@ -63,6 +89,10 @@
   size_t written = 0;
   while (written < text.size()) {
     if (m_stopping && steady_clock::now() >= m_write_until.load()) return;
+    if (m_writes_ahead) {
+      std::this_thread::sleep_for(kYieldInterval);
+      continue;
+    }
     pollfd ready{.fd = m_descriptor, .events = POLLOUT, .revents = 0};
     const int events = poll(&ready, 1, kPollTimeoutMs);
     if (events == 0 && m_stopping) return;
@@ -75,6 +105,17 @@
   }
 }
 
+void LogAhead(const std::string& text, milliseconds timeout) {
+  const auto logger = spdlog::default_logger();
+  for (const auto& sink : logger->sinks()) {
+    auto* buffered = dynamic_cast<BufferedSink*>(sink.get());
+    if (buffered == nullptr) continue;
+    const std::string line =
+        fmt::format("{} log_bytes={}", text, buffered->CollectedBytes());
+    buffered->WriteAhead({logger->name(), spdlog::level::warn, line}, timeout);
+  }
+}
+
 // spdlog::shutdown would destroy the logger, which other threads still use.
 void FinishLogging(milliseconds timeout) {
   for (const auto& sink : spdlog::default_logger()->sinks()) {
--- a/src/node/log_sink_test.cc
+++ b/src/node/log_sink_test.cc
@@ -90,6 +90,41 @@
   close(ends[0]);
 }
 
+// Guards against a report that arrives behind megabytes of collected lines, or
+// waits for a pipe that nobody reads.
+TEST_CASE("A line that is written ahead does not wait for collected lines") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  {
+    const auto sink = std::make_shared<BufferedSink>(ends[1]);
+    spdlog::logger logger("test", sink);
+    const std::string text(1'000, 'x');
+    for (int i = 0; i < 1'000; ++i) logger.info(text);
+    // The writer thread fills the pipe.
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    const spdlog::details::log_msg line("test", spdlog::level::warn, "ahead");
+    const auto start = std::chrono::steady_clock::now();
+    CHECK_FALSE(sink->WriteAhead(line, std::chrono::milliseconds(50)));
+    CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(1));
+    std::thread ahead(
+        [&] { sink->WriteAhead(line, std::chrono::milliseconds(5'000)); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    // What the pipe held and what the writer thread had begun comes first.
+    std::array<char, 65'536> chunk{};
+    std::string received;
+    while (received.find("ahead") == std::string::npos &&
+           received.size() < 900'000) {
+      const ssize_t size = read(ends[0], chunk.data(), chunk.size());
+      REQUIRE(size > 0);
+      received.append(chunk.data(), static_cast<size_t>(size));
+    }
+    CHECK(received.size() < 200'000);
+    ahead.join();
+  }
+  close(ends[0]);
+  close(ends[1]);
+}
+
 // Ends a child process in the way of kumquatmoord, while `threads` of its
 // threads log. Returns its wait status.
 int EndWhileLogging(int threads) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -1,5 +1,6 @@
 #include "kumquatmoor/node/node.h"
 
+#include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -28,6 +29,8 @@
 constexpr std::chrono::milliseconds kLeaveDelay{100};
 // Time for the proxy's thread to report that its time is over.
 constexpr std::chrono::milliseconds kReportDelay{30};
+// Time for a thread to describe what it waits for.
+constexpr std::chrono::milliseconds kAskTimeout{100};
 
 int64_t UnixMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -89,6 +92,16 @@
       kJson);
 }
 
+// Runs `function` on the thread that runs `context`.
+std::future<std::string> Ask(asio::io_context& context,
+                             std::function<std::string()> function) {
+  auto task =
+      std::make_shared<std::packaged_task<std::string()>>(std::move(function));
+  auto result = task->get_future();
+  asio::post(context, [task] { (*task)(); });
+  return result;
+}
+
 }  // namespace
 
 Node::Node(NodeSettings settings, NodeOptions options)
@@ -157,7 +170,9 @@
 }
 
 void Node::WaitForSignal(ProcessSignals& signals) {
+  m_phase = "serving";
   signals.WaitForStop(m_options.on_reload);
+  m_phase = "draining";
   spdlog::info("node: event=draining");
   Drain();
 }
@@ -176,9 +191,27 @@
         "still in flight\"",
         m_settings.drain_timeout.count());
   }
+  m_phase = "leaving";
   m_loop.PostUnbounded([](ControlLoop& loop) { loop.Leave(); });
   std::this_thread::sleep_for(kLeaveDelay);
   spdlog::info("node: event=drained");
+  m_phase = "ending";
+}
+
+std::string Node::DescribePending() {
+  auto proxy =
+      Ask(m_proxy_context, [this] { return m_proxy.DescribePending(); });
+  auto control = Ask(m_control_context, [] { return std::string(); });
+  const TimePoint until = Clock::now() + kAskTimeout;
+  const bool proxy_responds =
+      proxy.wait_until(until) == std::future_status::ready;
+  const bool control_responds =
+      control.wait_until(until) == std::future_status::ready;
+  const auto text = [](bool responds) { return responds ? "runs" : "hangs"; };
+  return fmt::format("phase={} proxy_thread={} control_thread={} {}",
+                     m_phase.load(), text(proxy_responds),
+                     text(control_responds),
+                     proxy_responds ? proxy.get() : std::string());
 }
 
 void Node::Stop() {
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -112,10 +112,11 @@
     def path(self, name):
         return os.path.join(self.directory, name)
 
-    def run(self, name, *arguments):
+    def run(self, name, *arguments, pass_fds=()):
         log = open(self.path(f"{name}.log"), "ab")
         process = subprocess.Popen(
-            arguments, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+            arguments, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+            pass_fds=pass_fds)
         log.close()
         self.processes.append(process)
         return process
@@ -132,7 +133,7 @@
         self.wait(lambda: self.platform_test({}) is not None,
                   "the platform to answer")
 
-    def start_node(self, host):
+    def start_node(self, host, pass_fds=()):
         seeds = [other.at(CONTROL_PORT) for other in self.hosts[::3]]
         settings = {
             "id": host.name,
@@ -150,7 +151,7 @@
             json.dump(settings, file, indent=2)
         host.node = self.run(
             host.name, self.program("kumquatmoord"), f"--settings={path}",
-            "--enable_fault_injection")
+            "--enable_fault_injection", pass_fds=pass_fds)
 
     def start_backend(self, host, service, version, port=BACKEND_PORT,
                       **flags):
--- a/tools/proof_grace.py
+++ b/tools/proof_grace.py
@@ -112,3 +112,78 @@
 def accepts(host):
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as link:
         return link.connect_ex((host.address, CALLER_PORT)) == 0
+
+
+def grace_is_bounded():
+    """Nodes that cannot end are stopped at the same time. Each one ends before
+    its grace does: one has an incomplete request and a drain that is set too
+    long, one is resumed after its grace, one has a log that nobody reads. The
+    store hangs all the time."""
+    grace_s = 2
+    with small_cluster(39) as cluster:
+        cluster.spec["node_settings"]["shutdown_grace_s"] = grace_s
+        cluster.spec["node_settings"]["drain_timeout_ms"] = 20000
+        cluster.start_platform()
+        hosts = cluster.hosts[:3]
+        for host in hosts[:2]:
+            cluster.start_node(host)
+        unread = start_with_unread_log(cluster, hosts[2])
+        for host in hosts:
+            cluster.wait(lambda: accepts(host), "the node to listen")
+        cluster.platform.send_signal(signal.SIGSTOP)
+        links = [incomplete_request(host) for host in hosts]
+        time.sleep(0.5)
+        begin = time.monotonic()
+        for host in hosts:
+            host.node.send_signal(signal.SIGTERM)
+        time.sleep(0.1)
+        hosts[1].node.send_signal(signal.SIGSTOP)
+        ends = {}
+        while time.monotonic() < begin + grace_s + 1:
+            now = time.monotonic() - begin
+            if now > grace_s + 0.5:
+                hosts[1].node.send_signal(signal.SIGCONT)
+            for host in hosts:
+                if host.node.poll() is not None:
+                    ends.setdefault(host.name, now)
+            time.sleep(0.01)
+        print({name: round(end, 2) for name, end in ends.items()})
+        for host in (hosts[0], hosts[2]):
+            check(ends.get(host.name, grace_s) < grace_s,
+                  f"{host.name} did not end in its grace")
+            check(host.node.returncode == 3,
+                  f"{host.name}: exit code {host.node.returncode}")
+        check(ends.get(hosts[1].name, 99) < grace_s + 0.9,
+              "a node that was resumed did not end at once")
+        with open(cluster.path(f"{hosts[0].name}.log")) as log:
+            reports = [line for line in log if "event=grace_ends" in line]
+        print("".join(reports))
+        check(len(reports) == 1, f"{len(reports)} reports")
+        for part in ("phase=draining", "proxy_thread=runs", "callers=1",
+                     "caller/r1/reading", "store_calls="):
+            check(part in reports[0], f"{part} is not reported")
+        for descriptor in [*unread, *[link.detach() for link in links]]:
+            os.close(descriptor)
+
+
+def start_with_unread_log(cluster, host):
+    """Starts the node with a full pipe as its log."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    try:
+        while True:
+            os.write(writer, b"." * 4096)
+    except BlockingIOError:
+        os.set_blocking(writer, True)
+    cluster.spec["node_settings"]["log_file"] = f"/proc/self/fd/{writer}"
+    os.set_inheritable(writer, True)
+    cluster.start_node(host, pass_fds=[writer])
+    return reader, writer
+
+
+def incomplete_request(host):
+    link = socket.create_connection((host.address, CALLER_PORT))
+    link.sendall(b"PUT /bookings/1 HTTP/1.1\r\nHost: h\r\n"
+                 b"Kumquatmoor-Request-Id: r1\r\n"
+                 b"Content-Length: 1000\r\n\r\n0123456789")
+    return link
