Keep signals that arrive before main

What could be seen: a node that is stopped right after its start runs on and is killed at the end of its grace.

Cause: as process 1 of a PID namespace, or if SIGTERM is inherited as ignored, the kernel drops a signal that is neither caught nor blocked. ProcessSignals is the first object of main, but dynamic linking and static initialisers come before.

The signals are blocked in .preinit_array and unblocked once they are caught.

Evidence: early_signals_of_a_first_process failed before ("the signal is not kept before it is caught") and passes. What is left is the time of the dynamic linker.

--- a/include/kumquatmoor/node/process_signals.h
+++ b/include/kumquatmoor/node/process_signals.h
@@ -20,6 +20,11 @@
  public:
   ProcessSignals();
 
+  // Keeps the signals that arrive from now on for a ProcessSignals that is
+  // constructed later. Without this, they end the process, or are dropped if it
+  // is process 1 of its namespace.
+  static void Block();
+
   // Blocks until SIGTERM or SIGINT arrives. Calls `on_reload` on this thread
   // when SIGHUP arrives before.
   void WaitForStop(const std::function<void()>& on_reload);
--- a/programs/kumquatmoord.cc
+++ b/programs/kumquatmoord.cc
@@ -30,6 +30,10 @@
 
 namespace {
 
+// Runs before the static initialisers, which take most of the time until main.
+__attribute__((section(".preinit_array"), used)) void (*const kBlockSignals)() =
+    kumquatmoor::ProcessSignals::Block;
+
 constexpr int kExitFailed = 1;
 constexpr int kExitBadSettings = 2;
 
--- a/src/node/process_signals.cc
+++ b/src/node/process_signals.cc
@@ -3,9 +3,29 @@
 #include <csignal>
 
 namespace kumquatmoor {
+namespace {
+
+sigset_t Signals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&signals, signal);
+  }
+  return signals;
+}
+
+}  // namespace
 
 ProcessSignals::ProcessSignals()
-    : m_stop(m_context, SIGTERM, SIGINT), m_reload(m_context, SIGHUP) {}
+    : m_stop(m_context, SIGTERM, SIGINT), m_reload(m_context, SIGHUP) {
+  const sigset_t signals = Signals();
+  pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
+void ProcessSignals::Block() {
+  const sigset_t signals = Signals();
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+}
 
 void ProcessSignals::WaitForStop(const std::function<void()>& on_reload) {
   m_context.restart();
--- a/tools/proof_grace.py
+++ b/tools/proof_grace.py
@@ -109,6 +109,36 @@
                 check(code == 0, f"exit code {code} after signal {first}")
 
 
+def early_signals_of_a_first_process():
+    """SIGTERM arrives before a node catches it, in a process that ignores it
+    until then, as process 1 of a namespace does. The node keeps it."""
+    term = 1 << (signal.SIGTERM - 1)
+    early = 0
+    with small_cluster(40) as cluster:
+        cluster.spec["node_settings"]["shutdown_grace_s"] = 2
+        cluster.start_platform()
+        host = cluster.hosts[0]
+        for _ in range(5):
+            before = signal.signal(signal.SIGTERM, signal.SIG_IGN)
+            cluster.start_node(host)
+            signal.signal(signal.SIGTERM, before)
+            while not signal_masks(host)["SigBlk"] & term:
+                if signal_masks(host)["SigCgt"] & term:
+                    break
+            if not signal_masks(host)["SigCgt"] & term:
+                early += 1
+            host.node.send_signal(signal.SIGTERM)
+            code = host.node.wait(timeout=GRACE_S)
+            check(code == 0, f"exit code {code}")
+    check(early > 0, "the signal is not kept before it is caught")
+
+
+def signal_masks(host):
+    with open(f"/proc/{host.node.pid}/status") as status:
+        fields = dict(line.split(":", 1) for line in status)
+    return {name: int(fields[name], 16) for name in ("SigBlk", "SigCgt")}
+
+
 def accepts(host):
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as link:
         return link.connect_ex((host.address, CALLER_PORT)) == 0
--- a/tools/proofs.py
+++ b/tools/proofs.py
@@ -21,6 +21,7 @@
 from cluster import (BACKEND_PORT, CALLER_PORT, CONTROL_PORT, DATA_PORT,
                      Cluster, post, stop_gracefully)
 from proof_grace import (early_signals_are_kept,
+                         early_signals_of_a_first_process,
                          grace_ends_every_request, grace_is_bounded,
                          grace_of_a_slow_node, grace_of_both_hops)
 
@@ -643,7 +644,8 @@
           callers_that_leave_free_their_slots, crashing_request_is_stopped, drained_backend_gets_nothing_new,
           shutdown_cuts_nothing_off, accepted_means_in_force, operators_race,
           zones_serve_alone, grace_ends_every_request, grace_of_a_slow_node,
-          grace_of_both_hops, early_signals_are_kept, grace_is_bounded]
+          grace_of_both_hops, early_signals_are_kept, grace_is_bounded,
+          early_signals_of_a_first_process]
 
 
 def main():
