Serve no request whose read was cancelled; spread postponed reads less

Two findings of the review, by reading, no test of their own. A request of another node whose read is cancelled in the moment in which it ends got a 503 and was served after it. A read after a conflict was postponed by up to 4 s, longer than the 3 s after which the store's disturbance no longer excuses a node; now by 2.5 s at most.

--- a/src/coordination/replica_conflict.cc
+++ b/src/coordination/replica_conflict.cc
@@ -22,7 +22,8 @@
 
 constexpr size_t kMaxConflicts = 8;
 constexpr uint64_t kMaxReadDelayMs = 500;
-// A read that failed is postponed by this to twice this, doubled up to twice.
+// A read that failed is postponed by this, doubled up to twice, and by a random
+// time up to this.
 constexpr std::chrono::milliseconds kMinPostponement{500};
 constexpr int kMaxDoublings = 2;
 
@@ -60,9 +61,9 @@
   for (auto& conflict : m_conflicts) {
     if (conflict.is_resolved || now < conflict.read_at) continue;
     const int doublings = std::min(conflict.failures++, kMaxDoublings);
-    const std::chrono::milliseconds least = kMinPostponement * (1 << doublings);
-    const auto jitter = m_rng() % static_cast<uint64_t>(least.count());
-    conflict.read_at = now + least + std::chrono::milliseconds(jitter);
+    const std::chrono::milliseconds jitter(
+        m_rng() % static_cast<uint64_t>(kMinPostponement.count()));
+    conflict.read_at = now + kMinPostponement * (1 << doublings) + jitter;
   }
 }
 
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -282,7 +282,7 @@
       reply.close = true;
       co_await WriteLocalReply(inbound, reply);
     }
-    if (read != ReadOutcome::kRequest) break;
+    if (read != ReadOutcome::kRequest || inbound.IsReadCancelled()) break;
     try {
       keep_open = co_await ServeNode(inbound);
     } catch (const std::exception&) {
