Soak: routes that are not served, ends of graces, disturbances that must occur

From the review: a node that refuses only added routes, a process that is there at the end of its grace, a 404 on a route that every version has in a time of disturbance, and a run without one of the kinds passed. A cut that met a stopped node left other nodes cut after it had ended.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -30,7 +30,9 @@
 CALLERS_PER_HOST, CALLER_PAUSE_S = 4, 0.08
 # A run of 60 s with fewer checks proves nothing.
 LEAST_CHECKS = {"config": 300, "config_unstretched": 100, "downgrade": 1000,
-                "denied": 2000}
+                "denied": 2000, "added": 1}
+LEAST_DISTURBANCES = ["store returns", "kill", "freeze", "cut", "stop",
+                      "host added"]
 
 
 class Soak(Faults):
@@ -230,6 +232,8 @@
         few = [f"EMPTY: {count} checks of {name}"
                for name, count in oracles.checks.items()
                if count < LEAST_CHECKS[name] * self.seconds / 60]
+        few += [f"EMPTY: no {kind}" for kind in LEAST_DISTURBANCES
+                if self.counts[kind] == 0]
         return self.failures + oracles.violations + few
 
 
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -86,10 +86,12 @@
                 hosts = rng.sample(free, min(len(free), count))
                 for host in hosts:
                     host.busy = True
+                work = []
                 if several:  # Some have pushed it, some have not, when frozen.
-                    asyncio.create_task(self.write_version(rng))
+                    work.append(asyncio.create_task(self.write_version(rng)))
                     await asyncio.sleep(rng.uniform(0, 0.1))
-                await asyncio.gather(*[kind(host, rng) for host in hosts])
+                work += [kind(host, rng) for host in hosts]
+                await asyncio.gather(*work)
                 for host in hosts:
                     host.busy = False
 
@@ -113,24 +115,26 @@
         span.end = self.now()
 
     async def set_cut(self, host, on):
+        """Returns False if a node did not take its rules: it is frozen, ends
+        or starts."""
+        done = True
         for other in self.mesh.running():
             cut = ([h for h in self.mesh.hosts if h is not host]
                    if other is host else [host])
             rules = [{"kind": "cut", "address": h.address} for h in cut]
-            await asyncio.to_thread(self.mesh.set_faults, other,
-                                    rules if on else [])
+            try:
+                await asyncio.to_thread(self.mesh.set_faults, other,
+                                        rules if on else [])
+            except RuntimeError:
+                done = False
+        return done
 
     async def cut(self, host, rng):
         span = self.span(host.spans, "cut")
-        try:
-            await self.set_cut(host, True)
-            await asyncio.sleep(rng.uniform(1, 4))
-        except RuntimeError:
-            pass
-        try:
-            await self.set_cut(host, False)
-        except RuntimeError:
-            pass
+        await self.set_cut(host, True)
+        await asyncio.sleep(rng.uniform(1, 4))
+        while not await self.set_cut(host, False):
+            await asyncio.sleep(0.2)
         span.end = self.now()
 
     async def stop_series(self, host, rng):
@@ -141,7 +145,8 @@
             while host.node.poll() is None and self.now() < end:
                 await asyncio.sleep(0.02)
             if host.node.poll() is None:
-                self.counts["killed after the grace"] += 1
+                self.failures.append(f"GRACE: t={self.now():.3f} node={host.name} "
+                                     "is there at the end of its grace")
                 host.node.kill()
             await self.restart(host, span)
             await asyncio.sleep(rng.uniform(0, 1))
--- a/tools/soak_oracles.py
+++ b/tools/soak_oracles.py
@@ -3,11 +3,13 @@
 
 CONFIG: a request sent later than APPLY_S after the acknowledgement of a version
     and handled as only an older one allows; a node that goes back within one
-    lifetime.
+    lifetime; routes that were added later and are served less than a quarter as
+    often as the first ones.
 DENIED: a request that every configuration that may be in force allows, ended
     with a 3xx or 4xx that no backend server sent.
 """
 
+import collections
 import dataclasses
 import math
 
@@ -16,6 +18,8 @@
 STRETCH_S = 5
 DOWNGRADE_SLACK_S = 0.25
 STABLE_WINDOW_S = 3
+LEAST_ADDED = 20  # Requests on added routes that show whether they are served.
+LEAST_ADDED_SHARE = 0.25  # Of the share of the first routes that is served.
 # Statuses that promise that the request has not run.
 NOT_RUN = (408, 421, 429)
 
@@ -62,10 +66,14 @@
         """`base`: prefixes that every version has. `store`: spans of the
         store. `nodes`: spans by node."""
         self.versions, self.base = versions, base
+        self.always = set.intersection(*[set(v.routes) for v in versions])
         self.store, self.nodes = store, nodes
         self.checks = {"config": 0, "config_unstretched": 0, "downgrade": 0,
-                       "denied": 0}
+                       "denied": 0, "added": 0}
         self.violations = []
+        # Requests in calm times, and those that were served, by node and by
+        # whether their route was added later.
+        self.sent, self.served = collections.Counter(), collections.Counter()
 
     def judge(self, requests):
         seen = {}  # By node and lifetime: first time by index of the version.
@@ -77,6 +85,8 @@
                 self.judge_config(request, known, seen.setdefault(
                     (request.node, request.lifetime), {}))
             self.judge_denied(request, known)
+            self.count_served(request, known)
+        self.judge_added()
 
     def calm(self, request):
         return not any(span.touches(request.sent - STABLE_WINDOW_S,
@@ -127,7 +137,7 @@
             seen[oldest] = min(seen.get(oldest, math.inf), request.ended)
 
     def judge_denied(self, request, known):
-        if request.prefix in self.base:
+        if request.prefix in self.always:
             self.checks["denied"] += 1
             if request.own_error() and (request.outcome in ("401", "403", "404")
                                         or self.calm(request)):
@@ -141,6 +151,28 @@
                 for i in known if i >= first):
             self.report("DENIED", request, -1, first, "allowed by all in force")
 
+    def count_served(self, request, known):
+        first = self.required(request)
+        if first is None or self.unstable(request):
+            return
+        added = request.prefix not in self.base
+        if all(request.prefix in self.versions[i].routes
+               for i in known if i >= first):
+            self.sent[request.node, added] += 1
+            self.served[request.node, added] += request.service != ""
+
+    def judge_added(self):
+        for node in self.nodes:
+            sent, served = self.sent[node, True], self.served[node, True]
+            if sent < LEAST_ADDED:
+                continue
+            self.checks["added"] += 1
+            share = self.served[node, False] / max(1, self.sent[node, False])
+            if served < LEAST_ADDED_SHARE * share * sent:
+                self.violations.append(
+                    f"CONFIG (added routes): node={node} serves {served} of "
+                    f"{sent}, and {share:.2f} on the first routes")
+
     def report(self, rule, request, held, required, what):
         def name(i):
             return self.versions[i].number if i >= 0 else "none"
