--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,8 +5,9 @@
 
 The environment variable KUMQUATMOOR names another program to run as node. The
 last line counts requests, disturbances and checks. A violation, a node that
-ends by itself and a run with too few checks are failures; the directory with
-the logs of all processes is then kept.
+ends by itself or is there at the end of its grace, and a run with too few checks
+or without a kind of disturbance are failures; the directory with the logs of all
+processes is then kept.
 """
 
 import argparse
