--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,15 +14,17 @@
 MACHINES = [("z-a", "manifests"), ("z-a", "history"), ("z-b", "history"),
             ("z-b", "history")]
 WORK_S = {"manifests": 0.05, "history": 0.8}
-CALLERS = 8        # On the machine of the odd target, on kept connections.
+CALLERS = 16       # On the machine of the odd target, on kept connections.
 ODD_ANSWERS = 9    # At most; one for each slot.
-ODD_ONE_IN = 50    # The site's dose of spoiled answers, x = 0.02.
-MAX_ENDLESS_BYTES = 64 << 20  # Bounds what the target writes for one answer.
+ODD_ONE_IN = 50    # The dose of garble, x = 0.02.
+MAX_ENDLESS_BYTES = 400 << 20  # Bounds what it writes for one answer.
 IN_TOUCH_S = 3     # stableWindowS
 ALLOWED = 3        # LOST: "more than three times"
-# The shortest fields there are, and one that makes the pattern 2,046 bytes long.
-PATTERN = b"a:\r\n" * 510 + b"abc:\r\n"
-PART_LINES, PART_PAUSE_S = 4, 0.002
+# Eleven fields of 186 bytes, 2,046 in all. A connection of a node reads at most
+# 2,048 bytes at a time, so what it holds always ends as a part does.
+PATTERN = (b"a:" + b"x" * 182 + b"\r\n") * 11
+FIRST_PATTERNS, MOST_PATTERNS = 4, 40  # Of a part.
+PART_PAUSE_S = 0.001
 WATCH_S = 14
 DEADLINE_MS = 12_000
 
@@ -37,11 +39,13 @@
     with connection:
         try:
             connection.sendall(b"HTTP/1.1 200 OK\r\n" + PATTERN[:2])
-            part = PATTERN[2:] + PATTERN * (PART_LINES - 1) + PATTERN[:2]
+            patterns = float(FIRST_PATTERNS)
             while sent < MAX_ENDLESS_BYTES:
                 time.sleep(PART_PAUSE_S)
-                connection.sendall(part)
-                sent += len(part)
+                part = PATTERN[2:] + PATTERN * (int(patterns) - 1)
+                connection.sendall(part + PATTERN[:2])
+                sent += len(part) + 2
+                patterns = min(MOST_PATTERNS, patterns * 1.01)
         except OSError:
             pass
     return sent
