--- a/review/mesh.py
+++ b/review/mesh.py
@@ -142,13 +142,16 @@
         return self.fields.get(name.lower(), default)
 
 
-async def read_message(reader, is_head_response=False):
-    """Reads one request or response. Raises EOFError at the end of the
-    connection and ValueError for bytes that are no message."""
+async def read_message(reader, is_response=False, is_head=False):
+    """Reads a request, or a response to HEAD or to another method. Raises
+    EOFError at the end of the connection and ValueError for bytes that are no
+    such message."""
     line = await reader.readline()
     if not line:
         raise EOFError("the connection has ended")
     first = line.decode("latin-1").rstrip("\r\n")
+    if is_response and not re.match(r"HTTP/1\.[01] [1-9]\d\d( |$)", first):
+        raise ValueError(f"no status line: {first!r}")
     fields = {}
     while True:
         line = await reader.readline()
@@ -161,10 +164,7 @@
             raise ValueError("a field without a colon")
         fields[name.strip().lower()] = value.strip()
     body = b""
-    is_response = first.startswith("HTTP/")
-    if is_response and not re.match(r"HTTP/1\.[01] [1-9]\d\d( |$)", first):
-        raise ValueError("no status line")
-    if is_head_response:
+    if is_head:
         return Message(first, fields, body)
     if "chunked" in fields.get("transfer-encoding", "").lower():
         while True:
@@ -208,7 +208,7 @@
                 head += ("Content-Type: application/json\r\n"
                          f"Content-Length: {len(text)}\r\n")
             writer.write(head.encode() + b"\r\n" + text)
-            answer = await read_message(reader)
+            answer = await read_message(reader, is_response=True)
             return int(answer.first.split()[1]), answer.body
     except (OSError, EOFError, ValueError, TimeoutError):
         return 0, b""
@@ -725,7 +725,7 @@
         self.record.line("sent", id=answer.id, method=method, path=answer.path,
                          machine=self.machine.name, kept=int(answer.kept))
         self.writer.write(head.encode() + b"\r\n" + (body or b""))
-        response = await read_message(self.reader, method == "HEAD")
+        response = await read_message(self.reader, True, method == "HEAD")
         answer.fields, answer.body = response.fields, response.body
         answer.outcome = response.first.split()[1]
         self.used += 1
@@ -750,7 +750,7 @@
             await mesh.stop()
     try:
         broken, text = asyncio.run(whole())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except Exception as error:  # Anything unforeseen is no verdict.
         record.line("cannot_run", why=repr(error))
         print(f"cannot run: {error!r}")
         sys.exit(CANNOT_RUN)
