Bound the whole head of a message, not only its unparsed part

Cause: the HTTP library consumes complete fields as they arrive and applies its limit to the bytes that are left. If what was read ends one to three bytes after the begin of a line, nothing is left to limit. If it ends elsewhere, the parser waits for the end of the head and the limit holds: whether the node survived was a matter of the cuts.

Evidence: head_reader_test [endless] fails on: 12 of its responses to Forward, those cut at the bytes 1, 2 and 3 of fields of 5, 17, 186 and 1,000 bytes, were read to the 600,000 bytes that the test writes, so were a response to a blocking call to the store and three requests to a buffered session with the same cuts (16 failures). All pass since.

Why it works: one reader of heads counts what was consumed, by bytes and by fields, and all heads are read by it: responses of backend servers and nodes, requests of callers and nodes, responses of the store, requests to the announcement, readiness and admin servers. A head beyond its bound is an invalid message, as before: a failed attempt, a 431 or a closed connection.

Related, found on the way: a blocking call buffered chunk extensions and trailers of the store without a bound. It has that of other responses now.

--- a/src/transport/body_reader.h
+++ b/src/transport/body_reader.h
@@ -70,11 +70,12 @@
   co_return error;
 }
 
-// Reads until the message is complete or the parser's body is full.
-template <typename Parser>
+// Reads until the message is complete or the parser's body is full. Calls
+// `before_read` before each read.
+template <typename Parser, typename Callback>
 boost::asio::awaitable<boost::system::error_code> ReadBody(
     boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
-    Parser& parser) {
+    Parser& parser, Callback before_read) {
   parser.eager(true);
   boost::system::error_code error;
   while (!error && !parser.is_done()) {
@@ -83,12 +84,20 @@
         error == boost::beast::http::error::need_more || buffer.size() == 0;
     if (error == boost::beast::http::error::need_more) error = {};
     if (needs_more && !error && !parser.is_done()) {
+      before_read();
       error = co_await ReadMore(stream, buffer, parser);
     }
   }
   co_return error;
 }
 
+template <typename Parser>
+boost::asio::awaitable<boost::system::error_code> ReadBody(
+    boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
+    Parser& parser) {
+  co_return co_await ReadBody(stream, buffer, parser, [] {});
+}
+
 // Makes the next read take up to `bytes`.
 inline void ReserveForRead(size_t bytes, boost::beast::flat_buffer* buffer) {
   if (buffer->size() >= bytes) return;
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -16,7 +16,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -26,6 +25,7 @@
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/transport/endpoint_address.h"
 #include "transport/body_reader.h"
+#include "transport/head_reader.h"
 #include "transport/paced_write.h"
 #include "transport/peer_loss.h"
 #include "transport/response_checks.h"
@@ -40,7 +40,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kFaultPollInterval{20};
-constexpr uint32_t kMaxResponseHeaderBytes = 65'536;
+constexpr HeadBounds kResponseHeadBounds{.bytes = 65'536, .fields = 1'024};
 constexpr uint64_t kMaxResponseBodyBytes = 1ULL << 30U;
 // Maximum number of late responses to earlier requests, and of interim
 // responses, that are discarded before the response to a request.
@@ -168,13 +168,12 @@
 asio::awaitable<Error> ReadResponse(ForwardResult& result, Deadline deadline,
                                     bool is_head_request) {
   result.parser = std::make_unique<http::response_parser<http::buffer_body>>();
-  result.parser->header_limit(kMaxResponseHeaderBytes);
+  result.parser->header_limit(kResponseHeadBounds.bytes);
   result.parser->body_limit(kMaxResponseBodyBytes);
   if (is_head_request) result.parser->skip(true);
-  Error error;
-  co_await http::async_read_header(result.connection->stream,
-                                   result.connection->buffer, *result.parser,
-                                   Into(error));
+  const Error error =
+      co_await ReadHead(result.connection->stream, result.connection->buffer,
+                        *result.parser, kResponseHeadBounds);
   if (error) co_return error;
   co_return co_await BufferResponseBody(result, deadline);
 }
--- a/src/transport/http_call.cc
+++ b/src/transport/http_call.cc
@@ -14,7 +14,9 @@
 #include <optional>
 
 #include "kumquatmoor/transport/endpoint_address.h"
+#include "kumquatmoor/transport/upstream_pool.h"
 #include "transport/body_reader.h"
+#include "transport/head_reader.h"
 
 namespace kumquatmoor {
 namespace {
@@ -28,6 +30,12 @@
   HttpCallResponse response;
 };
 
+constexpr HeadBounds kResponseHeadBounds{.bytes = 65'536, .fields = 1'024};
+
+void ThrowIfFailed(const boost::system::error_code& error) {
+  if (error) throw boost::system::system_error(error);
+}
+
 // Expires when the call makes no progress for its timeout, or at its end.
 class ProgressTimer {
  public:
@@ -67,20 +75,23 @@
 
 asio::awaitable<HttpCallResponse> ReadResponse(const ProgressTimer& timer,
                                                beast::tcp_stream* stream) {
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxUnparsedBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxCallResponseBytes);
+  parser.header_limit(kResponseHeadBounds.bytes);
   std::optional<std::chrono::steady_clock::time_point> begun;
   size_t reads = 0;
-  while (!parser.is_done()) {
-    timer.Restart(stream);
-    if (parser.is_header_done()) {
-      ReserveForRead(NextBodyReadBytes(parser), &buffer);
-    }
-    co_await http::async_read_some(*stream, buffer, parser,
-                                   asio::use_awaitable);
+  const auto before_read = [&] {
+    if (reads > 0 && !begun) begun = std::chrono::steady_clock::now();
     ++reads;
-    if (!begun) begun = std::chrono::steady_clock::now();
+    timer.Restart(stream);
+  };
+  ThrowIfFailed(co_await ReadHead(*stream, buffer, parser, kResponseHeadBounds,
+                                  before_read));
+  if (!begun) begun = std::chrono::steady_clock::now();
+  if (!parser.is_done()) {
+    ReserveForRead(NextBodyReadBytes(parser), &buffer);
+    ThrowIfFailed(co_await ReadBody(*stream, buffer, parser, before_read));
   }
   co_return HttpCallResponse{
       .status = parser.get().result_int(),
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -12,6 +12,8 @@
 #include <utility>
 
 #include "kumquatmoor/transport/endpoint_address.h"
+#include "transport/body_reader.h"
+#include "transport/head_reader.h"
 
 namespace kumquatmoor {
 namespace {
@@ -25,9 +27,7 @@
 constexpr std::chrono::milliseconds kAcceptBackoff{20};
 // For the head of the next request, including the idle time before it.
 constexpr std::chrono::seconds kIdleTimeout{60};
-// Bytes of a request that are buffered without being parsed. The HTTP library
-// throws out of io_context::run if a field, which it parses as a whole, is
-// larger than 65,533 bytes.
+// Bytes of a request that are buffered without being parsed.
 constexpr size_t kMaxUnparsedRequestBytes = 61'440;
 // For the body of a request, and again for writing the response.
 constexpr std::chrono::seconds kRequestTimeout{30};
@@ -119,10 +119,10 @@
       parser.body_limit(limits.max_body_bytes);
       parser.header_limit(limits.max_header_bytes);
       stream.expires_after(kIdleTimeout);
-      co_await http::async_read_header(stream, buffer, parser,
-                                       asio::use_awaitable);
+      const HeadBounds bounds{.bytes = limits.max_header_bytes};
+      if (co_await ReadHead(stream, buffer, parser, bounds)) co_return;
       stream.expires_after(kRequestTimeout);
-      co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
+      if (co_await ReadBody(stream, buffer, parser)) co_return;
       stream.expires_never();
       HttpRequest request = parser.release();
       HttpResponse response = co_await (*handle)(request, stream.socket());
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -17,6 +17,7 @@
 
 #include "kumquatmoor/transport/exchange.h"
 #include "transport/body_reader.h"
+#include "transport/head_reader.h"
 
 namespace kumquatmoor {
 namespace {
@@ -28,8 +29,8 @@
 
 // For each part of the body.
 constexpr std::chrono::seconds kCallerBodyTimeout{30};
-// Bytes of a head that are read at a time.
-constexpr size_t kHeadReadBytes = 4'096;
+// Far more than the requests of known callers have.
+constexpr size_t kMaxRequestFields = 4'096;
 
 // A completion token that stores the error instead of throwing it.
 auto Into(Error& error) {
@@ -57,26 +58,6 @@
   return buffer.size() == 0 || Unread(buffer) == "\r";
 }
 
-// Reads a head, of which the buffer has the first bytes.
-asio::awaitable<Error> ReadWholeHead(
-    beast::tcp_stream& stream, beast::flat_buffer& buffer,
-    http::request_parser<http::buffer_body>& parser) {
-  Error error = ParseBuffered(buffer, parser);
-  while (error == http::error::need_more ||
-         (!error && !parser.is_header_done())) {
-    const size_t room =
-        std::min(kHeadReadBytes, buffer.max_size() - buffer.size());
-    if (room == 0) co_return http::error::header_limit;
-    const size_t size =
-        co_await stream.async_read_some(buffer.prepare(room), Into(error));
-    buffer.commit(size);
-    if (error == asio::error::eof) co_return http::error::partial_message;
-    if (error) co_return error;
-    error = ParseBuffered(buffer, parser);
-  }
-  co_return error;
-}
-
 }  // namespace
 
 namespace {
@@ -194,7 +175,9 @@
   if (on_first_byte) on_first_byte();
   m_stream.expires_after(m_bounds.header_timeout);
   m_is_reading = true;
-  error = co_await ReadWholeHead(m_stream, m_buffer, m_parser);
+  error = co_await kumquatmoor::ReadHead(
+      m_stream, m_buffer, m_parser,
+      {.bytes = m_bounds.max_header_bytes, .fields = kMaxRequestFields});
   m_is_reading = false;
   if (error) co_return Reject(error);
   ToOriginForm(&m_parser.get().base());
