Decide in one place where a response ends

Cause: each writer of a response decided on its own where it ends. The node's own replies and the buffered sessions did not look at the method; the relay kept a Transfer-Encoding of the response to a HEAD, for which the library writes the end of an empty chunked body.

Why it works: FrameResponse decides by method, status, version and size, and every response is framed by it. A connection to a backend server whose response to HEAD announces a body is not used again. A body of unknown length ends with the connection of a caller of HTTP/1.0, and with a reset if it was cut short.

--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -113,7 +113,10 @@
   const std::string& BufferedBody() const { return m_buffered_body; }
   // Returns true if BufferedBody is the complete body.
   bool IsFullyBuffered() const { return m_fully_buffered; }
-  bool KeepAlive() const { return m_parser.get().keep_alive(); }
+  // True if the connection may carry another request.
+  bool KeepAlive() const {
+    return !close_after_response && m_parser.get().keep_alive();
+  }
   // True if the caller has closed its connection by now. CallerWatch reports
   // this, too, but not before the io_context has polled the socket.
   bool CallerHasLeft();
@@ -123,6 +126,8 @@
   bool streamed = false;
   // True once a response is written.
   bool responding = false;
+  // The response ends with the connection.
+  bool close_after_response = false;
 
  private:
   boost::beast::tcp_stream& m_stream;
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -25,6 +25,7 @@
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/transport/endpoint_address.h"
 #include "transport/body_reader.h"
+#include "transport/framing.h"
 #include "transport/head_reader.h"
 #include "transport/paced_write.h"
 #include "transport/peer_loss.h"
@@ -242,13 +243,16 @@
 
 // Moves the head of the response out of the parser into `result`. The verdict
 // is that of the response's verdict header: kRan without one, kMayHaveRun if
-// its value is unknown.
-void SetResponse(ForwardResult* result) {
+// its value is unknown. A backend server may send the body that a response to
+// HEAD only announces, so that its connection is not used again.
+void SetResponse(bool is_head_request, ForwardResult* result) {
   result->answered = true;
   if (const auto timeout = KeepAliveTimeout(result->parser->get())) {
     result->connection->peer_idle_timeout = *timeout;
   }
-  result->keep_alive = result->parser->get().keep_alive();
+  const auto& response = result->parser->get();
+  result->keep_alive =
+      response.keep_alive() && !(is_head_request && AnnouncesBody(response));
   result->head = std::move(result->parser->get().base());
   auto verdict_header = result->head.find(headers::kVerdict);
   const auto verdict = verdict_header == result->head.end()
@@ -415,7 +419,7 @@
       co_return result;
     }
   }
-  SetResponse(&result);
+  SetResponse(is_head_request, &result);
   if (options.to_backend) {
     result.offered = true;
     result.verdict = backend_verdict;
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -13,6 +13,7 @@
 
 #include "kumquatmoor/transport/endpoint_address.h"
 #include "transport/body_reader.h"
+#include "transport/framing.h"
 #include "transport/head_reader.h"
 
 namespace kumquatmoor {
@@ -128,6 +129,10 @@
       HttpResponse response = co_await (*handle)(request, stream.socket());
       keep_alive = request.keep_alive() && response.keep_alive();
       response.keep_alive(keep_alive);
+      const BodyFraming framing = FrameResponse(
+          {.method = request.method(), .version = request.version()},
+          response.body().size(), &response.base());
+      if (framing == BodyFraming::kNone) response.body().clear();
       stream.expires_after(kRequestTimeout);
       co_await http::async_write(stream, response, asio::use_awaitable);
     }
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -31,6 +31,7 @@
 constexpr std::chrono::seconds kCallerBodyTimeout{30};
 // Far more than the requests of known callers have.
 constexpr size_t kMaxRequestFields = 4'096;
+constexpr unsigned kHttp11 = 11;
 
 // A completion token that stores the error instead of throwing it.
 auto Into(Error& error) {
@@ -181,7 +182,9 @@
   m_is_reading = false;
   if (error) co_return Reject(error);
   ToOriginForm(&m_parser.get().base());
-  if (beast::iequals(Head()[http::field::expect], "100-continue")) {
+  // A caller of HTTP/1.0 knows no interim responses.
+  if (Head().version() >= kHttp11 &&
+      beast::iequals(Head()[http::field::expect], "100-continue")) {
     http::response<http::string_body> continue_response(http::status::continue_,
                                                         11);
     co_await http::async_write(m_stream, continue_response,
--- a/src/transport/relay.cc
+++ b/src/transport/relay.cc
@@ -16,6 +16,7 @@
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/transport/exchange.h"
 #include "transport/body_reader.h"
+#include "transport/framing.h"
 #include "transport/paced_write.h"
 
 namespace kumquatmoor {
@@ -33,16 +34,19 @@
   return asio::redirect_error(asio::use_awaitable, error);
 }
 
-// A response to a HEAD request keeps its headers, which describe a body that is
-// not sent; for any other request the Content-Length is that of the buffer.
+FramedRequest Framed(const InboundRequest& inbound) {
+  return {.method = inbound.Head().method(),
+          .version = inbound.Head().version()};
+}
+
 asio::awaitable<bool> RelayBuffered(InboundRequest& inbound,
-                                    ForwardResult& result, bool is_head_request,
+                                    ForwardResult& result,
                                     const RelayOptions& options) {
+  const BodyFraming framing =
+      FrameResponse(Framed(inbound), result.buffered_body.size(), &result.head);
   http::response<http::string_body> response(std::move(result.head));
-  response.body() = std::move(result.buffered_body);
-  if (!is_head_request) {
-    response.erase(http::field::transfer_encoding);
-    response.prepare_payload();
+  if (framing != BodyFraming::kNone) {
+    response.body() = std::move(result.buffered_body);
   }
   const size_t size = response.body().size();
   http::response_serializer<http::string_body> serializer(response);
@@ -56,15 +60,21 @@
   co_return !error;
 }
 
-// Relays the buffered part of the body, then the rest as the upstream sends it.
-// The response keeps its Content-Length, or is chunked if it has none. Returns
-// false if the upstream or the caller fails before the end.
-asio::awaitable<bool> RelayStreamed(InboundRequest& inbound,
+// Makes the end of the connection a reset. A body that ends with its connection
+// would look complete otherwise.
+void ResetOnClose(InboundRequest& inbound) {
+  Error ignored;
+  inbound.Stream().socket().set_option(asio::socket_base::linger(true, 0),
+                                       ignored);
+}
+
+// Writes the head and the buffered part of the body, then the rest as the
+// upstream sends it. Returns false if the upstream or the caller fails before
+// the end.
+asio::awaitable<bool> WriteStreamed(InboundRequest& inbound,
                                     ForwardResult& result,
                                     const RelayOptions& options) {
-  const bool chunked = result.head.count(http::field::content_length) == 0;
   http::response<http::buffer_body> response(std::move(result.head));
-  if (chunked) response.chunked(true);
   http::response_serializer<http::buffer_body> serializer(response);
   auto& parser = *result.parser;
   std::string chunk = std::move(result.buffered_body);
@@ -98,6 +108,18 @@
   }
 }
 
+asio::awaitable<bool> RelayStreamed(InboundRequest& inbound,
+                                    ForwardResult& result,
+                                    const RelayOptions& options) {
+  const BodyFraming framing =
+      FrameResponse(Framed(inbound), BodyBytes(result), &result.head);
+  const bool ends_with_connection = framing == BodyFraming::kUntilClose;
+  if (ends_with_connection) inbound.close_after_response = true;
+  const bool complete = co_await WriteStreamed(inbound, result, options);
+  if (!complete && ends_with_connection) ResetOnClose(inbound);
+  co_return complete;
+}
+
 }  // namespace
 
 std::optional<uint64_t> BodyBytes(const ForwardResult& result) {
@@ -154,8 +176,7 @@
   inbound.Stream().expires_after(kCallerWriteTimeout);
   if (result.fully_buffered) {
     ReleaseConnection(result, pool);
-    const bool is_head_request = inbound.Head().method() == http::verb::head;
-    co_return co_await RelayBuffered(inbound, result, is_head_request, options);
+    co_return co_await RelayBuffered(inbound, result, options);
   }
   const bool complete = co_await RelayStreamed(inbound, result, options);
   ReleaseConnection(result, pool);
@@ -189,7 +210,9 @@
   }
   response.set(http::field::content_type, "text/plain");
   response.body() = reply.reason + "\n";
-  response.prepare_payload();
+  const BodyFraming framing =
+      FrameResponse(Framed(inbound), response.body().size(), &response.base());
+  if (framing == BodyFraming::kNone) response.body().clear();
   response.keep_alive(!reply.close && inbound.KeepAlive() &&
                       inbound.IsFullyBuffered());
   inbound.Stream().expires_after(kCallerWriteTimeout);
