Remember the deregistration of an unknown process without a start time

Its backend server deregistered before it had announced itself again and got 200.

Cause: a deregistration without a start time of an instance that is not known was acknowledged, but neither remembered nor told to other members.

Why it works: the time of the call stands for the missing start time, so that the deregistration concerns every process of the instance that has started by then, and is kept like any other. An announcement with a later start time is a new process and available at once, as before; a known process is told by its own start time.

--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -124,9 +124,9 @@
   // Registers or renews a local backend server. Returns false and changes
   // nothing if the announcement is older than the one on record.
   bool Announce(const Announcement& announcement);
-  // Marks a local backend server as draining. Returns false if this changes
-  // nothing.
-  bool Deregister(const Deregistration& deregistration);
+  // Marks a local backend server as draining, and remembers that its process
+  // leaves, also if it is not known. Returns what is remembered.
+  LeavingInstance Deregister(const Deregistration& deregistration);
   // Marks a local backend server that said in a response that it leaves as
   // draining, unless another process runs at its address by now.
   void OnBackendLeaving(const LocalBackend& backend);
@@ -186,6 +186,8 @@
   void UpdateAckTree(TimePoint now);
   void UpdateMoves(TimePoint now);
   void NoteLeaving(const std::string& instance, int64_t started_ms);
+  // Start time of the latest process that the deregistration concerns.
+  int64_t LeavingSince(const Deregistration& deregistration) const;
   void ClearPlatformFailure(TimePoint now);
   void RestoreLeavingInstances();
   bool IsOutgoingVersion(const std::string& service,
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -470,21 +470,32 @@
   PublishBackends();
 }
 
-bool ControlLoop::Deregister(const Deregistration& deregistration) {
-  const bool changed = m_registry.Deregister(deregistration);
-  spdlog::info("announce: event={} instance={} sequence={}",
-               changed ? "withdrawn" : "withdrawal_ignored",
-               deregistration.instance, deregistration.sequence);
-  const int64_t started_ms =
-      changed ? m_registry.StartTimeMs(deregistration.instance)
-              : deregistration.started_ms;
-  if (changed || started_ms != 0) {
-    NoteLeaving(deregistration.instance, started_ms);
-  }
-  if (!changed) return false;
-  PublishBackends();
+// A deregistration without a start time is that of the process on record. If
+// there is none, as after a restart of this node, it concerns every process
+// that has started by now: both have the clock of this host.
+int64_t ControlLoop::LeavingSince(const Deregistration& deregistration) const {
+  if (deregistration.started_ms != 0) return deregistration.started_ms;
+  const int64_t known = m_registry.StartTimeMs(deregistration.instance);
+  return known != 0 ? known : UnixMs();
+}
+
+LeavingInstance ControlLoop::Deregister(const Deregistration& deregistration) {
+  Deregistration dated = deregistration;
+  dated.started_ms = LeavingSince(deregistration);
+  const bool changed = m_registry.Deregister(dated);
+  spdlog::info(
+      "announce: event={} instance={} sequence={} started_ms={} "
+      "names_start={}",
+      changed ? "withdrawn" : "withdrawal_noted", dated.instance,
+      dated.sequence, dated.started_ms, deregistration.started_ms != 0);
+  NoteLeaving(dated.instance, dated.started_ms);
+  if (changed) PublishBackends();
+  // Sends the change at once instead of at the next tick.
   if (m_ready) Send(m_replica.Tick(Clock::now()));
-  return true;
+  LeavingInstance leaving;
+  leaving.set_instance(dated.instance);
+  leaving.set_started_ms(dated.started_ms);
+  return leaving;
 }
 
 void ControlLoop::OnBackendLeaving(const LocalBackend& backend) {
--- a/src/node/control_loop_test.cc
+++ b/src/node/control_loop_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <chrono>
 
 #include "kumquatmoor/node/proxy.h"
 #include "kumquatmoor/transport/fault_plan.h"
@@ -34,8 +35,63 @@
                    &syncs};
 };
 
+int64_t UnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+Announcement AnnouncementOf(int64_t started_ms, uint64_t sequence) {
+  return {.instance = "i-1",
+          .started_ms = started_ms,
+          .sequence = sequence,
+          .service = "s",
+          .version = "v1",
+          .address = "127.0.0.1:9000"};
+}
+
 }  // namespace
 
+// Guards against a late announcement that makes a backend server available
+// again, which deregistered without a start time with a node that had restarted
+// and did not know it (review/3).
+TEST_CASE_METHOD(ControlLoopFixture,
+                 "An unknown backend server that deregistered stays draining",
+                 "[deregister]") {
+  loop.SetStoreLoaded();
+  loop.SetReady();
+  const int64_t before = UnixMs();
+  const LeavingInstance leaving = loop.Deregister({.instance = "i-1"});
+  CHECK(leaving.started_ms() >= before);
+  loop.Announce(AnnouncementOf(before - 60'000, 23));
+  const auto is_draining = [&] {
+    const MemberRecord self = loop.GetReplica().Self();
+    REQUIRE(self.endpoints_size() == 1);
+    return self.endpoints(0).draining();
+  };
+  CHECK(is_draining());
+  // Other members keep it for the case that this node restarts again.
+  CHECK(loop.GetReplica().Self().leaving_size() == 1);
+  // A later process of the instance is available at its first announcement.
+  loop.Announce(AnnouncementOf(leaving.started_ms() + 1, 1));
+  CHECK_FALSE(is_draining());
+}
+
+// A process that is known leaves, not one that starts in the same millisecond
+// as it deregisters.
+TEST_CASE_METHOD(ControlLoopFixture,
+                 "A deregistration of a known process concerns no later one",
+                 "[deregister]") {
+  loop.SetStoreLoaded();
+  loop.SetReady();
+  loop.Announce(AnnouncementOf(1'000, 1));
+  CHECK(loop.Deregister({.instance = "i-1"}).started_ms() == 1'000);
+  CHECK(loop.Deregister({.instance = "i-1"}).started_ms() == 1'000);
+  loop.Announce(AnnouncementOf(1'001, 1));
+  REQUIRE(loop.GetReplica().Self().endpoints_size() == 1);
+  CHECK_FALSE(loop.GetReplica().Self().endpoints(0).draining());
+}
+
 // Guards against a node that stops without publishing that it drains, since the
 // ring of its control loop was full at that moment.
 TEST_CASE_METHOD(ControlLoopFixture,
