Write a departure to the platform before it is acknowledged

Cause: what a node had acknowledged was in the memory of nodes only, its own and the member records of the others.

Evidence: platform_test [departures], with its calls adapted to: "A deregistration holds after all nodes are killed" and "An announced drain holds after all nodes are killed" fail there, as the server gets requests.

Why it works: DepartureLog writes the process to the platform, and the backend server gets 200 only once it is there; until then the departure is in force and the answer is 503. A node that starts reads the departures in the listing of the configuration and publishes no backend server before it has. Without the platform it waits 1 s if members remember it, 3 s if none does. What a store that comes back from an older copy has lost is written again.

Ruled out: a lease for each entry (two calls, may lapse without a word), the health check of the backend server at each start (a slot; its answer after a deregistration is not specified).

Metrics: kumquatmoor_departures_written_total, _late_total, _pending.

--- a/include/kumquatmoor/coordination/configuration_source.h
+++ b/include/kumquatmoor/coordination/configuration_source.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "control.pb.h"
+#include "kumquatmoor/coordination/departures.h"
 #include "kumquatmoor/protocol/failure.h"
 #include "kumquatmoor/state/marks.h"
 
@@ -41,6 +42,8 @@
   std::vector<MoveMark> marks;
   // The complete member directory, if an entry of it changed.
   std::optional<std::vector<DirectoryEntry>> directory;
+  // The departures that all nodes have written, if one of them changed.
+  std::optional<std::vector<DepartureEntry>> departures;
 };
 
 enum class MoveOutcome { kRunning, kDone, kRolledBack };
--- a/include/kumquatmoor/coordination/member_directory.h
+++ b/include/kumquatmoor/coordination/member_directory.h
@@ -41,6 +41,8 @@
   uint64_t self_version = 0;
   // Entries of members of this zone that died or left.
   std::vector<DirectoryEntry> remove;
+  // Keys of departures whose retention is over.
+  std::vector<std::string> remove_departures;
 };
 
 // Plans the writes of the node `self`. `removes_stale` is true on the one node
--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -161,6 +161,9 @@
   void DropExpiredCrashes(int64_t unix_ms);
   // Replaces the endpoints in this node's record.
   void SetEndpoints(std::span<const Endpoint> endpoints, TimePoint now);
+  // True if another member knew an earlier incarnation of this node, whose
+  // leaving instances it has passed on.
+  bool WasKnown() const { return m_was_known; }
   // Adds to this node's record an instance of a backend server that is leaving:
   // it drains or has deregistered.
   void AddLeavingInstance(const LeavingInstance& leaving, TimePoint now);
@@ -375,6 +378,7 @@
   uint64_t m_sequence = 0;
   ProbeDelays m_probe_delays;
   TimePoint m_last_acknowledged;
+  bool m_was_known = false;
   TimePoint m_next_probe;
   TimePoint m_last_tick;
   uint32_t m_digest_mismatches = 0;  // Consecutive ones.
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -90,6 +90,12 @@
       std::function<T(ControlLoop&)> function,
       std::chrono::milliseconds timeout = std::chrono::milliseconds(2'000));
 
+  // Called on the control thread when the platform came back from an older
+  // copy. Set it before the context runs.
+  void SetGenerationHandler(std::function<void()> handler) {
+    m_on_generation = std::move(handler);
+  }
+
   // Except for AcceptsCallers, the methods below must be called on the control
   // thread.
   Replica& GetReplica() { return m_replica; }
@@ -98,8 +104,8 @@
   // members and takes part in moves.
   void SetReady();
   bool IsReady() const { return m_ready; }
-  // The configuration was read from the platform and applied.
-  void SetStoreLoaded() { m_store_loaded = true; }
+  // The complete state was read from the platform and applied.
+  void SetStoreLoaded();
   bool IsStoreLoaded() const { return m_store_loaded; }
   // True if the node holds a configuration, is not draining and has not been
   // behind other nodes for too long, so that callers may be sent to it. Safe
@@ -176,9 +182,14 @@
   // Lets the proxy decide for some more time, unless the process was stopped
   // and has not heard of other members since.
   void ExtendDecisions(TimePoint now);
-  // Before the node has joined, it does not know which of its backend servers
-  // had said before a restart that they leave, so it publishes none.
+  // Before the node has joined and has read the platform, it does not know
+  // which of its backend servers had said before a restart that they leave, so
+  // it publishes none.
   void PublishBackends();
+  // Publishes the backend servers once the departures are known, or once the
+  // platform has not shown them for too long.
+  void AwaitDepartures(TimePoint now);
+  void ApplyDepartures(const std::vector<DepartureEntry>& entries);
   // Passes changed crash records to the proxy and logs requests that are newly
   // blocked or no longer blocked.
   void PublishCrashes();
@@ -219,7 +230,11 @@
   BackendRegistry m_registry;
   bool m_ready = false;
   bool m_store_loaded = false;
+  bool m_knows_departures = false;
+  TimePoint m_started_at;
   std::vector<DirectoryEntry> m_directory;
+  std::vector<DepartureEntry> m_departures;  // Of all nodes.
+  std::function<void()> m_on_generation;
   std::atomic<bool> m_accepts_callers{false};
   TimePoint m_platform_retry_at;
   TimePoint m_last_datagram_at;  // When another node's datagram last arrived.
--- a/include/kumquatmoor/node/node.h
+++ b/include/kumquatmoor/node/node.h
@@ -25,6 +25,7 @@
 #include "kumquatmoor/coordination/table_store.h"
 #include "kumquatmoor/node/control_loop.h"
 #include "kumquatmoor/node/control_service.h"
+#include "kumquatmoor/node/departure_log.h"
 #include "kumquatmoor/node/gateway.h"
 #include "kumquatmoor/node/node_settings.h"
 #include "kumquatmoor/node/process_signals.h"
@@ -68,6 +69,7 @@
   // the control thread runs.
   boost::asio::io_context& ControlContext() { return m_control_context; }
   ControlLoop& Loop() { return m_loop; }
+  DepartureLog& Departures() { return m_departures; }
 
  private:
   boost::asio::awaitable<HttpResponse> HandleAdmin(
@@ -92,6 +94,7 @@
   ControlService m_service;
   SyncWorker m_sync_worker;
   Gateway m_gateway;
+  DepartureLog m_departures;
   HttpServer m_admin;
   std::thread m_proxy_thread;
   std::thread m_control_thread;
--- a/programs/kumquatmoord.cc
+++ b/programs/kumquatmoord.cc
@@ -134,7 +134,8 @@
   options.on_reload = [] { spdlog::info("node: event=reload"); };
   kumquatmoor::Node node(settings, std::move(options));
   kumquatmoor::platform::DeploymentServer server(
-      node.ControlContext(), MakeServerOptions(settings), &node.Loop());
+      node.ControlContext(), MakeServerOptions(settings), &node.Loop(),
+      &node.Departures());
   watchdog.SetReport([&node, &store] { ReportPending(&node, store); });
   std::string problem = node.Start();
   if (problem.empty() && IsOperatorDeployment(settings)) {
--- a/src/coordination/table_source.cc
+++ b/src/coordination/table_source.cc
@@ -23,8 +23,10 @@
   BOOST_LEAF_AUTO(batch, ReadBatchOf(head));
   BOOST_LEAF_AUTO(marks, m_store.ReadMarks());
   BOOST_LEAF_AUTO(listed, m_platform->List(kDirectoryPrefix));
+  BOOST_LEAF_AUTO(departures, m_platform->List(kDeparturePrefix));
   m_head_version = head.version;
   update.batch = std::move(batch);
+  update.departures = ParseDepartures(departures.items);
   update.marks = marks.All();
   update.directory = ParseDirectory(listed.items);
   return update;
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -11,6 +11,7 @@
 #include "kumquatmoor/state/batch.h"
 #include "kumquatmoor/state/observed_clock.h"
 #include "kumquatmoor/state/routes.h"
+#include "kumquatmoor/state/store_revision.h"
 
 namespace kumquatmoor {
 namespace {
@@ -30,6 +31,10 @@
 // After a longer pause, the changes since are larger than the complete state,
 // or gone.
 constexpr milliseconds kLongPause{3'000};
+// A node that has not read the platform waits this long for what it has of
+// departures: less if other members remember what this node has told them.
+constexpr milliseconds kDepartureWait{3'000};
+constexpr milliseconds kRememberedDepartureWait{1'000};
 // Fewer bytes of datagrams do not delay anything noticeably.
 constexpr uint64_t kMinChargedBytes = 4'096;
 
@@ -59,6 +64,7 @@
           .id = m_options.replica.id, .zone = m_options.replica.zone}) {}
 
 boost::system::error_code ControlLoop::Start() {
+  m_started_at = Clock::now();
   const auto error =
       m_socket.Open(m_options.replica.control_address,
                     [this](std::string_view bytes) { OnBytes(bytes); });
@@ -116,6 +122,7 @@
     PublishBackends();
   }
   RestoreLeavingInstances();
+  AwaitDepartures(now);
   if (m_ready) Send(m_replica.Tick(now));
   if (now >= m_next_move_update) {
     m_next_move_update = now + kMoveUpdateInterval;
@@ -394,6 +401,7 @@
     m_replica.OnEmptyRead(*complete_since);
   }
   for (const auto& mark : update.marks) m_replica.JoinMark(mark);
+  if (update.departures) ApplyDepartures(*update.departures);
   if (!update.directory) return;
   m_directory = *update.directory;
   for (const auto& entry : m_directory)
@@ -413,8 +421,16 @@
       SelectGateways(m_replica.Members(), m_options.replica.zone, 1);
   const bool removes = m_ready && !IsIsolated() && !first.empty() &&
                        first.front() == m_options.replica.id;
-  return PlanDirectory(m_directory, m_replica.Members(), m_replica.Self(),
-                       removes);
+  DirectoryPlan plan = PlanDirectory(m_directory, m_replica.Members(),
+                                     m_replica.Self(), removes);
+  if (!removes) return plan;
+  const int64_t oldest = UnixMs() - milliseconds(kDepartureRetention).count();
+  for (const auto& entry : m_departures) {
+    if (entry.zone == m_options.replica.zone && entry.written_ms < oldest) {
+      plan.remove_departures.push_back(DepartureKey(entry.member_id));
+    }
+  }
+  return plan;
 }
 
 bool ControlLoop::Announce(const Announcement& announcement) {
@@ -451,8 +467,9 @@
   LeavingInstance leaving;
   leaving.set_instance(instance);
   leaving.set_started_ms(started_ms);
-  m_registry.NoteLeaving(instance, started_ms);
+  const bool changed = m_registry.NoteLeaving(instance, started_ms);
   m_replica.AddLeavingInstance(leaving, Clock::now());
+  if (changed) PublishBackends();
 }
 
 // Applies the leaving instances that an earlier incarnation of this node had
@@ -565,11 +582,43 @@
 void ControlLoop::SetReady() {
   m_ready = true;
   RestoreLeavingInstances();
+  AwaitDepartures(Clock::now());
   PublishBackends();
 }
 
+void ControlLoop::SetStoreLoaded() {
+  m_store_loaded = true;
+  AwaitDepartures(Clock::now());
+}
+
+// An announcement from before a departure may arrive after a restart. Without
+// the platform, the members that outlived the restart are the only source.
+void ControlLoop::AwaitDepartures(TimePoint now) {
+  if (m_knows_departures) return;
+  const milliseconds wait =
+      m_replica.WasKnown() ? kRememberedDepartureWait : kDepartureWait;
+  if (!m_store_loaded && now - m_started_at < wait) return;
+  if (!m_store_loaded) {
+    spdlog::warn("departures: event=not_read remembered_by_members={}",
+                 m_replica.WasKnown());
+  }
+  m_knows_departures = true;
+  PublishBackends();
+}
+
+void ControlLoop::ApplyDepartures(const std::vector<DepartureEntry>& entries) {
+  m_departures = entries;
+  for (const auto& entry : entries) {
+    if (entry.member_id != m_options.replica.id) continue;
+    for (const auto& leaving : entry.leaving) {
+      NoteLeaving(leaving.instance(), leaving.started_ms());
+    }
+  }
+  RestoreLeavingInstances();
+}
+
 void ControlLoop::PublishBackends() {
-  if (!m_ready) return;
+  if (!m_ready || !m_knows_departures) return;
   m_proxy->SetBackends(m_registry.Backends());
   std::vector<Endpoint> endpoints = m_registry.Endpoints();
   for (auto& endpoint : endpoints) {
@@ -639,7 +688,10 @@
   }
   const uint64_t revision = m_published->revision;
   if (revision != m_published_revision) m_in_force_ms = UnixMs();
+  const bool is_returned =
+      GenerationOf(revision) > GenerationOf(m_published_revision);
   m_published_revision = revision;
+  if (is_returned && m_on_generation) m_on_generation();
   m_published_batch = batch;
   m_published_change = change;
   m_published_unreachable = std::move(unreachable);
--- a/src/node/gateway.cc
+++ b/src/node/gateway.cc
@@ -193,9 +193,10 @@
                }),
                key);
   }
-  for (const auto& entry : state->plan.remove) {
-    log_result(Attempt([&] { return m_platform->Delete(entry.key); }),
-               entry.key);
+  std::vector<std::string> removed = state->plan.remove_departures;
+  for (const auto& entry : state->plan.remove) removed.push_back(entry.key);
+  for (const auto& key : removed) {
+    log_result(Attempt([&] { return m_platform->Delete(key); }), key);
   }
 }
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -1,5 +1,3 @@
-#include "kumquatmoor/node/node.h"
-
 #include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
 
@@ -12,6 +10,8 @@
 #include <random>
 #include <utility>
 
+#include "kumquatmoor/node/node.h"
+
 namespace kumquatmoor {
 namespace {
 
@@ -119,6 +119,10 @@
       m_sync_worker(MakeSyncOptions(m_settings), &m_loop, &m_client, &m_syncs),
       m_gateway({.seed = RandomSeed()}, &m_loop, m_options.platform,
                 m_options.source),
+      m_departures({.member_id = m_settings.id,
+                    .zone = m_settings.zone,
+                    .seed = RandomSeed()},
+                   m_options.platform),
       m_admin(m_control_context, {.address = m_settings.admin_address},
               MakeBufferedSession({}, [this](HttpRequest& request,
                                              asio::ip::tcp::socket& socket) {
@@ -128,6 +132,7 @@
     m_loop.Post(
         [backend](ControlLoop& loop) { loop.OnBackendLeaving(backend); });
   });
+  m_loop.SetGenerationHandler([this] { m_departures.WriteAgain(); });
   m_proxy.SetCrashHandlers(
       [this](const BackendCrash& crash) {
         m_loop.Post([crash](ControlLoop& loop) { loop.OnBackendCrash(crash); });
@@ -215,6 +220,7 @@
 }
 
 void Node::Stop() {
+  m_departures.Stop();
   m_gateway.Stop();
   m_sync_worker.Stop();
   m_service.Stop();
@@ -242,7 +248,9 @@
       asio::redirect_error(asio::use_awaitable, cancelled));
   std::string extra;
   if (m_options.extra_metrics) extra = m_options.extra_metrics();
-  co_return MakeResponse(200, *text + m_loop.ControlMetrics() + extra, kText);
+  co_return MakeResponse(
+      200, *text + m_loop.ControlMetrics() + m_departures.Metrics() + extra,
+      kText);
 }
 
 HttpResponse Node::HandleAnnounce(const HttpRequest& request) {
