Bound what all messages together hold

A node buffers up to 1 MiB of a response, and nothing bounded the sum.

Evidence: proxy_test [buffer-budget], 120 responses of 1 MB that stop at 900 KB, with a budget of 16 MiB.

Why it works: one budget, 0.4 of the process's memory, is charged by every request and response of the proxy. At three quarters, new requests are refused before they run, with 503 and Retry-After, and responses are streamed instead of collected. Once it is spent, what needs more ends: a request with 503, an attempt like one with an invalid response, a stream by a cut. The process stays. The servers for readiness, announcements and admin have bounds of connections and bodies whose product is a few megabytes.

Setting: memory_mb. Metric: kumquatmoor_buffer_refusals_total.

--- a/include/kumquatmoor/node/call_metrics.h
+++ b/include/kumquatmoor/node/call_metrics.h
@@ -47,6 +47,9 @@
   // Counts a request whose response would not have got through the host's link
   // in time.
   void OnLinkRefusal() { ++m_link_refusals; }
+  // Counts a request that was refused since the buffers of all connections
+  // together are full.
+  void OnBufferRefusal() { ++m_buffer_refusals; }
   // Counts a response with a status of 3xx or 4xx to a caller.
   void OnDenied(unsigned status, Origin origin) {
     ++m_denied[{status, origin}];
@@ -83,6 +86,7 @@
   uint64_t m_crashes = 0;
   uint64_t m_blocked = 0;
   uint64_t m_link_refusals = 0;
+  uint64_t m_buffer_refusals = 0;
   uint64_t m_wasted_bytes = 0;
   uint64_t m_decided_behind = 0;
   uint64_t m_refused_behind = 0;
--- a/include/kumquatmoor/node/node_settings.h
+++ b/include/kumquatmoor/node/node_settings.h
@@ -70,6 +70,9 @@
   double link_mbps = 0;
   // Responses to callers use this link, too.
   bool callers_use_link = false;
+  // Memory that the process may use, in MB, 0 if unknown. A part of it is for
+  // the requests and responses of all connections together.
+  int64_t memory_mb = 0;
   std::string log_level = "info";
   std::string log_file;  // Empty: standard output.
 };
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -84,6 +84,8 @@
   // Responses to callers leave by this link, too. False if callers run on this
   // host and connect over loopback.
   bool callers_use_link = false;
+  // Bytes of requests and responses that all connections together may hold.
+  size_t buffer_bytes = 64U << 20U;
   uint64_t seed = 1;
 };
 
@@ -165,6 +167,9 @@
   // connection must be closed.
   boost::asio::awaitable<bool> ServeCaller(InboundRequest& inbound);
   boost::asio::awaitable<bool> ServeNode(InboundRequest& inbound);
+  // Refuses a request of another node since the buffers are full.
+  boost::asio::awaitable<bool> RefuseNode(InboundRequest& inbound,
+                                          const Call& call);
   // Responds to a request that cannot be routed. False if the connection must
   // be closed.
   boost::asio::awaitable<bool> Reject(InboundRequest& inbound,
@@ -261,6 +266,7 @@
   const FaultPlan* m_faults;
   HttpServer m_caller_server;
   HttpServer m_data_server;
+  std::shared_ptr<BufferBudget> m_budget;
   UpstreamPool m_pool;  // Connections to other nodes.
   LinkPacer m_pacer;    // Of messages that leave by the host's link.
   std::shared_ptr<const RouteTable> m_routes;
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -41,6 +41,7 @@
 #include "kumquatmoor/protocol/backend_notice.h"
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/protocol/verdict.h"
+#include "kumquatmoor/transport/buffer_budget.h"
 #include "kumquatmoor/transport/fault_plan.h"
 #include "kumquatmoor/transport/link_pacer.h"
 #include "kumquatmoor/transport/upstream_pool.h"
@@ -80,9 +81,11 @@
 // `stream` and `buffer`, which must outlive it.
 class InboundRequest {
  public:
+  // Counts what it holds in `budget`, if there is one.
   InboundRequest(boost::beast::tcp_stream& stream,
                  boost::beast::flat_buffer& buffer,
-                 const CallerBounds& bounds = {});
+                 const CallerBounds& bounds = {},
+                 std::shared_ptr<BufferBudget> budget = nullptr);
 
   // Replaces the bounds, and the maximum size of the buffer, which exceeds the
   // largest head. Call before ReadHead, or in its `on_first_byte`.
@@ -99,7 +102,8 @@
   bool IsReadCancelled() const { return m_read_cancelled; }
   // True while the rest of a request that has begun is awaited.
   bool IsReading() const { return m_is_reading; }
-  // The HTTP status for a rejected request: 400, 408, 413, 431 or 503.
+  // The HTTP status for a rejected request: 400, 408, 413, 431, or 503 if the
+  // read was cancelled or the budget is spent.
   unsigned RejectionStatus() const { return m_rejection_status; }
   // The error that caused the rejection.
   std::string RejectionReason() const { return m_rejection.message(); }
@@ -135,8 +139,12 @@
   boost::beast::http::request_parser<boost::beast::http::buffer_body> m_parser;
   boost::asio::awaitable<boost::system::error_code> AwaitFirstByte();
   ReadOutcome Reject(const boost::system::error_code& error);
+  // Counts what the request holds. Fails if the budget is spent.
+  boost::system::error_code Hold(size_t bytes);
 
   CallerBounds m_bounds;
+  BufferShare m_share;
+  size_t m_head_memory = 0;
   std::string m_buffered_body;
   bool m_fully_buffered = false;
   bool m_is_reading = false;  // The rest of a request that has begun.
@@ -187,6 +195,10 @@
   std::shared_ptr<ActiveStreams> active;
   // Paces the body of the request to another node. May be null.
   LinkPacer* pacer = nullptr;
+  // Counts what is held of the response. While it is scarce, no more of a body
+  // is buffered than what is relayed next; once it is spent, the exchange
+  // fails. May be null.
+  std::shared_ptr<BufferBudget> budget;
   // The address is that of a backend server. Its response is validated, and the
   // verdict is derived from the headers that only backend servers send.
   bool to_backend = false;
@@ -206,6 +218,8 @@
   bool connection_lost = false;
   bool offered = false;  // The request was sent to a backend server.
 
+  BufferShare share;  // Of the response.
+
   // The members below are meaningful only if `answered` is true.
   boost::beast::http::response_header<> head;
   std::string buffered_body;    // The part of the body that has been read.
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -56,13 +56,15 @@
 
 LocalRunner::LocalRunner(asio::io_context& context, const CallHeaders& headers,
                          AdmissionOptions options,
-                         BoundedRing<Outcome>* outcomes, CallMetrics* metrics)
+                         BoundedRing<Outcome>* outcomes, CallMetrics* metrics,
+                         std::shared_ptr<BufferBudget> budget)
     : m_context(context),
       m_headers(headers),
       m_admission(options),
       m_pool(context),
       m_outcomes(outcomes),
       m_metrics(metrics),
+      m_budget(std::move(budget)),
       m_crash_detector(context) {}
 
 void LocalRunner::WakeWaiting() {
@@ -212,6 +214,7 @@
   options.headers = &m_headers;
   options.to_backend = true;
   options.active = m_active;
+  options.budget = m_budget;
   {
     const CrashDetector::RunEntry entry =
         m_crash_detector.Begin({.service = call.service,
--- a/src/node/local_runner.h
+++ b/src/node/local_runner.h
@@ -61,7 +61,8 @@
  public:
   LocalRunner(boost::asio::io_context& context, const CallHeaders& headers,
               AdmissionOptions options, BoundedRing<Outcome>* outcomes,
-              CallMetrics* metrics);
+              CallMetrics* metrics,
+              std::shared_ptr<BufferBudget> budget = nullptr);
 
   // Waits for a slot, sends the request and reads the head of the response into
   // `run.result`. If the request is refused, `run.result` has no response and
@@ -132,6 +133,7 @@
   UpstreamPool m_pool;
   BoundedRing<Outcome>* m_outcomes;
   CallMetrics* m_metrics;
+  std::shared_ptr<BufferBudget> m_budget;
   std::function<void(const LocalBackend&)> m_on_leaving;
   CrashDetector m_crash_detector;
   std::shared_ptr<const CrashSuspects> m_crashes =
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -1,3 +1,5 @@
+#include "kumquatmoor/node/node.h"
+
 #include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
 
@@ -10,8 +12,6 @@
 #include <random>
 #include <utility>
 
-#include "kumquatmoor/node/node.h"
-
 namespace kumquatmoor {
 namespace {
 
@@ -25,6 +25,8 @@
 constexpr double kBytesPerSecondPerMbps = 125'000;
 constexpr char kJson[] = "application/json";
 constexpr char kText[] = "text/plain; version=0.0.4";
+// Each may hold a request of a megabyte.
+constexpr size_t kMaxAdminConnections = 16;
 // Time for a leaving node to send its last datagrams.
 constexpr std::chrono::milliseconds kLeaveDelay{100};
 // Time for the proxy's thread to report that its time is over.
@@ -43,6 +45,16 @@
   return (static_cast<uint64_t>(device()) << 32U) | device();
 }
 
+// The rest of the memory is for the connections themselves, the state of the
+// mesh and the calls to the platform.
+size_t BufferBytes(const NodeSettings& settings) {
+  constexpr double kBufferPart = 0.4;
+  constexpr double kBytesPerMb = 1U << 20U;
+  if (settings.memory_mb == 0) return ProxyOptions().buffer_bytes;
+  return static_cast<size_t>(kBufferPart * kBytesPerMb *
+                             static_cast<double>(settings.memory_mb));
+}
+
 ProxyOptions MakeProxyOptions(const NodeSettings& settings,
                               CallHeaders headers) {
   return {.id = settings.id,
@@ -62,6 +74,7 @@
           .reply_timeout = settings.reply_timeout,
           .link_rate = settings.link_mbps * kBytesPerSecondPerMbps,
           .callers_use_link = settings.callers_use_link,
+          .buffer_bytes = BufferBytes(settings),
           .seed = RandomSeed()};
 }
 
@@ -123,7 +136,9 @@
                     .zone = m_settings.zone,
                     .seed = RandomSeed()},
                    m_options.platform),
-      m_admin(m_control_context, {.address = m_settings.admin_address},
+      m_admin(m_control_context,
+              {.address = m_settings.admin_address,
+               .max_connections = kMaxAdminConnections},
               MakeBufferedSession({}, [this](HttpRequest& request,
                                              asio::ip::tcp::socket& socket) {
                 return HandleAdmin(request, socket);
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -96,6 +96,8 @@
   settings->link_mbps = reader->Number(
       "link_mbps", {.fallback = 0, .minimum = 0, .maximum = 1e6});
   settings->callers_use_link = reader->Bool("callers_use_link", false);
+  settings->memory_mb = reader->Integer(
+      "memory_mb", {.fallback = 0, .minimum = 0, .maximum = 1'000'000});
   const double grace_s = reader->Number(
       "shutdown_grace_s", {.fallback = 0, .minimum = 0, .maximum = 600});
   if (grace_s > 0) {
--- a/src/node/node_settings_test.cc
+++ b/src/node/node_settings_test.cc
@@ -76,6 +76,8 @@
        "data_address: is the same as caller_address"},
       {"\"seeds\"", "\"max_attempts\": 0, \"seeds\"",
        "max_attempts: expected 1 to 10, got 0"},
+      {"\"seeds\"", "\"memory_mb\": -1, \"seeds\"",
+       "memory_mb: expected 0 to 1000000, got -1"},
       {"\"seeds\"", "\"log_level\": \"loud\", \"seeds\"",
        "log_level: expected trace"},
       {"127.0.0.2:7002", "somewhere", "seeds[0]: expected IP:PORT"},
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -88,11 +88,12 @@
                     [this](asio::ip::tcp::socket socket) {
                       return DataSession(std::move(socket));
                     }),
+      m_budget(std::make_shared<BufferBudget>(m_options.buffer_bytes)),
       m_pool(context),
       m_pacer(context, m_options.link_rate),
       m_runner(std::make_unique<LocalRunner>(context, m_options.headers,
                                              m_options.admission, outcomes,
-                                             &m_metrics)),
+                                             &m_metrics, m_budget)),
       m_rng(m_options.seed) {}
 
 Proxy::~Proxy() = default;
@@ -237,7 +238,7 @@
   beast::flat_buffer buffer;
   bool keep_open = true;
   while (keep_open) {
-    InboundRequest inbound(caller.stream, buffer, m_bounds);
+    InboundRequest inbound(caller.stream, buffer, m_bounds, m_budget);
     caller.idle_since = Clock::now();
     caller.inbound = &inbound;
     const ReadOutcome read =
@@ -268,7 +269,7 @@
   beast::flat_buffer buffer;
   bool keep_open = true;
   while (keep_open) {
-    InboundRequest inbound(stream, buffer, BoundsForNodes(m_bounds));
+    InboundRequest inbound(stream, buffer, BoundsForNodes(m_bounds), m_budget);
     const auto unregister = [requests = m_node_requests](InboundRequest* done) {
       requests->erase(done);
     };
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -198,6 +198,10 @@
 asio::awaitable<bool> Proxy::ServeCaller(InboundRequest& inbound) {
   Call call;
   auto rejection = ReadCallerCall(inbound, &call);
+  if (!rejection && m_budget->IsScarce()) {
+    m_metrics.OnBufferRefusal();
+    rejection = Rejection{503, "the node's buffers are full"};
+  }
   if (!rejection && !EndsInGrace(call)) {
     rejection = Rejection{503, "the node stops before the request could end"};
   }
@@ -384,6 +388,7 @@
   options.headers = &m_options.headers;
   options.active = m_active;
   options.pacer = &m_pacer;
+  options.budget = m_budget;
   options.to_node = true;
   attempt.result = co_await Forward(m_pool, inbound, options);
   if (attempt.result.verdict == Verdict::kNotRun) {
@@ -537,8 +542,23 @@
   co_return inbound.KeepAlive() && inbound.IsFullyBuffered() && !answer.close;
 }
 
+// Another target may have room.
+asio::awaitable<bool> Proxy::RefuseNode(InboundRequest& inbound,
+                                        const Call& call) {
+  m_metrics.OnBufferRefusal();
+  LocalReply answer;
+  answer.reason = "the node's buffers are full";
+  answer.request_id = call.request_id;
+  answer.request_id_header = m_options.headers.request_id;
+  answer.retry_after = kMinRetryAfter;
+  answer.close = m_draining;
+  co_await WriteLocalReply(inbound, answer);
+  co_return inbound.KeepAlive() && inbound.IsFullyBuffered() && !answer.close;
+}
+
 asio::awaitable<bool> Proxy::ServeNode(InboundRequest& inbound) {
   Call call = ReadCall(inbound, m_options.headers);
+  if (m_budget->IsScarce()) co_return co_await RefuseNode(inbound, call);
   const RequestHead& head = inbound.Head();
   call.route = std::string(Text(head[headers::kRoute]));
   call.idempotent = head[headers::kIdempotent] == "1";
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -18,6 +18,7 @@
 #include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <fstream>
 #include <future>
 #include <optional>
 #include <thread>
@@ -68,6 +69,12 @@
   return Bytes("200 OK", "Id: " + id + "\r\nSigned: yes\r\n", body);
 }
 
+ProxyOptions OptionsWithBudget(size_t bytes) {
+  ProxyOptions options;
+  options.buffer_bytes = bytes;
+  return options;
+}
+
 class ProxyFixture {
  public:
   // The backend server's reply to a request. Called on the proxy's thread.
@@ -832,6 +839,58 @@
 constexpr double kLinkRate = 1'250'000;  // 10 Mbit/s, in bytes per second.
 constexpr size_t kLargeBodyBytes = 90'000;
 
+// Memory of this process that is no file's, in bytes.
+size_t AnonymousMemory() {
+  std::ifstream status("/proc/self/status");
+  std::string word;
+  while (status >> word) {
+    size_t kilobytes = 0;
+    if (word == "RssAnon:" && status >> kilobytes) return kilobytes * 1'024;
+  }
+  return 0;
+}
+
+// Guards against a node that runs out of memory, since each of many responses
+// is within its bound, but all are held at once: they stop before their end.
+TEST_CASE_METHOD(ProxyFixture, "Responses that stall are bounded in sum",
+                 "[buffer-budget]") {
+  constexpr size_t kBudget = 16U << 20U;
+  constexpr size_t kCallers = 120;
+  const std::string part(900'000, 'x');
+  script = [&](const RequestHead& head) {
+    const std::string id(head["Id"]);
+    if (!id.starts_with("stalled")) return Reply{.bytes = Signed(id, "ok")};
+    return Reply{.bytes = "HTTP/1.1 200 OK\r\nId: " + id +
+                          "\r\nSigned: y\r\nContent-Length: 1000000\r\n\r\n" +
+                          part};
+  };
+  slots = 2 * kCallers;
+  Start(OptionsWithBudget(kBudget));
+  REQUIRE(CallerClient().Call("/read/0")->result_int() == 200);
+  const size_t before = AnonymousMemory();
+  std::vector<std::unique_ptr<CallerClient>> callers;
+  for (size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<CallerClient>(2'000));
+    const std::string id = "stalled" + std::to_string(i);
+    REQUIRE(callers.back()->Send("/read/" + id, id));
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  CHECK(AnonymousMemory() - before < 2 * kBudget);
+  // What does not fit is refused before it runs, and says so.
+  const auto refused = CallerClient().Call("/read/1", "refused");
+  REQUIRE(refused);
+  CHECK(refused->result_int() == 503);
+  CHECK(refused->count("Retry-After") == 1);
+  // All is returned once the deadlines have passed.
+  callers.clear();
+  std::this_thread::sleep_for(milliseconds(200));
+  const auto after = CallerClient().Call("/read/2", "last");
+  REQUIRE(after);
+  CHECK(after->result_int() == 200);
+  for (const auto& request : seen) CHECK(request["Id"] != "refused");
+}
+
 class LinkFixture : public ProxyFixture {
  public:
   // Starts a proxy whose backend server runs `count` requests at once, and
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -145,13 +145,23 @@
   co_return Error();
 }
 
-// Reads the body until its end or until the buffer is full. Checks the deadline
-// itself: the timeout of the stream does not end reads that never wait.
+// Counts what a response holds. Fails if the budget is spent.
+Error Hold(ForwardResult& result, size_t bytes) {
+  result.share.Resize(bytes);
+  if (result.share.IsSpent()) return asio::error::no_buffer_space;
+  return {};
+}
+
+// Reads the body until its end or until the buffer is full, or one part of it
+// while the budget is scarce. Checks the deadline itself: the timeout of the
+// stream does not end reads that never wait.
 asio::awaitable<Error> BufferResponseBody(ForwardResult& result,
+                                          size_t head_memory,
                                           Deadline deadline) {
   auto& parser = *result.parser;
   while (!parser.is_done() &&
          result.buffered_body.size() < kMaxBufferedResponseBytes) {
+    if (!result.buffered_body.empty() && result.share.IsScarce()) break;
     if (std::chrono::steady_clock::now() >= deadline) {
       co_return beast::error::timeout;
     }
@@ -159,6 +169,10 @@
                                               result.connection->buffer, parser,
                                               &result.buffered_body);
     if (error) co_return error;
+    const Error spent =
+        Hold(result, head_memory + result.buffered_body.capacity() +
+                         result.connection->buffer.capacity());
+    if (spent) co_return spent;
   }
   result.fully_buffered = parser.is_done();
   co_return Error();
@@ -172,11 +186,15 @@
   result.parser->header_limit(kResponseHeadBounds.bytes);
   result.parser->body_limit(kMaxResponseBodyBytes);
   if (is_head_request) result.parser->skip(true);
-  const Error error =
-      co_await ReadHead(result.connection->stream, result.connection->buffer,
-                        *result.parser, kResponseHeadBounds);
+  size_t head_memory = 0;
+  const Error error = co_await ReadHead(
+      result.connection->stream, result.connection->buffer, *result.parser,
+      kResponseHeadBounds, [&](size_t memory) {
+        head_memory = memory;
+        return Hold(result, memory);
+      });
   if (error) co_return error;
-  co_return co_await BufferResponseBody(result, deadline);
+  co_return co_await BufferResponseBody(result, head_memory, deadline);
 }
 
 // True if the error says that the peer has ended the connection.
@@ -207,6 +225,8 @@
   if (error) result->reason += ": " + error.message();
   result->parser.reset();
   result->connection.reset();
+  result->buffered_body = {};
+  result->share.Resize(0);
 }
 
 // Sends the request with its body.
@@ -346,6 +366,7 @@
   static const CallHeaders kDefaultHeaders;
   if (options.headers == nullptr) options.headers = &kDefaultHeaders;
   ForwardResult result;
+  result.share = BufferShare(options.budget);
   const std::string request_id(options.head[options.headers->request_id]);
   const bool is_head_request = options.head.method() == http::verb::head;
   Error error;
--- a/src/transport/head_reader.h
+++ b/src/transport/head_reader.h
@@ -47,15 +47,20 @@
     if (error == http::error::need_more) error = {};
     if (error) return error;
     const auto& head = parser.get().base();
-    const auto fields =
-        static_cast<size_t>(std::distance(head.begin(), head.end()));
+    m_fields = static_cast<size_t>(std::distance(head.begin(), head.end()));
     const bool is_too_large =
-        m_consumed > m_bounds.bytes || fields > m_bounds.fields;
+        m_consumed > m_bounds.bytes || m_fields > m_bounds.fields;
     const bool has_no_room = !parser.is_header_done() && Room(buffer) == 0;
     if (is_too_large || has_no_room) return http::error::header_limit;
     return {};
   }
 
+  // Memory that the parsed head takes, about.
+  size_t MemoryBytes() const {
+    constexpr size_t kFieldOverhead = 112;
+    return m_consumed + m_fields * kFieldOverhead;
+  }
+
   // Bytes that the rest of the head may have beyond those in `buffer`.
   size_t Room(const boost::beast::flat_buffer& buffer) const {
     const size_t known = m_consumed + buffer.size();
@@ -66,13 +71,15 @@
  private:
   HeadBounds m_bounds;
   size_t m_consumed = 0;
+  size_t m_fields = 0;
 };
 
-// Reads the head of a message, of which `buffer` may have the first bytes, and
-// calls `before_read` before each read. Leaves what follows the head in
-// `buffer`. Fails with header_limit if the head exceeds `bounds`, with
-// end_of_stream if the connection ends before its first byte, and with
-// partial_message if it ends within.
+// Reads the head of a message, of which `buffer` may have the first bytes.
+// Calls `before_read` with the memory that is taken so far before each read,
+// and once at the end; an error that it returns ends the read. Leaves what
+// follows the head in `buffer`. Fails with header_limit if the head exceeds
+// `bounds`, with end_of_stream if the connection ends before its first byte,
+// and with partial_message if it ends within.
 template <typename Parser, typename Callback>
 boost::asio::awaitable<boost::system::error_code> ReadHead(
     boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
@@ -84,7 +91,8 @@
   while (!error && !parser.is_header_done()) {
     const size_t room = std::min(
         meter.Room(buffer), boost::beast::read_size(buffer, kHeadReadBytes));
-    before_read();
+    error = before_read(meter.MemoryBytes() + buffer.capacity());
+    if (error) co_return error;
     const size_t size = co_await stream.async_read_some(
         buffer.prepare(room),
         boost::asio::redirect_error(boost::asio::use_awaitable, error));
@@ -95,6 +103,7 @@
     }
     if (!error) error = meter.Parse(buffer, parser);
   }
+  if (!error) error = before_read(meter.MemoryBytes() + buffer.capacity());
   co_return error;
 }
 
@@ -102,7 +111,9 @@
 boost::asio::awaitable<boost::system::error_code> ReadHead(
     boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
     Parser& parser, HeadBounds bounds) {
-  co_return co_await ReadHead(stream, buffer, parser, bounds, [] {});
+  co_return co_await ReadHead(
+      stream, buffer, parser, bounds,
+      [](size_t /*memory*/) { return boost::system::error_code(); });
 }
 
 }  // namespace kumquatmoor
--- a/src/transport/http_call.cc
+++ b/src/transport/http_call.cc
@@ -81,17 +81,20 @@
   parser.header_limit(kResponseHeadBounds.bytes);
   std::optional<std::chrono::steady_clock::time_point> begun;
   size_t reads = 0;
-  const auto before_read = [&] {
+  const auto count_read = [&] {
     if (reads > 0 && !begun) begun = std::chrono::steady_clock::now();
     ++reads;
     timer.Restart(stream);
   };
   ThrowIfFailed(co_await ReadHead(*stream, buffer, parser, kResponseHeadBounds,
-                                  before_read));
+                                  [&](size_t /*memory*/) {
+                                    if (!parser.is_header_done()) count_read();
+                                    return boost::system::error_code();
+                                  }));
   if (!begun) begun = std::chrono::steady_clock::now();
   if (!parser.is_done()) {
     ReserveForRead(NextBodyReadBytes(parser), &buffer);
-    ThrowIfFailed(co_await ReadBody(*stream, buffer, parser, before_read));
+    ThrowIfFailed(co_await ReadBody(*stream, buffer, parser, count_read));
   }
   co_return HttpCallResponse{
       .status = parser.get().result_int(),
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -108,8 +108,9 @@
 
 InboundRequest::InboundRequest(beast::tcp_stream& stream,
                                beast::flat_buffer& buffer,
-                               const CallerBounds& bounds)
-    : m_stream(stream), m_buffer(buffer) {
+                               const CallerBounds& bounds,
+                               std::shared_ptr<BufferBudget> budget)
+    : m_stream(stream), m_buffer(buffer), m_share(std::move(budget)) {
   SetBounds(bounds);
 }
 
@@ -150,6 +151,8 @@
   m_rejection = error;
   if (m_read_cancelled && error == asio::error::operation_aborted) {
     m_rejection_status = 503;
+  } else if (error == asio::error::no_buffer_space) {
+    m_rejection_status = 503;
   } else if (error == beast::error::timeout) {
     m_rejection_status = 408;
   } else if (error == http::error::header_limit) {
@@ -176,9 +179,13 @@
   if (on_first_byte) on_first_byte();
   m_stream.expires_after(m_bounds.header_timeout);
   m_is_reading = true;
-  error = co_await kumquatmoor::ReadHead(
-      m_stream, m_buffer, m_parser,
-      {.bytes = m_bounds.max_header_bytes, .fields = kMaxRequestFields});
+  const HeadBounds head_bounds{.bytes = m_bounds.max_header_bytes,
+                               .fields = kMaxRequestFields};
+  error = co_await kumquatmoor::ReadHead(m_stream, m_buffer, m_parser,
+                                         head_bounds, [this](size_t memory) {
+                                           m_head_memory = memory;
+                                           return Hold(memory);
+                                         });
   m_is_reading = false;
   if (error) co_return Reject(error);
   ToOriginForm(&m_parser.get().base());
@@ -199,11 +206,20 @@
       co_return Reject(failed.code());
     }
     m_buffered_body += chunk;
+    if (const Error spent = Hold(m_head_memory + m_buffered_body.size())) {
+      co_return Reject(spent);
+    }
   }
   m_fully_buffered = m_parser.is_done();
   co_return ReadOutcome::kRequest;
 }
 
+Error InboundRequest::Hold(size_t bytes) {
+  m_share.Resize(bytes);
+  if (m_share.IsSpent()) return asio::error::no_buffer_space;
+  return {};
+}
+
 void InboundRequest::CancelRead() {
   if (!m_is_reading) return;
   m_read_cancelled = true;
--- a/src/transport/relay.cc
+++ b/src/transport/relay.cc
@@ -28,6 +28,9 @@
 
 // For each write to the caller.
 constexpr std::chrono::seconds kCallerWriteTimeout{30};
+// What a response that is streamed holds: a part of its body, and what its
+// connection has read ahead.
+constexpr size_t kStreamBytes = 2 * kMaxBodyReadBytes;
 
 // A completion token that stores the error instead of throwing it.
 auto Into(Error& error) {
@@ -95,13 +98,13 @@
     if (error == http::error::need_buffer) error = {};
     if (error) co_return false;
     if (!more) co_return true;
-    if (parser.is_done()) {
-      chunk.clear();
-      continue;
-    }
+    if (chunk.capacity() > kStreamBytes) chunk = {};
+    chunk.clear();
+    if (parser.is_done()) continue;
+    result.share.Resize(kStreamBytes);
+    if (result.share.IsSpent()) co_return false;
     // The timeout of the stream does not end reads that never wait.
     if (std::chrono::steady_clock::now() >= options.deadline) co_return false;
-    chunk.clear();
     error = co_await ReadBodyPart(result.connection->stream,
                                   result.connection->buffer, parser, &chunk);
     if (error) co_return false;
