--- a/include/kumquatmoor/node/departure_log.h
+++ b/include/kumquatmoor/node/departure_log.h
@@ -25,7 +25,6 @@
 #include <functional>
 #include <list>
 #include <mutex>
-#include <optional>
 #include <random>
 #include <string>
 #include <thread>
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -558,7 +558,9 @@
 
 asio::awaitable<bool> Proxy::ServeNode(InboundRequest& inbound) {
   Call call = ReadCall(inbound, m_options.headers);
-  if (m_budget->IsScarce()) co_return co_await RefuseNode(inbound, call);
+  if (m_budget->IsScarce()) {
+    co_return co_await RefuseNode(inbound, call);
+  }
   const RequestHead& head = inbound.Head();
   call.route = std::string(Text(head[headers::kRoute]));
   call.idempotent = head[headers::kIdempotent] == "1";
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -149,9 +149,9 @@
     return ReadOutcome::kClosed;
   }
   m_rejection = error;
-  if (m_read_cancelled && error == asio::error::operation_aborted) {
-    m_rejection_status = 503;
-  } else if (error == asio::error::no_buffer_space) {
+  const bool is_cancelled =
+      m_read_cancelled && error == asio::error::operation_aborted;
+  if (is_cancelled || error == asio::error::no_buffer_space) {
     m_rejection_status = 503;
   } else if (error == beast::error::timeout) {
     m_rejection_status = 408;
