Soak: the settings of a node name its memory

soak_short failed in make test, as the soak fills in the template of the settings itself and lacked limits.memoryMb.

--- a/tools/soak_mesh.py
+++ b/tools/soak_mesh.py
@@ -27,7 +27,8 @@
         "portRange.0": 7002, "portRange.1": 7003, "platform.address": platform,
         "heartbeatS": HEARTBEAT_S, "service": host.service,
         "appAddr": host.at(BACKEND_PORT), "bounds.budgetRatio": 0.2,
-        "bounds.graceS": GRACE_S, "limits.linkMbps": 1000.0}
+        "bounds.graceS": GRACE_S, "limits.linkMbps": 1000.0,
+        "limits.memoryMb": 260}
     with open(os.path.join(ROOT, "deploy/node.json.template")) as file:
         return re.sub(
             r"\{\{([\w.]+)(\|json)?\}\}",
