--- /dev/null
+++ b/src/node/control_loop_backends.cc
@@ -0,0 +1,224 @@
+// The part of ControlLoop that keeps the local backend servers: announcements,
+// departures and crashes.
+//
+// A backend server that leaves is remembered in this node's member record,
+// which other members keep, and on the platform. After a start, this node
+// publishes no backend server before it has learned what an earlier incarnation
+// of it had been told: an announcement from before a departure may arrive late.
+
+#include <spdlog/fmt/ranges.h>
+#include <spdlog/spdlog.h>
+
+#include <set>
+#include <utility>
+
+#include "kumquatmoor/node/control_loop.h"
+#include "node/unix_time.h"
+
+namespace kumquatmoor {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A node that has not read the platform waits this long for what it has of
+// departures: less if other members remember what this node has told them.
+constexpr milliseconds kDepartureWait{3'000};
+constexpr milliseconds kRememberedDepartureWait{1'000};
+
+}  // namespace
+
+bool ControlLoop::Announce(const Announcement& announcement) {
+  const auto outcome = m_registry.Announce(announcement, Clock::now());
+  if (outcome == AnnounceOutcome::kStale) {
+    spdlog::info(
+        "announce: event=stale service={} instance={} started_ms={} "
+        "sequence={}",
+        announcement.service, announcement.instance, announcement.started_ms,
+        announcement.sequence);
+    return false;
+  }
+  if (outcome == AnnounceOutcome::kRenewed) return true;
+  spdlog::info(
+      "announce: event=changed service={} version={} instance={} address={} "
+      "slots={} draining={} sequence={}",
+      announcement.service, announcement.version, announcement.instance,
+      announcement.address, announcement.slots, announcement.draining,
+      announcement.sequence);
+  m_move_controller.SetBackendSlots(announcement.service, announcement.version,
+                                    announcement.slots);
+  if (announcement.draining && !announcement.instance.empty()) {
+    NoteLeaving(announcement.instance, announcement.started_ms);
+  }
+  PublishBackends();
+  // Sends the change at once instead of at the next tick.
+  if (m_ready) Send(m_replica.Tick(Clock::now()));
+  return true;
+}
+
+// Other members store the leaving instance in this node's member record, so
+// that this node learns of it again after its own restart.
+void ControlLoop::NoteLeaving(const std::string& instance, int64_t started_ms) {
+  LeavingInstance leaving;
+  leaving.set_instance(instance);
+  leaving.set_started_ms(started_ms);
+  const bool changed = m_registry.NoteLeaving(instance, started_ms);
+  m_replica.AddLeavingInstance(leaving, Clock::now());
+  if (changed) PublishBackends();
+}
+
+// Applies the leaving instances that an earlier incarnation of this node had
+// acknowledged, as other members report them in this node's member record.
+void ControlLoop::RestoreLeavingInstances() {
+  const MemberRecord self = m_replica.Self();
+  bool changed = false;
+  for (const auto& leaving : self.leaving()) {
+    changed =
+        m_registry.NoteLeaving(leaving.instance(), leaving.started_ms()) ||
+        changed;
+  }
+  if (!changed) return;
+  spdlog::info("announce: event=leaving_before_restart");
+  PublishBackends();
+}
+
+// A deregistration without a start time is that of the process on record. If
+// there is none, as after a restart of this node, it concerns every process
+// that has started by now: both have the clock of this host.
+int64_t ControlLoop::LeavingSince(const Deregistration& deregistration) const {
+  if (deregistration.started_ms != 0) return deregistration.started_ms;
+  const int64_t known = m_registry.StartTimeMs(deregistration.instance);
+  return known != 0 ? known : UnixMs();
+}
+
+LeavingInstance ControlLoop::Deregister(const Deregistration& deregistration) {
+  Deregistration dated = deregistration;
+  dated.started_ms = LeavingSince(deregistration);
+  const bool changed = m_registry.Deregister(dated);
+  spdlog::info(
+      "announce: event={} instance={} sequence={} started_ms={} "
+      "names_start={}",
+      changed ? "withdrawn" : "withdrawal_noted", dated.instance,
+      dated.sequence, dated.started_ms, deregistration.started_ms != 0);
+  NoteLeaving(dated.instance, dated.started_ms);
+  if (changed) PublishBackends();
+  // Sends the change at once instead of at the next tick.
+  if (m_ready) Send(m_replica.Tick(Clock::now()));
+  LeavingInstance leaving;
+  leaving.set_instance(dated.instance);
+  leaving.set_started_ms(dated.started_ms);
+  return leaving;
+}
+
+void ControlLoop::OnBackendLeaving(const LocalBackend& backend) {
+  for (const auto& known : m_registry.Backends()) {
+    if (known.instance != backend.instance || known.draining ||
+        known.announced != backend.announced) {
+      continue;
+    }
+    Deregister({.instance = known.instance,
+                .started_ms = m_registry.StartTimeMs(known.instance)});
+  }
+}
+
+void ControlLoop::OnBackendCrash(const BackendCrash& crash) {
+  spdlog::warn(
+      "crash: event=backend_crashed service={} version={} instance={} "
+      "requests={} keys=\"{}\"",
+      crash.service, crash.version, crash.instance, crash.keys.size(),
+      fmt::join(crash.keys, " "));
+  // Backend servers need not have instance ids, and may start again with the
+  // one that they had.
+  BackendCrash identified = crash;
+  identified.instance =
+      fmt::format("{}/{}/{}", m_options.replica.id,
+                  m_options.replica.started_ms, ++m_backend_crashes);
+  m_replica.AddCrash(identified, UnixMs());
+  // Sends the change at once instead of at the next tick.
+  if (m_ready) Send(m_replica.Tick(Clock::now()));
+}
+
+void ControlLoop::OnSuspectResponse(const std::string& key,
+                                    const std::string& service,
+                                    const std::string& version) {
+  m_replica.AddResponse(key, service, version);
+}
+
+bool ControlLoop::ClearCrashes(const std::string& key) {
+  if (!m_replica.ClearCrashes(key)) return false;
+  spdlog::info("crash: event=cleared key={}", key);
+  return true;
+}
+
+void ControlLoop::PublishCrashes() {
+  const CrashSuspects& crashes = m_replica.Crashes();
+  if (crashes.Hash() == m_published_crashes) return;
+  m_published_crashes = crashes.Hash();
+  m_proxy->SetCrashes(std::make_shared<const CrashSuspects>(crashes));
+  std::set<std::string> blocked;
+  for (const auto& record : crashes.All()) {
+    if (!IsBlockedAnywhere(record)) continue;
+    blocked.insert(record.key());
+    if (m_blocked.count(record.key()) > 0) continue;
+    for (const auto& version : record.versions()) {
+      spdlog::warn(
+          "crash: event=blocked key={} service={} version={} crashes={}",
+          record.key(), version.service(), version.version(),
+          version.instances_size());
+    }
+  }
+  for (const auto& key : m_blocked) {
+    if (blocked.count(key) > 0) continue;
+    spdlog::info("crash: event=unblocked key={}", key);
+  }
+  m_blocked = std::move(blocked);
+}
+
+void ControlLoop::SetReady() {
+  m_ready = true;
+  RestoreLeavingInstances();
+  AwaitDepartures(Clock::now());
+  PublishBackends();
+}
+
+void ControlLoop::SetStoreLoaded() {
+  m_store_loaded = true;
+  AwaitDepartures(Clock::now());
+}
+
+// An announcement from before a departure may arrive after a restart. Without
+// the platform, the members that outlived the restart are the only source.
+void ControlLoop::AwaitDepartures(TimePoint now) {
+  if (m_knows_departures) return;
+  const milliseconds wait =
+      m_replica.WasKnown() ? kRememberedDepartureWait : kDepartureWait;
+  if (!m_store_loaded && now - m_started_at < wait) return;
+  if (!m_store_loaded) {
+    spdlog::warn("departures: event=not_read remembered_by_members={}",
+                 m_replica.WasKnown());
+  }
+  m_knows_departures = true;
+  PublishBackends();
+}
+
+void ControlLoop::ApplyDepartures(const std::vector<DepartureEntry>& entries) {
+  m_departures = entries;
+  for (const auto& entry : entries) {
+    if (entry.member_id != m_options.replica.id) continue;
+    for (const auto& leaving : entry.leaving) {
+      NoteLeaving(leaving.instance(), leaving.started_ms());
+    }
+  }
+  RestoreLeavingInstances();
+}
+
+void ControlLoop::PublishBackends() {
+  if (!m_ready || !m_knows_departures) return;
+  m_proxy->SetBackends(m_registry.Backends());
+  std::vector<Endpoint> endpoints = m_registry.Endpoints();
+  for (auto& endpoint : endpoints) {
+    if (m_draining) endpoint.set_draining(true);
+  }
+  m_replica.SetEndpoints(endpoints, Clock::now());
+}
+
+}  // namespace kumquatmoor
--- a/src/node/control_loop_test.cc
+++ b/src/node/control_loop_test.cc
@@ -6,6 +6,7 @@
 
 #include "kumquatmoor/node/proxy.h"
 #include "kumquatmoor/transport/fault_plan.h"
+#include "node/unix_time.h"
 
 namespace kumquatmoor {
 namespace {
@@ -35,12 +36,6 @@
                    &syncs};
 };
 
-int64_t UnixMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 Announcement AnnouncementOf(int64_t started_ms, uint64_t sequence) {
   return {.instance = "i-1",
           .started_ms = started_ms,
--- a/src/node/control_service.cc
+++ b/src/node/control_service.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "kumquatmoor/node/status.h"
+#include "node/unix_time.h"
 
 namespace kumquatmoor {
 namespace {
@@ -19,12 +20,6 @@
           "the node is busy; try again in a second"};
 }
 
-int64_t UnixMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 // The part of a GetStatus reply that the control thread collects.
 struct StatusParts {
   StatusReply reply;
--- a/src/node/departure_log.cc
+++ b/src/node/departure_log.cc
@@ -18,6 +18,8 @@
 #include <span>
 #include <utility>
 
+#include "node/unix_time.h"
+
 namespace kumquatmoor {
 namespace {
 
@@ -25,12 +27,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-int64_t UnixMs() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 bool IsSame(const LeavingInstance& a, const LeavingInstance& b) {
   return a.instance() == b.instance() && a.started_ms() == b.started_ms();
 }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -12,6 +12,8 @@
 #include <random>
 #include <utility>
 
+#include "node/unix_time.h"
+
 namespace kumquatmoor {
 namespace {
 
@@ -34,12 +36,6 @@
 // Time for a thread to describe what it waits for.
 constexpr std::chrono::milliseconds kAskTimeout{100};
 
-int64_t UnixMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 uint64_t RandomSeed() {
   std::random_device device;
   return (static_cast<uint64_t>(device()) << 32U) | device();
--- a/src/node/proxy_attempt.h
+++ b/src/node/proxy_attempt.h
@@ -11,6 +11,11 @@
 
 namespace kumquatmoor {
 
+// Bounds of the Retry-After of a refused request. The lower bound covers the
+// age of load reports, the upper bound a restart.
+inline constexpr std::chrono::milliseconds kMinRetryAfter{50};
+inline constexpr std::chrono::milliseconds kMaxRetryAfter{1'000};
+
 // The attempts to serve one request: totals, and the result of the last one.
 struct Proxy::Attempt {
   Call call;  // With the version of the current target.
