Let a probe of a killed process say nothing of its successor

While a node is suspected, nobody sends requests to its targets either.

Cause: a probe that the killed process left unanswered ended after the new process had announced itself, and the suspicion was given the incarnation of the record of that moment: the new one, which nobody had probed.

Evidence: replica_probe_test plays the peer: one probe unanswered, then the record of the next process, each later probe answered. Before the fix the peer is suspected 950 ms after it. The log now names the incarnation of a suspicion and of a failed probe, which it did not.

Why this works: a probe keeps the incarnation that it was sent to, and ends without a result once the member has another one. A process that leaves its own probe unanswered is suspected as before, which the second case checks.

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -213,7 +213,8 @@
     bool is_repeat = false;  // It has been pushed before.
   };
   struct Probe {
-    std::string subject;  // Id of the member that is probed.
+    std::string subject;      // Id of the member that is probed.
+    int64_t incarnation = 0;  // Of the subject when the probe was sent.
     TimePoint sent;
     bool indirect_sent = false;
   };
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -259,9 +259,11 @@
   AddChangedServices(record);
   const MemberRecord& member = *m_members.Find(record.id());
   if (!known || member.status() != before) {
-    spdlog::info("membership: event=status_changed member={} zone={} status={}",
-                 member.id(), member.zone(),
-                 MemberStatus_Name(member.status()));
+    spdlog::info(
+        "membership: event=status_changed member={} zone={} status={} "
+        "incarnation={}",
+        member.id(), member.zone(), MemberStatus_Name(member.status()),
+        member.incarnation());
   }
   QueueMemberUpdate(record.id());
 }
--- a/src/coordination/replica_probe.cc
+++ b/src/coordination/replica_probe.cc
@@ -91,7 +91,9 @@
   if (subject->status() != ALIVE) {
     *ping.add_rumours()->mutable_member() = *subject;
   }
-  m_probes[m_sequence] = Probe{.subject = subject->id(), .sent = now};
+  m_probes[m_sequence] = Probe{.subject = subject->id(),
+                               .incarnation = subject->incarnation(),
+                               .sent = now};
   out->push_back(AddressedTo(*subject, std::move(ping)));
 }
 
@@ -99,10 +101,17 @@
                              std::vector<OutgoingDatagram>* out) {
   for (auto it = m_probes.begin(); it != m_probes.end();) {
     Probe& probe = it->second;
+    const MemberRecord* subject = m_members.Find(probe.subject);
+    // An earlier process, or the same before it refuted a suspicion.
+    if (subject == nullptr || subject->incarnation() != probe.incarnation) {
+      it = m_probes.erase(it);
+      continue;
+    }
     const auto waited = now - probe.sent;
     if (waited >= m_options.probe_interval) {
-      spdlog::info("membership: event=probe_failed member={} sequence={}",
-                   probe.subject, it->first);
+      spdlog::info(
+          "membership: event=probe_failed member={} incarnation={} sequence={}",
+          probe.subject, probe.incarnation, it->first);
       ++m_probe_delays.failed;
       Suspect(probe.subject, now);
       it = m_probes.erase(it);
@@ -110,8 +119,6 @@
     }
     if (waited >= m_options.probe_timeout && !probe.indirect_sent) {
       probe.indirect_sent = true;
-      const MemberRecord* subject = m_members.Find(probe.subject);
-      if (subject == nullptr) continue;
       Datagram request = MakeDatagram(Datagram::PING_REQUEST);
       request.set_sequence(it->first);
       request.set_subject(probe.subject);
