Answer a request that could not be read, so that it may run elsewhere

What callers saw: when a node's buffers were full while it read a request, and when it stopped before the request had arrived, the sender got a closed connection, or a reset that discarded the response on its way. The node that had sent the request could not tell that it had not run and answered 502, where another target could have served it; a caller lost its 503 and Retry-After.

Cause: the session for other nodes answered only reads that were cancelled, not those that the budget ended; gave both one reason, RejectionStatus() of 503, but only the session for callers used it. And both sessions closed a connection that still had unread bytes, which TCP answers with a reset.

Evidence: proxy_test [buffer-budget] "A request that does not fit the buffers is refused as not run" sends bodies of 60 kB, 300 kB and 3 MB to either port, with a budget of 48 KiB. Now each gets 503, NotRun, its id and Retry-After.

Why this works: each rejected read of a node's request is answered by RejectNode with its status and "has not run", which makes its sender try another target. CloseAfterReply ends what is written first and discards what still arrives, 64 MiB or half a second at most, so that the sender reads the response.

--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -167,6 +167,8 @@
   // connection must be closed.
   boost::asio::awaitable<bool> ServeCaller(InboundRequest& inbound);
   boost::asio::awaitable<bool> ServeNode(InboundRequest& inbound);
+  // Answers a request of another node that could not be read.
+  boost::asio::awaitable<void> RejectNode(InboundRequest& inbound);
   // Refuses a request of another node since the buffers are full.
   boost::asio::awaitable<bool> RefuseNode(InboundRequest& inbound,
                                           const Call& call);
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -309,6 +309,12 @@
 boost::asio::awaitable<void> WriteLocalReply(InboundRequest& inbound,
                                              const LocalReply& reply);
 
+// Ends the connection of a request that was not read to its end, so that its
+// sender gets the response: a connection that is closed with unread bytes is
+// reset, which discards what the peer has not read yet. Discards what arrives,
+// up to a bound and for a short time. Does not throw.
+boost::asio::awaitable<void> CloseAfterReply(boost::beast::tcp_stream& stream);
+
 }  // namespace kumquatmoor
 
 #endif  // KUMQUATMOOR_TRANSPORT_EXCHANGE_H_
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -253,6 +253,7 @@
       rejection.reason =
           "the request is not accepted: " + inbound.RejectionReason();
       co_await Reject(inbound, std::move(rejection));
+      co_await CloseAfterReply(caller.stream);
       break;
     }
     try {
@@ -277,11 +278,9 @@
         &inbound, unregister);
     const ReadOutcome read = co_await inbound.ReadHead(
         [this, &inbound] { m_node_requests->insert(&inbound); });
-    if (inbound.IsReadCancelled()) {
-      LocalReply reply;
-      reply.reason = "the node stops before the request has arrived";
-      reply.close = true;
-      co_await WriteLocalReply(inbound, reply);
+    if (read == ReadOutcome::kRejected || inbound.IsReadCancelled()) {
+      co_await RejectNode(inbound);
+      co_await CloseAfterReply(stream);
     }
     if (read != ReadOutcome::kRequest || inbound.IsReadCancelled()) break;
     try {
--- a/src/node/proxy_responses.cc
+++ b/src/node/proxy_responses.cc
@@ -107,6 +107,24 @@
   co_return inbound.KeepAlive() && inbound.IsFullyBuffered() && !answer.close;
 }
 
+// The request has not run, so that it may run elsewhere.
+asio::awaitable<void> Proxy::RejectNode(InboundRequest& inbound) {
+  LocalReply answer;
+  answer.status = inbound.RejectionStatus();
+  answer.reason = "the request is not accepted: " + inbound.RejectionReason();
+  if (inbound.IsReadCancelled()) {
+    answer.status = 503;
+    answer.reason = "the node stops before the request has arrived";
+  } else if (answer.status == 503) {
+    m_metrics.OnBufferRefusal();
+    answer.retry_after = kMinRetryAfter;
+  }
+  answer.request_id = std::string(inbound.Head()[m_options.headers.request_id]);
+  answer.request_id_header = m_options.headers.request_id;
+  answer.close = true;
+  co_await WriteLocalReply(inbound, answer);
+}
+
 // Another target may have room.
 asio::awaitable<bool> Proxy::RefuseNode(InboundRequest& inbound,
                                         const Call& call) {
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -21,6 +21,7 @@
 #include <fstream>
 #include <future>
 #include <optional>
+#include <string>
 #include <thread>
 
 #include "node/local_runner.h"
@@ -891,6 +892,65 @@
   for (const auto& request : seen) CHECK(request["Id"] != "refused");
 }
 
+// What the peer has got when the connection ends, or after a response.
+struct Reception {
+  unsigned status = 0;  // 0: no response.
+  std::string verdict;
+  std::string id;
+  bool has_retry_after = false;
+};
+
+// Sends a request with a body of `body_bytes` to one of the proxy's ports and
+// reads after all of it is sent, as a node does.
+Reception SendLargeBody(unsigned short port, size_t body_bytes) {
+  asio::io_context context;
+  beast::tcp_stream stream(context);
+  stream.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
+  http::request<http::string_body> request(http::verb::post, "/write/1", 11);
+  request.set(http::field::host, "h");
+  request.set(headers::kService, "s");
+  request.set(headers::kVersion, "v1");
+  request.set("Id", "large");
+  request.set("Left", "5000");
+  request.body().assign(body_bytes, 'x');
+  request.prepare_payload();
+  beast::error_code error;
+  http::write(stream, request, error);
+  if (error) return {};
+  beast::flat_buffer buffer;
+  http::response<http::string_body> response;
+  http::read(stream, buffer, response, error);
+  if (error) return {};
+  return {.status = response.result_int(),
+          .verdict = std::string(response[headers::kVerdict]),
+          .id = std::string(response["Id"]),
+          .has_retry_after = response.count("Retry-After") > 0};
+}
+
+// Guards against a request that is not tried elsewhere, since the node whose
+// buffers are full while it reads the request ends the connection without a
+// word, or with a reset that discards its response.
+TEST_CASE_METHOD(
+    ProxyFixture,
+    "A request that does not fit the buffers is refused as not run",
+    "[buffer-budget]") {
+  constexpr size_t kBudget = 48U << 10U;
+  constexpr unsigned short kCallerPort = 17210;
+  constexpr unsigned short kDataPort = 17211;
+  Start(OptionsWithBudget(kBudget));
+  for (const size_t body : {60'000U, 300'000U, 3'000'000U}) {
+    for (const unsigned short port : {kCallerPort, kDataPort}) {
+      INFO(body << " bytes to port " << port);
+      const Reception reception = SendLargeBody(port, body);
+      CHECK(reception.status == 503);
+      CHECK(reception.verdict == VerdictName(Verdict::kNotRun));
+      CHECK(reception.id == "large");
+      CHECK(reception.has_retry_after);
+    }
+  }
+  CHECK(seen.empty());
+}
+
 class LinkFixture : public ProxyFixture {
  public:
   // Starts a proxy whose backend server runs `count` requests at once, and
--- a/src/transport/relay.cc
+++ b/src/transport/relay.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
+#include <vector>
 
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/transport/exchange.h"
@@ -28,6 +29,10 @@
 
 // For each write to the caller.
 constexpr std::chrono::seconds kCallerWriteTimeout{30};
+// How long, and for how many bytes, a sender may go on after the response.
+constexpr std::chrono::milliseconds kDiscardTime{500};
+constexpr size_t kMaxDiscardedBytes = 64U << 20U;
+constexpr size_t kDiscardReadBytes = 16'384;
 // What a response that is streamed holds: a part of its body, and what its
 // connection has read ahead.
 constexpr size_t kStreamBytes = 2 * kMaxBodyReadBytes;
@@ -223,4 +228,16 @@
   co_await http::async_write(inbound.Stream(), response, Into(error));
 }
 
+asio::awaitable<void> CloseAfterReply(boost::beast::tcp_stream& stream) {
+  Error error;
+  stream.socket().shutdown(asio::socket_base::shutdown_send, error);
+  stream.expires_after(kDiscardTime);
+  std::vector<char> discarded(kDiscardReadBytes);
+  size_t total = 0;
+  while (!error && total < kMaxDiscardedBytes) {
+    total +=
+        co_await stream.async_read_some(asio::buffer(discarded), Into(error));
+  }
+}
+
 }  // namespace kumquatmoor
