Keep the fields of trailers out of heads, and their bytes in the budget

What callers saw: a target that ends a chunked body with trailers decided what its caller got beside the head that it had sent: a trailer stood in the relayed head, `Kumquatmoor-Request-Id` made a whole response a 502, `Connection: close` changed the connection, and a caller's trailer gave its request a second Host. What a trailer without end takes until it is cut at 256 KiB was in no budget.

Cause: the HTTP library adds the fields of trailers to those of the head, and heads were taken out of it after the body, by each reader at its own time.

Evidence: framing_test "Trailers of a response are no fields of its head" and "Trailers of a request are no fields of its head".

Why this works: the head is moved out when it is complete, together with what it says of the connection; what comes later is not looked at. Each read of a body charges the budget with what is unparsed before it waits for more.

--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -112,15 +112,14 @@
   // the body. Throws boost::system::system_error on failure.
   boost::asio::awaitable<void> ReadChunk(std::string* chunk);
 
-  const RequestHead& Head() const { return m_parser.get(); }
+  // Without the fields of trailers. Empty until ReadHead has read it.
+  const RequestHead& Head() const { return m_head; }
   // The part of the body that ReadHead has read.
   const std::string& BufferedBody() const { return m_buffered_body; }
   // Returns true if BufferedBody is the complete body.
   bool IsFullyBuffered() const { return m_fully_buffered; }
   // True if the connection may carry another request.
-  bool KeepAlive() const {
-    return !close_after_response && m_parser.get().keep_alive();
-  }
+  bool KeepAlive() const { return !close_after_response && m_keep_alive; }
   // True if the caller has closed its connection by now. CallerWatch reports
   // this, too, but not before the io_context has polled the socket.
   bool CallerHasLeft();
@@ -139,10 +138,14 @@
   boost::beast::http::request_parser<boost::beast::http::buffer_body> m_parser;
   boost::asio::awaitable<boost::system::error_code> AwaitFirstByte();
   ReadOutcome Reject(const boost::system::error_code& error);
+  // Moves what has been read of the head out of the parser.
+  void TakeHead();
   // Counts what the request holds. Fails if the budget is spent.
   boost::system::error_code Hold(size_t bytes);
 
   CallerBounds m_bounds;
+  RequestHead m_head;
+  bool m_keep_alive = false;
   BufferShare m_share;
   size_t m_head_memory = 0;
   std::string m_buffered_body;
--- a/src/transport/body_reader.h
+++ b/src/transport/body_reader.h
@@ -71,7 +71,7 @@
 }
 
 // Reads until the message is complete or the parser's body is full. Calls
-// `before_read` before each read.
+// `before_read` before each read; an error that it returns ends the read.
 template <typename Parser, typename Callback>
 boost::asio::awaitable<boost::system::error_code> ReadBody(
     boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
@@ -84,8 +84,8 @@
         error == boost::beast::http::error::need_more || buffer.size() == 0;
     if (error == boost::beast::http::error::need_more) error = {};
     if (needs_more && !error && !parser.is_done()) {
-      before_read();
-      error = co_await ReadMore(stream, buffer, parser);
+      error = before_read();
+      if (!error) error = co_await ReadMore(stream, buffer, parser);
     }
   }
   co_return error;
@@ -95,7 +95,8 @@
 boost::asio::awaitable<boost::system::error_code> ReadBody(
     boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
     Parser& parser) {
-  co_return co_await ReadBody(stream, buffer, parser, [] {});
+  co_return co_await ReadBody(stream, buffer, parser,
+                              [] { return boost::system::error_code(); });
 }
 
 // Makes the next read take up to `bytes`.
@@ -105,23 +106,32 @@
 }
 
 // Reads the next part of the body and appends it to `body`. `parser` has a
-// buffer_body.
-template <typename Parser>
+// buffer_body. `before_read` is that of ReadBody.
+template <typename Parser, typename Callback>
 boost::asio::awaitable<boost::system::error_code> ReadBodyPart(
     boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
-    Parser& parser, std::string* body) {
+    Parser& parser, std::string* body, Callback before_read) {
   const size_t start = body->size();
   const size_t room = NextBodyReadBytes(parser);
   ReserveForRead(room, &buffer);
   body->resize(start + room);
   parser.get().body().data = body->data() + start;
   parser.get().body().size = room;
-  boost::system::error_code error = co_await ReadBody(stream, buffer, parser);
+  boost::system::error_code error =
+      co_await ReadBody(stream, buffer, parser, before_read);
   body->resize(start + room - parser.get().body().size);
   if (error == boost::beast::http::error::need_buffer) error = {};
   co_return error;
 }
 
+template <typename Parser>
+boost::asio::awaitable<boost::system::error_code> ReadBodyPart(
+    boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
+    Parser& parser, std::string* body) {
+  co_return co_await ReadBodyPart(stream, buffer, parser, body,
+                                  [] { return boost::system::error_code(); });
+}
+
 // Releases the memory of a buffer that has grown for a large body.
 inline void ShrinkIdleBuffer(boost::beast::flat_buffer* buffer) {
   if (buffer->size() > 0 || buffer->capacity() <= 2 * kIdleBufferBytes) return;
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -165,13 +165,15 @@
     if (std::chrono::steady_clock::now() >= deadline) {
       co_return beast::error::timeout;
     }
+    const auto hold = [&] {
+      return Hold(result, head_memory + result.buffered_body.capacity() +
+                              result.connection->buffer.capacity());
+    };
     const Error error = co_await ReadBodyPart(result.connection->stream,
                                               result.connection->buffer, parser,
-                                              &result.buffered_body);
+                                              &result.buffered_body, hold);
     if (error) co_return error;
-    const Error spent =
-        Hold(result, head_memory + result.buffered_body.capacity() +
-                         result.connection->buffer.capacity());
+    const Error spent = hold();
     if (spent) co_return spent;
   }
   result.fully_buffered = parser.is_done();
@@ -194,6 +196,9 @@
         return Hold(result, memory);
       });
   if (error) co_return error;
+  // What follows is the body. The fields of its trailers are not used.
+  result.keep_alive = result.parser->keep_alive();
+  result.head = std::move(result.parser->get().base());
   co_return co_await BufferResponseBody(result, head_memory, deadline);
 }
 
@@ -223,6 +228,7 @@
   result->timed_out = error == beast::error::timeout;
   result->reason = std::move(reason);
   if (error) result->reason += ": " + error.message();
+  result->head = {};
   result->parser.reset();
   result->connection.reset();
   result->buffered_body = {};
@@ -261,19 +267,18 @@
   return std::chrono::seconds(seconds);
 }
 
-// Moves the head of the response out of the parser into `result`. The verdict
-// is that of the response's verdict header: kRan without one, kMayHaveRun if
-// its value is unknown. A backend server may send the body that a response to
-// HEAD only announces, so that its connection is not used again.
+// Accepts the response. The verdict is that of its verdict header: kRan without
+// one, kMayHaveRun if its value is unknown. A backend server may send the body
+// that a response to HEAD only announces, so that its connection is not used
+// again.
 void SetResponse(bool is_head_request, ForwardResult* result) {
   result->answered = true;
-  if (const auto timeout = KeepAliveTimeout(result->parser->get())) {
+  if (const auto timeout = KeepAliveTimeout(result->head)) {
     result->connection->peer_idle_timeout = *timeout;
   }
-  const auto& response = result->parser->get();
-  result->keep_alive =
-      response.keep_alive() && !(is_head_request && AnnouncesBody(response));
-  result->head = std::move(result->parser->get().base());
+  if (is_head_request && AnnouncesBody(result->head)) {
+    result->keep_alive = false;
+  }
   auto verdict_header = result->head.find(headers::kVerdict);
   const auto verdict = verdict_header == result->head.end()
                            ? std::optional<Verdict>(Verdict::kRan)
@@ -326,7 +331,7 @@
     const Error error =
         co_await ReadResponse(result, options.deadline, is_head_request);
     if (error) co_return error;
-    const auto& response = result.parser->get();
+    const ResponseHead& response = result.head;
     const bool interim = response.result_int() / 100 == kInterimStatusClass;
     const size_t ids = response.count(options.headers->request_id);
     // A head that was cut short and the next one may run together.
@@ -340,7 +345,7 @@
         !IsForOtherRequest(response, options.headers->request_id, request_id)) {
       co_return Error();
     }
-    const bool more = result.fully_buffered && response.keep_alive();
+    const bool more = result.fully_buffered && result.keep_alive;
     if (!more || skipped >= kMaxSkippedResponses) {
       co_return http::error::unexpected_body;
     }
@@ -425,15 +430,14 @@
     result.connection_lost = !result.caller_gone && IsEndOfConnection(error);
     co_return result;
   }
-  const auto violation = Violation(result.parser->get(), options);
+  const auto violation = Violation(result.head, options);
   if (!violation.empty()) {
     SetFailure(&result, Verdict::kMayHaveRun, std::string(violation), error);
     co_return result;
   }
   Verdict backend_verdict = Verdict::kRan;
   if (options.to_backend) {
-    backend_verdict =
-        BackendVerdict(result.parser->get(), *options.headers, request_id);
+    backend_verdict = BackendVerdict(result.head, *options.headers, request_id);
     if (backend_verdict == Verdict::kMayHaveRun) {
       SetFailure(&result, backend_verdict, "refusal without the request's id",
                  error);
--- a/src/transport/framing_test.cc
+++ b/src/transport/framing_test.cc
@@ -317,6 +317,59 @@
   }
 }
 
+// Guards against fields after a chunked body that take the place of the head's:
+// they would name another request, another end, or another verdict.
+TEST_CASE("Trailers of a response are no fields of its head", "[framing]") {
+  const std::string message =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n0\r\n";
+  for (const std::string& trailer :
+       {std::string("Late: 1"), std::string("Connection: close"),
+        std::string(headers::kRequestId) + ": other",
+        std::string(headers::kVerdict) + ": NotRun"}) {
+    INFO(trailer);
+    const Fixture fixture({.bytes = message + trailer + "\r\n\r\n"});
+    const Seen& seen = fixture.seen;
+    CHECK(seen.head.starts_with("HTTP/1.1 200 OK"));
+    CHECK(seen.head.find(trailer) == std::string::npos);
+    CHECK(seen.body == "hello");
+    CHECK(IsProbe(seen.after));
+  }
+  // A length beside chunks is a contradiction.
+  const Fixture invalid({.bytes = message + "Content-Length: 3\r\n\r\n"});
+  CHECK(invalid.seen.head.starts_with("HTTP/1.1 502"));
+  CHECK(IsProbe(invalid.seen.after));
+}
+
+// Guards against the same by a caller.
+TEST_CASE("Trailers of a request are no fields of its head", "[framing]") {
+  asio::io_context context(1);
+  tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  tcp::socket caller(context);
+  caller.connect(acceptor.local_endpoint());
+  asio::write(caller, asio::buffer(std::string_view(
+                          "POST /x HTTP/1.1\r\nHost: h\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n"
+                          "5\r\nhello\r\n0\r\nHost: other\r\nLate: 1\r\n"
+                          "Connection: close\r\n\r\n")));
+  beast::tcp_stream stream(acceptor.accept());
+  beast::flat_buffer buffer;
+  InboundRequest inbound(stream, buffer);
+  std::optional<ReadOutcome> outcome;
+  asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> { outcome = co_await inbound.ReadHead(); },
+      asio::detached);
+  context.run_for(milliseconds(50));
+  REQUIRE(outcome == ReadOutcome::kRequest);
+  CHECK(inbound.BufferedBody() == "hello");
+  CHECK(inbound.Head().count("Host") == 1);
+  CHECK(inbound.Head()["Host"] == "h");
+  CHECK(inbound.Head().count("Late") == 0);
+  CHECK(inbound.Head().target() == "/x");
+  CHECK(inbound.KeepAlive());
+}
+
 // Guards against the body of a faulty server's response to HEAD that is taken
 // for the response to the next request.
 TEST_CASE("A connection whose response to HEAD has a body is not used again",
--- a/src/transport/http_call.cc
+++ b/src/transport/http_call.cc
@@ -85,12 +85,14 @@
     if (reads > 0 && !begun) begun = std::chrono::steady_clock::now();
     ++reads;
     timer.Restart(stream);
+    return boost::system::error_code();
   };
   ThrowIfFailed(co_await ReadHead(*stream, buffer, parser, kResponseHeadBounds,
                                   [&](size_t /*memory*/) {
                                     if (!parser.is_header_done()) count_read();
                                     return boost::system::error_code();
                                   }));
+  http::fields headers = parser.get().base();
   if (!begun) begun = std::chrono::steady_clock::now();
   if (!parser.is_done()) {
     ReserveForRead(NextBodyReadBytes(parser), &buffer);
@@ -98,7 +100,7 @@
   }
   co_return HttpCallResponse{
       .status = parser.get().result_int(),
-      .headers = parser.get().base(),
+      .headers = std::move(headers),
       .body = std::move(parser.get().body()),
       .transfer = std::chrono::duration_cast<std::chrono::milliseconds>(
           std::chrono::steady_clock::now() - *begun),
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -188,8 +188,8 @@
                                            return Hold(memory);
                                          });
   m_is_reading = false;
+  TakeHead();
   if (error) co_return Reject(error);
-  ToOriginForm(&m_parser.get().base());
   // A caller of HTTP/1.0 knows no interim responses.
   if (Head().version() >= kHttp11 &&
       beast::iequals(Head()[http::field::expect], "100-continue")) {
@@ -217,6 +217,12 @@
   co_return ReadOutcome::kRequest;
 }
 
+void InboundRequest::TakeHead() {
+  m_keep_alive = m_parser.is_header_done() && m_parser.keep_alive();
+  m_head = std::move(m_parser.get().base());
+  ToOriginForm(&m_head);
+}
+
 Error InboundRequest::Hold(size_t bytes) {
   m_share.Resize(bytes);
   if (m_share.IsSpent()) return asio::error::no_buffer_space;
@@ -246,7 +252,10 @@
   m_stream.expires_after(kCallerBodyTimeout);
   m_is_reading = true;
   const Error error =
-      co_await ReadBodyPart(m_stream, m_buffer, m_parser, chunk);
+      co_await ReadBodyPart(m_stream, m_buffer, m_parser, chunk, [this] {
+        return Hold(m_head_memory + m_buffered_body.size() +
+                    m_buffer.capacity());
+      });
   m_is_reading = false;
   if (error) throw boost::system::system_error(error);
 }
--- a/src/transport/relay.cc
+++ b/src/transport/relay.cc
@@ -4,6 +4,7 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
@@ -90,6 +91,12 @@
                        .deadline = options.deadline,
                        .sent_bytes = options.sent_bytes,
                        .is_response = true};
+  const auto hold = [&]() -> Error {
+    result.share.Resize(std::max(
+        kStreamBytes, chunk.capacity() + result.connection->buffer.capacity()));
+    if (result.share.IsSpent()) return asio::error::no_buffer_space;
+    return {};
+  };
   Error error;
   while (true) {
     const bool more = !chunk.empty();
@@ -106,12 +113,12 @@
     if (chunk.capacity() > kStreamBytes) chunk = {};
     chunk.clear();
     if (parser.is_done()) continue;
-    result.share.Resize(kStreamBytes);
-    if (result.share.IsSpent()) co_return false;
     // The timeout of the stream does not end reads that never wait.
     if (std::chrono::steady_clock::now() >= options.deadline) co_return false;
-    error = co_await ReadBodyPart(result.connection->stream,
-                                  result.connection->buffer, parser, &chunk);
+    if (hold()) co_return false;
+    error =
+        co_await ReadBodyPart(result.connection->stream,
+                              result.connection->buffer, parser, &chunk, hold);
     if (error) co_return false;
   }
 }
