Bound what the system holds for each connection

A caller that reads fast and then stops makes the system hold megabytes for its connection, beside the budget of the process.

Cause: the system enlarges the buffers of a fast connection, up to 4 MiB for writes and 32 MiB for reads here, and nothing set a size.

Evidence: proxy_test [buffer-budget] "A caller that stops reading fills no buffers" reads 200 MB of a response and stops.

Why this works: connections to targets, and the acceptors that callers', nodes' and operators' connections inherit from, have buffers of 128 KiB each way, of which the system makes 256 KiB at most; a peer that does not read blocks its writer earlier, and the stream waits.

--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -17,12 +17,14 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
+#include <cstdio>
 #include <deque>
 #include <fstream>
 #include <future>
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "node/local_runner.h"
 
@@ -951,6 +953,69 @@
   CHECK(seen.empty());
 }
 
+// The most bytes that the system holds for one connection of this network.
+struct SocketQueues {
+  size_t unread = 0;  // Received on a connection to `remote_port`.
+  size_t unsent = 0;  // Written to a connection at `local_port`.
+};
+
+SocketQueues LargestQueues(unsigned remote_port, unsigned local_port) {
+  SocketQueues largest;
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  std::getline(table, line);
+  while (std::getline(table, line)) {
+    unsigned local = 0;
+    unsigned remote = 0;
+    unsigned unsent = 0;
+    unsigned unread = 0;
+    const int fields =
+        std::sscanf(line.c_str(), " %*d: %*8x:%x %*8x:%x %*x %x:%x", &local,
+                    &remote, &unsent, &unread);
+    if (fields != 4) continue;
+    if (remote == remote_port) {
+      largest.unread = std::max<size_t>(largest.unread, unread);
+    }
+    if (local == local_port) {
+      largest.unsent = std::max<size_t>(largest.unsent, unsent);
+    }
+  }
+  return largest;
+}
+
+// Guards against a host that runs out of memory by what the system holds of a
+// response that was fast, once its caller stops reading: megabytes for each
+// connection, which no budget of the process counts.
+TEST_CASE_METHOD(ProxyFixture, "A caller that stops reading fills no buffers",
+                 "[buffer-budget]") {
+  constexpr unsigned short kCallerPort = 17210;
+  constexpr unsigned kBackendPort = 17212;
+  constexpr size_t kFastBytes = 200'000'000;
+  constexpr size_t kMaxQueued = 512U << 10U;
+  const std::string letters(65'536, 'x');
+  script = [&](const RequestHead& head) {
+    return Reply{.bytes = "HTTP/1.1 200 OK\r\nId: " + std::string(head["Id"]) +
+                          "\r\nSigned: y\r\nContent-Length: 900000000\r\n\r\n",
+                 .endless = letters};
+  };
+  Start();
+  asio::io_context context;
+  tcp::socket caller(context);
+  caller.connect({asio::ip::make_address("127.0.0.1"), kCallerPort});
+  asio::write(caller, asio::buffer(std::string_view(
+                          "GET /read/1 HTTP/1.1\r\nHost: h\r\nId: r\r\n"
+                          "Left: 20000\r\n\r\n")));
+  std::vector<char> part(1U << 20U);
+  for (size_t total = 0; total < kFastBytes;) {
+    total += caller.read_some(asio::buffer(part));
+  }
+  std::this_thread::sleep_for(milliseconds(500));
+  const SocketQueues queues = LargestQueues(kBackendPort, kCallerPort);
+  CHECK(queues.unread <= kMaxQueued);
+  CHECK(queues.unsent <= kMaxQueued);
+  CHECK(queues.unsent > 0);
+}
+
 class LinkFixture : public ProxyFixture {
  public:
   // Starts a proxy whose backend server runs `count` requests at once, and
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -30,6 +30,7 @@
 #include "transport/paced_write.h"
 #include "transport/peer_loss.h"
 #include "transport/response_checks.h"
+#include "transport/socket_buffers.h"
 
 namespace kumquatmoor {
 namespace {
@@ -82,10 +83,13 @@
                std::chrono::steady_clock::now() + options.connect_timeout);
   if (!co_await ApplyFaults(options, expiry)) co_return beast::error::timeout;
   Error error;
+  auto& socket = connection.stream.socket();
+  socket.open(endpoint->protocol(), error);
+  if (error) co_return error;
+  BoundSocketBuffers(socket);
   connection.stream.expires_at(expiry);
   co_await connection.stream.async_connect(*endpoint, Into(error));
   if (error) co_return error;
-  auto& socket = connection.stream.socket();
   socket.set_option(asio::ip::tcp::no_delay(true), error);
   EnablePeerLossDetection(socket);
   co_return Error();
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -15,6 +15,7 @@
 #include "transport/body_reader.h"
 #include "transport/framing.h"
 #include "transport/head_reader.h"
+#include "transport/socket_buffers.h"
 
 namespace kumquatmoor {
 namespace {
@@ -52,6 +53,7 @@
   if (error) return error;
   m_acceptor.bind(*endpoint, error);
   if (error) return error;
+  BoundSocketBuffers(m_acceptor);
   m_acceptor.listen(asio::socket_base::max_listen_connections, error);
   if (error) return error;
   asio::co_spawn(m_context, AcceptLoop(), asio::detached);
