Record a late drain of an earlier process before it is acknowledged

An announcement that a process drains, which arrives after the next process of its id has announced itself, got 200 and was forgotten: after a restart of the node a late announcement of that process made it available again.

Cause: only an announcement that changed the entry of its id was written.

Evidence: platform_test "A late drain of an earlier process is recorded": no write before the fix.

Why this works: a drain of an earlier start time is written like one of the process on record. An older announcement of the same process is not, as a later one of it replaces it.

--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -130,6 +130,8 @@
   // Registers or renews a local backend server. Returns false and changes
   // nothing if the announcement is older than the one on record.
   bool Announce(const Announcement& announcement);
+  // True if the process on record started later than that of the announcement.
+  bool IsOfEarlierProcess(const Announcement& announcement) const;
   // Marks a local backend server as draining, and remembers that its process
   // leaves, also if it is not known. Returns what is remembered.
   LeavingInstance Deregister(const Deregistration& deregistration);
--- a/src/node/control_loop_backends.cc
+++ b/src/node/control_loop_backends.cc
@@ -109,6 +109,11 @@
   return leaving;
 }
 
+bool ControlLoop::IsOfEarlierProcess(const Announcement& announcement) const {
+  return announcement.started_ms <
+         m_registry.StartTimeMs(announcement.instance);
+}
+
 void ControlLoop::OnBackendLeaving(const LocalBackend& backend) {
   for (const auto& known : m_registry.Backends()) {
     if (known.instance != backend.instance || known.draining ||
