Know the departures before publishing, however long the platform is away

All nodes were killed and started while the store was away, and an announcement from before a deregistration came late: once the store was back, requests were sent to backend servers whose deregistration had been acknowledged. A restarted node that is no gateway read the departures only by chance, before it had heard of its zone's gateways.

Cause: a node went on after 3 s without the platform, 1 s if members remembered it, and published its backend servers without knowing the departures. Only gateways read them later.

Why this works: a node publishes no backend server until it knows the departures. Each node that starts reads them from the platform, whether it is a gateway or not. After 1 s without it, a synchronisation with a member that knows them suffices, which passes them on; who has read the platform or has received them this way knows them. If there is no such member, the mesh has no configuration and no routes either, so that nothing is lost by the wait.

--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -38,6 +38,7 @@
 #include <vector>
 
 #include "control.pb.h"
+#include "kumquatmoor/coordination/departures.h"
 #include "kumquatmoor/coordination/member_list.h"
 #include "kumquatmoor/coordination/replica_types.h"
 #include "kumquatmoor/state/carried_moves.h"
@@ -97,12 +98,21 @@
   void DropExpiredCrashes(int64_t unix_ms);
   // Replaces the endpoints in this node's record.
   void SetEndpoints(std::span<const Endpoint> endpoints, TimePoint now);
-  // True if another member knew an earlier incarnation of this node, whose
-  // leaving instances it has passed on.
-  bool WasKnown() const { return m_was_known; }
   // Adds to this node's record an instance of a backend server that is leaving:
   // it drains or has deregistered.
   void AddLeavingInstance(const LeavingInstance& leaving, TimePoint now);
+  // Departures that nodes have written to the platform: see departures.h. A
+  // node that has just started learns them from the platform, or by a
+  // synchronisation with a member that knows them.
+
+  // Replaces all of them. Those of this node become part of its record.
+  void SetDepartures(std::span<const DepartureEntry> entries, TimePoint now);
+  // From now on this node passes them on to members that do not know them.
+  void SetKnowsDepartures() { m_knows_departures = true; }
+  // A member that knows the departures has passed them on.
+  bool HasReceivedDepartures() const { return m_has_received_departures; }
+  // Schedules a synchronisation with any live member, unless there is one.
+  void ScheduleAnySync();
   // Publishes in this node's record whether its calls to the platform fail.
   void SetPlatformUnavailable(bool unavailable, TimePoint now);
   // Sets this node's status to LEFT and returns the datagrams that announce it.
@@ -250,6 +260,9 @@
   // Adds to the reply what the requester's batch lacks: a delta if this node
   // knows the requester's batch, otherwise the whole batch.
   void AddNewerBatch(const SyncRequest& request, SyncReply* reply) const;
+  void JoinDepartures(const MemberRecord& departures, TimePoint now);
+  void AddDepartures(SyncReply* reply) const;
+  void ReceiveDepartures(const SyncReply& reply, TimePoint now);
   void ApplyBatch(Batch batch, BatchPath path);
   void Refute(const MemberRecord& claim, TimePoint now);
   void Suspect(const std::string& id, TimePoint now);
@@ -315,7 +328,10 @@
   uint64_t m_sequence = 0;
   ProbeDelays m_probe_delays;
   TimePoint m_last_acknowledged;
-  bool m_was_known = false;
+  bool m_knows_departures = false;
+  bool m_has_received_departures = false;
+  // By member id. Only `leaving` is set.
+  std::map<std::string, MemberRecord, std::less<>> m_departures;
   TimePoint m_next_probe;
   TimePoint m_last_tick;
   uint32_t m_digest_mismatches = 0;  // Consecutive ones.
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -188,8 +188,8 @@
   // which of its backend servers had said before a restart that they leave, so
   // it publishes none.
   void PublishBackends();
-  // Publishes the backend servers once the departures are known, or once the
-  // platform has not shown them for too long.
+  // Publishes the backend servers once the departures are known. Asks other
+  // members for them until then.
   void AwaitDepartures(TimePoint now);
   void ApplyDepartures(const std::vector<DepartureEntry>& entries);
   // Passes changed crash records to the proxy and logs requests that are newly
@@ -234,6 +234,7 @@
   bool m_store_loaded = false;
   bool m_knows_departures = false;
   TimePoint m_started_at;
+  TimePoint m_next_departure_sync;
   std::vector<DirectoryEntry> m_directory;
   std::vector<DepartureEntry> m_departures;  // Of all nodes.
   std::function<void()> m_on_generation;
--- a/src/coordination/replica_probe.cc
+++ b/src/coordination/replica_probe.cc
@@ -246,7 +246,6 @@
   // Takes over deregistrations that an earlier incarnation of this node
   // acknowledged.
   for (const auto& leaving : claim.leaving()) AddLeavingInstance(leaving, now);
-  m_was_known = m_was_known || claim.incarnation() < self.incarnation();
   self = Self();
   const bool is_newer = claim.incarnation() > self.incarnation();
   const bool is_contradiction =
--- a/src/coordination/replica_sync.cc
+++ b/src/coordination/replica_sync.cc
@@ -67,6 +67,7 @@
   }
   *request.add_members() = Self();
   request.set_crashes_hash(m_crashes.Hash());
+  request.set_wants_departures(!m_knows_departures);
   return request;
 }
 
@@ -85,6 +86,7 @@
   if (IsNewer(StampOf(*m_batch), StampOf(request))) {
     AddNewerBatch(request, &reply);
   }
+  if (request.wants_departures()) AddDepartures(&reply);
   for (auto& mark : m_marks.All()) *reply.add_marks() = std::move(mark);
   const auto& own_hashes = m_members.BucketHashes();
   std::vector<uint32_t> differing;
@@ -117,6 +119,7 @@
                                                     TimePoint now) {
   if (reply.has_delta()) HandleSyncDelta(reply.delta());
   if (reply.has_batch()) Offer(reply.batch(), BatchPath::kSyncBatch);
+  if (reply.knows_departures()) ReceiveDepartures(reply, now);
   MarkSet peer_marks;
   for (const auto& mark : reply.marks()) {
     peer_marks.Join(mark);
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -228,7 +228,9 @@
 
 bool ControlLoop::IsGateway() const {
   const bool has_conflict = m_replica.NeedsCompleteRead(Clock::now());
-  if (!m_ready || IsIsolated() || has_conflict) return true;
+  if (!m_ready || !m_knows_departures || IsIsolated() || has_conflict) {
+    return true;
+  }
   if (m_replica.IsBehindFor(m_options.max_time_behind, Clock::now())) {
     return true;
   }
--- a/src/node/control_loop_backends.cc
+++ b/src/node/control_loop_backends.cc
@@ -5,6 +5,9 @@
 // which other members keep, and on the platform. After a start, this node
 // publishes no backend server before it has learned what an earlier incarnation
 // of it had been told: an announcement from before a departure may arrive late.
+// It reads the platform for that, whether it is a gateway or not. While the
+// platform is away, members that know the departures are the source. If there
+// is none, neither has the mesh a configuration.
 
 #include <spdlog/fmt/ranges.h>
 #include <spdlog/spdlog.h>
@@ -20,10 +23,11 @@
 
 using std::chrono::milliseconds;
 
-// A node that has not read the platform waits this long for what it has of
-// departures: less if other members remember what this node has told them.
-constexpr milliseconds kDepartureWait{3'000};
-constexpr milliseconds kRememberedDepartureWait{1'000};
+// What other members pass on is used after this time without the platform,
+// which may have a departure that did not reach them.
+constexpr milliseconds kPlatformWait{1'000};
+// Interval at which other members are asked for what they know.
+constexpr milliseconds kDepartureSyncInterval{500};
 
 }  // namespace
 
@@ -190,29 +194,29 @@
   AwaitDepartures(Clock::now());
 }
 
-// An announcement from before a departure may arrive after a restart. Without
-// the platform, the members that outlived the restart are the only source.
 void ControlLoop::AwaitDepartures(TimePoint now) {
   if (m_knows_departures) return;
-  const milliseconds wait =
-      m_replica.WasKnown() ? kRememberedDepartureWait : kDepartureWait;
-  if (!m_store_loaded && now - m_started_at < wait) return;
-  if (!m_store_loaded) {
-    spdlog::warn("departures: event=not_read remembered_by_members={}",
-                 m_replica.WasKnown());
+  const bool are_received =
+      m_replica.HasReceivedDepartures() && now - m_started_at >= kPlatformWait;
+  if (!m_store_loaded && !are_received) {
+    if (!m_ready || now < m_next_departure_sync) return;
+    m_next_departure_sync = now + kDepartureSyncInterval;
+    m_replica.ScheduleAnySync();
+    return;
   }
+  spdlog::info(
+      "departures: event=known source={} elapsed_ms={}",
+      m_store_loaded ? "platform" : "members",
+      std::chrono::duration_cast<milliseconds>(now - m_started_at).count());
   m_knows_departures = true;
+  m_replica.SetKnowsDepartures();
+  RestoreLeavingInstances();
   PublishBackends();
 }
 
 void ControlLoop::ApplyDepartures(const std::vector<DepartureEntry>& entries) {
   m_departures = entries;
-  for (const auto& entry : entries) {
-    if (entry.member_id != m_options.replica.id) continue;
-    for (const auto& leaving : entry.leaving) {
-      NoteLeaving(leaving.instance(), leaving.started_ms());
-    }
-  }
+  m_replica.SetDepartures(entries, Clock::now());
   RestoreLeavingInstances();
 }
 
