Write lost departures again as soon as the store's generation is known

The store came back from a copy that was older than an acknowledged departure and than the configuration in force. Until the operators wrote that configuration again the departure was not on the platform: a kill of all nodes in that time would have lost it.

Cause: a node wrote its departures again when the generation of the batch in force rose, and a batch that is older than the one in force is held back.

Why this works: the source tells the generation with what it has read, and digests carry the highest one that a node knows, so that each node hears of it with the next probe and writes again what is missing.

--- a/include/kumquatmoor/coordination/configuration_source.h
+++ b/include/kumquatmoor/coordination/configuration_source.h
@@ -44,6 +44,7 @@
   std::optional<std::vector<DirectoryEntry>> directory;
   // The departures that all nodes have written, if one of them changed.
   std::optional<std::vector<DepartureEntry>> departures;
+  uint64_t generation = 0;  // Of the store; 0 if it names none.
 };
 
 enum class MoveOutcome { kRunning, kDone, kRolledBack };
--- a/include/kumquatmoor/coordination/replica.h
+++ b/include/kumquatmoor/coordination/replica.h
@@ -113,6 +113,11 @@
   bool HasReceivedDepartures() const { return m_has_received_departures; }
   // Schedules a synchronisation with any live member, unless there is one.
   void ScheduleAnySync();
+  // The highest generation of the store that this node or a digest has named.
+  // Rises before that of the batch if the batch is held back. Numbers that no
+  // store can have are ignored.
+  uint64_t StoreGeneration() const { return m_store_generation; }
+  void NoteStoreGeneration(uint64_t generation);
   // Publishes in this node's record whether its calls to the platform fail.
   void SetPlatformUnavailable(bool unavailable, TimePoint now);
   // Sets this node's status to LEFT and returns the datagrams that announce it.
@@ -332,6 +337,7 @@
   bool m_has_received_departures = false;
   // By member id. Only `leaving` is set.
   std::map<std::string, MemberRecord, std::less<>> m_departures;
+  uint64_t m_store_generation = 0;
   TimePoint m_next_probe;
   TimePoint m_last_tick;
   uint32_t m_digest_mismatches = 0;  // Consecutive ones.
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -191,6 +191,8 @@
   // Publishes the backend servers once the departures are known. Asks other
   // members for them until then.
   void AwaitDepartures(TimePoint now);
+  // Tells the generation handler if the store has a higher generation.
+  void CheckGeneration();
   void ApplyDepartures(const std::vector<DepartureEntry>& entries);
   // Passes changed crash records to the proxy and logs requests that are newly
   // blocked or no longer blocked.
@@ -235,6 +237,7 @@
   bool m_knows_departures = false;
   TimePoint m_started_at;
   TimePoint m_next_departure_sync;
+  uint64_t m_known_generation = 0;  // Of the store.
   std::vector<DirectoryEntry> m_directory;
   std::vector<DepartureEntry> m_departures;  // Of all nodes.
   std::function<void()> m_on_generation;
--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -65,6 +65,7 @@
   digest.set_config_version(m_batch->config_version());
   digest.set_carried_weight(m_batch->carried_weight());
   digest.set_decision_digest(m_decision_digest);
+  digest.set_store_generation(m_store_generation);
   return digest;
 }
 
@@ -193,8 +194,14 @@
   }
 }
 
+void Replica::NoteStoreGeneration(uint64_t generation) {
+  if (generation > kMaxGeneration) return;
+  m_store_generation = std::max(m_store_generation, generation);
+}
+
 void Replica::CompareDigest(const Datagram& datagram, TimePoint now) {
   const Digest& received = datagram.digest();
+  NoteStoreGeneration(received.store_generation());
   const Digest own = MakeDigest();
   if (IsNewer(StampOf(received), StampOf(own)) &&
       !IsRefusedBatch(received.batch_digest())) {
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -131,6 +131,7 @@
   }
   if (auto peer = m_replica.PopSyncPeer()) m_syncs->TryPush(std::move(*peer));
   PublishRoutes();
+  CheckGeneration();
   PublishBehindSince();
   ExtendDecisions(now);
   PublishCrashes();
@@ -275,6 +276,7 @@
   }
   for (const auto& mark : update.marks) m_replica.JoinMark(mark);
   if (update.departures) ApplyDepartures(*update.departures);
+  m_replica.NoteStoreGeneration(update.generation);
   if (!update.directory) return;
   m_directory = *update.directory;
   for (const auto& entry : m_directory)
@@ -340,6 +342,16 @@
       m_published_revision > 0 && !m_draining && !is_too_far_behind;
 }
 
+// The generation of the batch in force, which PublishRoutes watches, rises
+// later if the store's configuration is older and held back.
+void ControlLoop::CheckGeneration() {
+  const uint64_t generation = m_replica.StoreGeneration();
+  if (generation <= m_known_generation) return;
+  m_known_generation = generation;
+  spdlog::info("node: event=store_generation generation={}", generation);
+  if (m_on_generation) m_on_generation();
+}
+
 void ControlLoop::PublishRoutes() {
   if (!m_ready) return;
   auto unreachable = m_replica.UnreachableZones(Clock::now());
