--- a/src/coordination/replica.cc
+++ b/src/coordination/replica.cc
@@ -194,11 +194,6 @@
   }
 }
 
-void Replica::NoteStoreGeneration(uint64_t generation) {
-  if (generation > kMaxGeneration) return;
-  m_store_generation = std::max(m_store_generation, generation);
-}
-
 void Replica::CompareDigest(const Datagram& datagram, TimePoint now) {
   const Digest& received = datagram.digest();
   NoteStoreGeneration(received.store_generation());
--- a/src/coordination/replica_departures.cc
+++ b/src/coordination/replica_departures.cc
@@ -1,7 +1,10 @@
 // The departures on the platform, as far as Replica passes them on. Only
 // gateways read the platform. A member that knows the departures has read them
 // there, or has received them from such a member: what one passes on is
-// complete as of its own start.
+// complete as of its own start. A store that comes back from an older copy may
+// have lost some, which its generation shows.
+
+#include <algorithm>
 
 #include "kumquatmoor/coordination/replica.h"
 
@@ -45,6 +48,11 @@
   m_has_received_departures = true;
 }
 
+void Replica::NoteStoreGeneration(uint64_t generation) {
+  if (generation > kMaxGeneration) return;
+  m_store_generation = std::max(m_store_generation, generation);
+}
+
 void Replica::ScheduleAnySync() {
   if (m_sync_peer) return;
   const auto picked = SampleMembers(1, "");
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -27,7 +27,6 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using std::chrono::milliseconds;
 
--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -17,6 +17,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <cstdio>
 #include <deque>
 #include <fstream>
@@ -904,7 +905,7 @@
 
 // Sends a request with a body of `body_bytes` to one of the proxy's ports and
 // reads after all of it is sent, as a node does.
-Reception SendLargeBody(unsigned short port, size_t body_bytes) {
+Reception SendLargeBody(uint16_t port, size_t body_bytes) {
   asio::io_context context;
   beast::tcp_stream stream(context);
   stream.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
@@ -937,11 +938,11 @@
     "A request that does not fit the buffers is refused as not run",
     "[buffer-budget]") {
   constexpr size_t kBudget = 48U << 10U;
-  constexpr unsigned short kCallerPort = 17210;
-  constexpr unsigned short kDataPort = 17211;
+  constexpr uint16_t kCallerPort = 17210;
+  constexpr uint16_t kDataPort = 17211;
   Start(OptionsWithBudget(kBudget));
   for (const size_t body : {60'000U, 300'000U, 3'000'000U}) {
-    for (const unsigned short port : {kCallerPort, kDataPort}) {
+    for (const uint16_t port : {kCallerPort, kDataPort}) {
       INFO(body << " bytes to port " << port);
       const Reception reception = SendLargeBody(port, body);
       CHECK(reception.status == 503);
@@ -988,7 +989,7 @@
 // connection, which no budget of the process counts.
 TEST_CASE_METHOD(ProxyFixture, "A caller that stops reading fills no buffers",
                  "[buffer-budget]") {
-  constexpr unsigned short kCallerPort = 17210;
+  constexpr uint16_t kCallerPort = 17210;
   constexpr unsigned kBackendPort = 17212;
   constexpr size_t kFastBytes = 200'000'000;
   constexpr size_t kMaxQueued = 512U << 10U;
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -24,12 +24,11 @@
 
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/transport/endpoint_address.h"
-#include "transport/body_reader.h"
 #include "transport/framing.h"
-#include "transport/head_reader.h"
 #include "transport/paced_write.h"
 #include "transport/peer_loss.h"
 #include "transport/response_checks.h"
+#include "transport/response_reader.h"
 #include "transport/socket_buffers.h"
 
 namespace kumquatmoor {
@@ -42,12 +41,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kFaultPollInterval{20};
-constexpr HeadBounds kResponseHeadBounds{.bytes = 65'536, .fields = 1'024};
-constexpr uint64_t kMaxResponseBodyBytes = 1ULL << 30U;
-// Maximum number of late responses to earlier requests, and of interim
-// responses, that are discarded before the response to a request.
-constexpr int kMaxSkippedResponses = 3;
-constexpr unsigned kInterimStatusClass = 1;
 
 // A completion token that stores the error instead of throwing it.
 auto Into(Error& error) {
@@ -149,63 +142,6 @@
   co_return Error();
 }
 
-// Counts what a response holds. Fails if the budget is spent.
-Error Hold(ForwardResult& result, size_t bytes) {
-  result.share.Resize(bytes);
-  if (result.share.IsSpent()) return asio::error::no_buffer_space;
-  return {};
-}
-
-// Reads the body until its end or until the buffer is full, or one part of it
-// while the budget is scarce. Checks the deadline itself: the timeout of the
-// stream does not end reads that never wait.
-asio::awaitable<Error> BufferResponseBody(ForwardResult& result,
-                                          size_t head_memory,
-                                          Deadline deadline) {
-  auto& parser = *result.parser;
-  while (!parser.is_done() &&
-         result.buffered_body.size() < kMaxBufferedResponseBytes) {
-    if (!result.buffered_body.empty() && result.share.IsScarce()) break;
-    if (std::chrono::steady_clock::now() >= deadline) {
-      co_return beast::error::timeout;
-    }
-    const auto hold = [&] {
-      return Hold(result, head_memory + result.buffered_body.capacity() +
-                              result.connection->buffer.capacity());
-    };
-    const Error error = co_await ReadBodyPart(result.connection->stream,
-                                              result.connection->buffer, parser,
-                                              &result.buffered_body, hold);
-    if (error) co_return error;
-    const Error spent = hold();
-    if (spent) co_return spent;
-  }
-  result.fully_buffered = parser.is_done();
-  co_return Error();
-}
-
-// Reads the head of a response and the buffered part of its body. A response to
-// a HEAD request has no body.
-asio::awaitable<Error> ReadResponse(ForwardResult& result, Deadline deadline,
-                                    bool is_head_request) {
-  result.parser = std::make_unique<http::response_parser<http::buffer_body>>();
-  result.parser->header_limit(kResponseHeadBounds.bytes);
-  result.parser->body_limit(kMaxResponseBodyBytes);
-  if (is_head_request) result.parser->skip(true);
-  size_t head_memory = 0;
-  const Error error = co_await ReadHead(
-      result.connection->stream, result.connection->buffer, *result.parser,
-      kResponseHeadBounds, [&](size_t memory) {
-        head_memory = memory;
-        return Hold(result, memory);
-      });
-  if (error) co_return error;
-  // What follows is the body. The fields of its trailers are not used.
-  result.keep_alive = result.parser->keep_alive();
-  result.head = std::move(result.parser->get().base());
-  co_return co_await BufferResponseBody(result, head_memory, deadline);
-}
-
 // True if the error says that the peer has ended the connection.
 bool IsEndOfConnection(const Error& error) {
   return error == asio::error::eof || error == asio::error::connection_reset ||
@@ -214,16 +150,6 @@
          error == http::error::partial_message;
 }
 
-// Returns true if the response echoes the id of another request. A response
-// without an id does not.
-bool IsForOtherRequest(const http::response_header<>& response,
-                       const std::string& id_header,
-                       const std::string& request_id) {
-  auto echoed = response.find(id_header);
-  if (echoed == response.end()) return false;
-  return echoed->value() != request_id;
-}
-
 // Records that there is no valid response, and closes the connection.
 void SetFailure(ForwardResult* result, Verdict verdict, std::string reason,
                 const Error& error) {
@@ -324,39 +250,6 @@
   std::shared_ptr<ActiveStreams> m_streams;
 };
 
-// Reads responses until one belongs to the request and is final. A late
-// response to an earlier request may arrive first on a connection that is
-// reused, and interim responses (1xx) may arrive at any time.
-asio::awaitable<Error> ReadMatchingResponse(ForwardResult& result,
-                                            const ForwardOptions& options,
-                                            const std::string& request_id,
-                                            bool is_head_request) {
-  for (int skipped = 0;; ++skipped) {
-    const Error error =
-        co_await ReadResponse(result, options.deadline, is_head_request);
-    if (error) co_return error;
-    const ResponseHead& response = result.head;
-    const bool interim = response.result_int() / 100 == kInterimStatusClass;
-    const size_t ids = response.count(options.headers->request_id);
-    // A head that was cut short and the next one may run together.
-    if (ids > 1) co_return http::error::bad_field;
-    // May be a copy of an earlier response.
-    bool& echoes_ids = result.connection->echoes_ids;
-    if (ids == 0 && echoes_ids && !interim) co_return http::error::bad_field;
-    if (ContainsOtherHead(response)) co_return http::error::bad_field;
-    echoes_ids = echoes_ids || ids > 0;
-    if (!interim &&
-        !IsForOtherRequest(response, options.headers->request_id, request_id)) {
-      co_return Error();
-    }
-    const bool more = result.fully_buffered && result.keep_alive;
-    if (!more || skipped >= kMaxSkippedResponses) {
-      co_return http::error::unexpected_body;
-    }
-    result.buffered_body.clear();
-  }
-}
-
 // Why a response is not one that the peer may send. Empty if there is nothing.
 std::string_view Violation(const ResponseHead& response,
                            const ForwardOptions& options) {
