--- a/src/coordination/replica_departures.cc
+++ b/src/coordination/replica_departures.cc
@@ -1,7 +1,6 @@
-// The departures on the platform, as far as Replica passes them on. Only
-// gateways read the platform. A member that knows the departures has read them
-// there, or has received them from such a member: what one passes on is
-// complete as of its own start. A store that comes back from an older copy may
+// The departures on the platform, as far as Replica passes them on. A member
+// that knows them has read the platform, or has received them from such a
+// member: what it passes on is complete as of its own start. A store that comes back from an older copy may
 // have lost some, which its generation shows.
 
 #include <algorithm>
