--- a/src/coordination/replica_departures.cc
+++ b/src/coordination/replica_departures.cc
@@ -1,7 +1,7 @@
 // The departures on the platform, as far as Replica passes them on. A member
 // that knows them has read the platform, or has received them from such a
-// member: what it passes on is complete as of its own start. A store that comes back from an older copy may
-// have lost some, which its generation shows.
+// member: what it passes on is complete as of its own start. A store that comes
+// back from an older copy may have lost some, which its generation shows.
 
 #include <algorithm>
 
