--- a/src/state/table.cc
+++ b/src/state/table.cc
@@ -16,32 +16,17 @@
 #include <utility>
 
 #include "state/csv.h"
+#include "state/row_index.h"
 
 namespace kumquatmoor {
 namespace {
 
-using RowKey = std::pair<std::string, std::string>;
-
 constexpr std::array<std::string_view, 7> kColumns = {
     "service",  "version", "weight",  "max_concurrent",
     "max_rate", "move_by", "revision"};
 constexpr size_t kRequiredColumns = 3;  // The first ones of kColumns.
 constexpr size_t kMaxNameBytes = 64;
 
-RowKey KeyOf(const TableRow& row) { return {row.service, row.version}; }
-
-std::map<RowKey, const TableRow*> IndexRows(std::span<const TableRow> rows) {
-  std::map<RowKey, const TableRow*> index;
-  for (const auto& row : rows) index[KeyOf(row)] = &row;
-  return index;
-}
-
-const TableRow* FindRow(const std::map<RowKey, const TableRow*>& index,
-                        const RowKey& key) {
-  auto found = index.find(key);
-  return found == index.end() ? nullptr : found->second;
-}
-
 bool IsName(std::string_view name) {
   if (name.empty() || name.size() > kMaxNameBytes) return false;
   return std::all_of(name.begin(), name.end(), [](char c) {
@@ -184,12 +169,6 @@
   return index;
 }
 
-std::string RowText(const TableRow& row) {
-  return fmt::format("{}/{} weight={} max_concurrent={} max_rate={} move_by={}",
-                     row.service, row.version, row.weight, row.max_concurrent,
-                     row.max_rate, FormatTime(row.move_by_ms));
-}
-
 void CheckWeights(std::span<const TableRow> rows,
                   std::vector<Problem>* problems) {
   std::map<std::string, std::pair<uint32_t, size_t>> sums;
@@ -349,60 +328,4 @@
   return problems;
 }
 
-MergedTable MergeTables(std::span<const TableRow> base,
-                        std::span<const TableRow> mine,
-                        std::span<const TableRow> theirs) {
-  const auto base_rows = IndexRows(base);
-  const auto my_rows = IndexRows(mine);
-  const auto their_rows = IndexRows(theirs);
-  std::set<RowKey> keys;
-  for (const auto* index : {&base_rows, &my_rows, &their_rows}) {
-    for (const auto& [key, row] : *index) keys.insert(key);
-  }
-  const auto same = [](const TableRow* a, const TableRow* b) {
-    if (a == nullptr || b == nullptr) return a == b;
-    return a->HasSameCells(*b);
-  };
-  MergedTable merged;
-  for (const auto& key : keys) {
-    const TableRow* old_row = FindRow(base_rows, key);
-    const TableRow* my_row = FindRow(my_rows, key);
-    const TableRow* their_row = FindRow(their_rows, key);
-    const bool mine_changed = !same(my_row, old_row);
-    const bool theirs_changed = !same(their_row, old_row);
-    if (mine_changed && theirs_changed && !same(my_row, their_row)) {
-      merged.conflicts.push_back(
-          {.line = my_row == nullptr ? 0 : my_row->line,
-           .column = "",
-           .message = fmt::format(
-               "{}/{} was changed by somebody else: {}", key.first, key.second,
-               their_row == nullptr ? "removed" : RowText(*their_row))});
-      continue;
-    }
-    const TableRow* kept = mine_changed ? my_row : their_row;
-    if (kept != nullptr) merged.rows.push_back(*kept);
-  }
-  return merged;
-}
-
-std::vector<std::string> DiffTables(std::span<const TableRow> before,
-                                    std::span<const TableRow> after) {
-  const auto old_rows = IndexRows(before);
-  const auto new_rows = IndexRows(after);
-  std::vector<std::string> lines;
-  for (const auto& [key, row] : old_rows) {
-    const TableRow* now = FindRow(new_rows, key);
-    if (now == nullptr || !now->HasSameCells(*row)) {
-      lines.push_back("- " + RowText(*row));
-    }
-    if (now != nullptr && !now->HasSameCells(*row)) {
-      lines.push_back("+ " + RowText(*now));
-    }
-  }
-  for (const auto& [key, row] : new_rows) {
-    if (old_rows.count(key) == 0) lines.push_back("+ " + RowText(*row));
-  }
-  return lines;
-}
-
 }  // namespace kumquatmoor
