Add the fields and headers of organisations, evacuations and cold backend servers

The batch now says whether routes by host are in use. Deltas carry them and are merged by one function for services, routes and organisations.

--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -81,7 +81,13 @@
   uint32_t priority = 0;
   TimePoint objective = TimePoint::max();
   TimePoint deadline = TimePoint::max();
-  bool via_link = false;  // The response leaves this host.
+  bool via_link = false;               // The response leaves this host.
+  std::string organisation;            // Of the caller, "" if none.
+  uint32_t organisation_priority = 0;  // Goes before `priority`.
+  // A backend server makes the request while it runs another one.
+  bool is_nested_call = false;
+  // It may be refused because another target is probably faster.
+  bool may_hand_back = false;
 };
 
 // The decision on one request, and the state of its backend server.
--- a/include/kumquatmoor/protocol/headers.h
+++ b/include/kumquatmoor/protocol/headers.h
@@ -80,6 +80,20 @@
 inline constexpr char kBlocked[] = "Kumquatmoor-Blocked";
 // Response between nodes: "1" if the request was sent to a backend server.
 inline constexpr char kOffered[] = "Kumquatmoor-Offered";
+// Request between nodes: the organisation of the caller. Absent: none.
+inline constexpr char kOrganisation[] = "Kumquatmoor-Organisation";
+// Request between nodes: the priority of that organisation; 0 is the highest.
+inline constexpr char kOrganisationPriority[] =
+    "Kumquatmoor-Organisation-Priority";
+// Request between nodes: "1" if a backend server makes the request while it
+// runs another one.
+inline constexpr char kNestedCall[] = "Kumquatmoor-Nested-Call";
+// Request between nodes: "1" if the node beside the target may refuse the
+// request because another target is probably faster.
+inline constexpr char kMayHandBack[] = "Kumquatmoor-May-Hand-Back";
+// Response between nodes: set if the request was refused for that reason, to
+// the expected time until its response, in milliseconds.
+inline constexpr char kHandedBack[] = "Kumquatmoor-Handed-Back";
 
 }  // namespace kumquatmoor::headers
 
@@ -109,6 +123,19 @@
   // Response of a backend server: present in every complete response. A
   // successful response without it counts as incomplete.
   std::string signature;
+  // Request of a caller: its credentials, the scheme and an API key. Removed
+  // where the configuration has organisations.
+  std::string authorization;
+  std::string authorization_scheme;  // Not a header.
+  // Request to a backend server: the organisation of the caller.
+  std::string organisation;
+  // Response of a backend server: the requests that it runs, those that wait,
+  // its slots and, for some services, the time that work takes on its host in
+  // per cent of the usual time; separated by commas.
+  std::string server_load;
+  // Response to a health check: milliseconds for which the backend server
+  // stays cold.
+  std::string cold_ms;
 };
 
 }  // namespace kumquatmoor
--- a/include/kumquatmoor/state/http_routes.h
+++ b/include/kumquatmoor/state/http_routes.h
@@ -33,8 +33,9 @@
   // Returns the route, or nullptr. `target` is the request target of HTTP: a
   // path, possibly with a query. The index keeps ownership of the route.
   const HttpRoute* Find(std::string_view host, std::string_view target) const;
-  // True if the batch has no routes by host and path.
-  bool IsEmpty() const { return m_by_host.empty(); }
+  // True if requests are routed by host and path. A configuration may have lost
+  // its last route; every request then finds none.
+  bool IsInUse() const { return m_is_in_use; }
   size_t Size() const { return m_routes.size(); }
   // The batch's limits on callers' connections; a field that is 0 was not set.
   const CallerLimits& Limits() const { return m_limits; }
@@ -43,6 +44,7 @@
   using ByPrefix = std::map<std::string, const HttpRoute*, std::less<>>;
 
   std::vector<HttpRoute> m_routes;
+  bool m_is_in_use;
   CallerLimits m_limits;
   std::map<std::string, ByPrefix, std::less<>> m_by_host;
 };
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -32,7 +32,14 @@
   std::chrono::milliseconds allowed_time{0};  // Until the caller's deadline.
   TimePoint objective = TimePoint::max();     // Latency objective.
   TimePoint deadline;
-  bool via_link = false;  // The response goes to another host.
+  bool via_link = false;               // The response goes to another host.
+  std::string organisation;            // Of the caller, "" if none.
+  uint32_t organisation_priority = 0;  // Goes before `priority`.
+  // A backend server makes the request while it runs another one.
+  bool is_nested_call = false;
+  // The node beside the target may refuse the request because another target is
+  // probably faster.
+  bool may_hand_back = false;
 
   AdmissionRequest ForAdmission() const {
     return {.service = service,
@@ -44,7 +51,11 @@
             .priority = priority,
             .objective = objective,
             .deadline = deadline,
-            .via_link = via_link};
+            .via_link = via_link,
+            .organisation = organisation,
+            .organisation_priority = organisation_priority,
+            .is_nested_call = is_nested_call,
+            .may_hand_back = may_hand_back};
   }
   // The longest time for which a pooled connection may have been idle to be
   // used for this request. A request with side effects uses only connections
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -129,8 +129,9 @@
        {headers::kService, headers::kVersion, headers::kIdempotent,
         headers::kPriority, headers::kObjectiveMs, headers::kRoute,
         headers::kAttemptKind, headers::kInstance, headers::kBackendLimit,
-        headers::kBackendLeaving, headers::kRequestKey,
-        headers::kKnownCrashes}) {
+        headers::kBackendLeaving, headers::kRequestKey, headers::kKnownCrashes,
+        headers::kOrganisation, headers::kOrganisationPriority,
+        headers::kNestedCall, headers::kMayHandBack}) {
     head->erase(name);
   }
   head->set(m_headers.request_id, call.request_id);
--- a/src/node/proxy_attempts.cc
+++ b/src/node/proxy_attempts.cc
@@ -23,6 +23,13 @@
 namespace http = boost::beast::http;
 using std::chrono::milliseconds;
 
+// Sets the header, or removes it if `value` is empty.
+void SetOptionalHeader(std::string_view name, const std::string& value,
+                       RequestHead* head) {
+  head->erase(name);
+  if (!value.empty()) head->set(name, value);
+}
+
 }  // namespace
 
 milliseconds Proxy::RelayTime(const std::string& route) const {
@@ -60,6 +67,16 @@
   if (!m_options.headers.caller_service.empty()) {
     head.set(m_options.headers.caller_service, m_options.service);
   }
+  SetOptionalHeader(headers::kOrganisation, call.organisation, &head);
+  SetOptionalHeader(headers::kOrganisationPriority,
+                    call.organisation_priority > 0
+                        ? std::to_string(call.organisation_priority)
+                        : "",
+                    &head);
+  SetOptionalHeader(headers::kNestedCall, call.is_nested_call ? "1" : "",
+                    &head);
+  SetOptionalHeader(headers::kMayHandBack, call.may_hand_back ? "1" : "",
+                    &head);
   return head;
 }
 
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -97,7 +97,7 @@
   }
   if (auto refusal = RefuseWhileBehind()) return refusal;
   const HttpRouteIndex* index = m_routes->http_routes.get();
-  if (index != nullptr && !index->IsEmpty()) {
+  if (index != nullptr && index->IsInUse()) {
     if (call->request_id.empty()) return Rejection{400, "no request id"};
     const HttpRoute* route =
         index->Find(Text(head[http::field::host]), Text(head.target()));
@@ -124,7 +124,7 @@
                          const Call& call) const {
   const RequestHead& head = inbound.Head();
   const bool has_routes =
-      m_routes->http_routes != nullptr && !m_routes->http_routes->IsEmpty();
+      m_routes->http_routes != nullptr && m_routes->http_routes->IsInUse();
   const uint64_t length =
       ParseCount(Text(head[http::field::content_length])).value_or(0);
   std::string_view host = call.service;
--- a/src/node/proxy_responses.cc
+++ b/src/node/proxy_responses.cc
@@ -154,6 +154,11 @@
   call.key = std::string(Text(head[headers::kRequestKey]));
   call.known_crashes =
       ParseCount(Text(head[headers::kKnownCrashes])).value_or(0);
+  call.organisation = std::string(Text(head[headers::kOrganisation]));
+  call.organisation_priority =
+      ParseCount(Text(head[headers::kOrganisationPriority])).value_or(0);
+  call.is_nested_call = head[headers::kNestedCall] == "1";
+  call.may_hand_back = head[headers::kMayHandBack] == "1";
   if (auto left = ParseCount(Text(head[headers::kObjectiveMs]))) {
     call.objective = call.started + milliseconds(*left);
   }
--- a/src/state/batch.cc
+++ b/src/state/batch.cc
@@ -142,6 +142,18 @@
   while (old != from.end()) removed(name(*old++));
 }
 
+// Adds the items of `base` without the `removed` names, and with `changed` in
+// the place of those of the same name, to `result`, sorted by name.
+template <typename Items, typename Names, typename Name>
+void ReplaceByName(const Items& base, const Items& changed,
+                   const Names& removed, Name name, Items* result) {
+  std::map<std::string, const typename Items::value_type*> by_name;
+  for (const auto& item : base) by_name[name(item)] = &item;
+  for (const auto& item : changed) by_name[name(item)] = &item;
+  for (const auto& item_name : removed) by_name.erase(item_name);
+  for (const auto& [item_name, item] : by_name) *result->Add() = *item;
+}
+
 void CheckRoute(const HttpRoute& route, const Batch& batch,
                 std::vector<std::string>* problems) {
   const auto report = [&](const std::string& message) {
@@ -205,6 +217,12 @@
   }
   for (const auto& route : batch.routes()) append(route);
   append(batch.caller_limits());
+  for (const auto& organisation : batch.organisations()) append(organisation);
+  Batch rest;
+  rest.set_requires_keys(batch.requires_keys());
+  rest.set_has_http_routes(batch.has_http_routes());
+  *rest.mutable_evacuated_zones() = batch.evacuated_zones();
+  append(rest);
   return std::max<uint64_t>(XXH3_64bits(bytes.data(), bytes.size()), 1);
 }
 
@@ -230,28 +248,24 @@
       [](const HttpRoute& route) { return route.name(); },
       [&](const HttpRoute& route) { *delta.add_changed_routes() = route; },
       [&](const std::string& name) { delta.add_removed_routes(name); });
+  CompareSorted(
+      from.organisations(), to.organisations(),
+      [](const Organisation& organisation) { return organisation.name(); },
+      [&](const Organisation& organisation) {
+        *delta.add_changed_organisations() = organisation;
+      },
+      [&](const std::string& name) { delta.add_removed_organisations(name); });
   if (to.has_caller_limits()) {
     *delta.mutable_caller_limits() = to.caller_limits();
   }
+  delta.set_requires_keys(to.requires_keys());
+  delta.set_has_http_routes(to.has_http_routes());
+  *delta.mutable_evacuated_zones() = to.evacuated_zones();
   return delta;
 }
 
 std::optional<Batch> ApplyDelta(const Batch& base, const BatchDelta& delta) {
   if (base.revision() != delta.base_revision()) return std::nullopt;
-  std::map<std::string, const ServiceConfig*> services;
-  for (const auto& service : base.services()) {
-    services[service.service()] = &service;
-  }
-  for (const auto& service : delta.changed()) {
-    services[service.service()] = &service;
-  }
-  for (const auto& service : delta.removed()) services.erase(service);
-  std::map<std::string, const HttpRoute*> routes;
-  for (const auto& route : base.routes()) routes[route.name()] = &route;
-  for (const auto& route : delta.changed_routes()) {
-    routes[route.name()] = &route;
-  }
-  for (const auto& name : delta.removed_routes()) routes.erase(name);
   Batch batch;
   batch.set_revision(delta.revision());
   batch.set_base_revision(delta.batch_base_revision());
@@ -261,10 +275,22 @@
   batch.set_written_ms(delta.written_ms());
   batch.set_config_version(delta.config_version());
   batch.set_carried_weight(delta.carried_weight());
-  for (const auto& [name, service] : services) {
-    *batch.add_services() = *service;
-  }
-  for (const auto& [name, route] : routes) *batch.add_routes() = *route;
+  ReplaceByName(
+      base.services(), delta.changed(), delta.removed(),
+      [](const ServiceConfig& config) { return config.service(); },
+      batch.mutable_services());
+  ReplaceByName(
+      base.routes(), delta.changed_routes(), delta.removed_routes(),
+      [](const HttpRoute& route) { return route.name(); },
+      batch.mutable_routes());
+  ReplaceByName(
+      base.organisations(), delta.changed_organisations(),
+      delta.removed_organisations(),
+      [](const Organisation& organisation) { return organisation.name(); },
+      batch.mutable_organisations());
+  batch.set_requires_keys(delta.requires_keys());
+  batch.set_has_http_routes(delta.has_http_routes());
+  *batch.mutable_evacuated_zones() = delta.evacuated_zones();
   if (delta.has_caller_limits()) {
     *batch.mutable_caller_limits() = delta.caller_limits();
   }
@@ -287,6 +313,13 @@
     last = route.name();
     CheckRoute(route, batch, &problems);
   }
+  last.clear();
+  for (const auto& organisation : batch.organisations()) {
+    if (organisation.name() <= last) {
+      problems.emplace_back("organisations not sorted");
+    }
+    last = organisation.name();
+  }
   return problems;
 }
 
--- a/src/state/http_routes.cc
+++ b/src/state/http_routes.cc
@@ -34,6 +34,7 @@
 
 HttpRouteIndex::HttpRouteIndex(const Batch& batch)
     : m_routes(batch.routes().begin(), batch.routes().end()),
+      m_is_in_use(batch.has_http_routes() || batch.routes_size() > 0),
       m_limits(batch.caller_limits()) {
   for (const auto& route : m_routes) {
     m_by_host[NormalizedHost(route.host())].emplace(route.prefix(), &route);
