Accept only final statuses as responses

A backend server in trouble sent a response whose status was 000, and the caller got it as an answer. The HTTP library parses any three digits. A response with a status outside 200 to 599, or an unrequested 101, now fails the exchange: the request may have run, and another target may be tried. The same check guards responses of other nodes, which are read by the same function, and of the platform (HttpCall), where such a call has an unknown outcome.

--- a/src/node/proxy_test.cc
+++ b/src/node/proxy_test.cc
@@ -358,6 +358,12 @@
            Signed("r0", "other"),
        502, 1},
       {"bytes that are no answer", "/write/", "nonsense\r\n\r\n", 502, 1},
+      {"a status of 000", "/write/",
+       Bytes("000 Odd", id + "Signed: yes\r\n", ""), 502, 1},
+      {"a status of 999", "/write/",
+       Bytes("999 Odd", id + "Signed: yes\r\n", ""), 502, 1},
+      {"a switch of protocols that nobody asked for", "/write/",
+       Bytes("101 Odd", id + "Signed: yes\r\n", ""), 502, 1},
   };
   Start();
   int next_id = 100;
--- a/src/transport/exchange_test.cc
+++ b/src/transport/exchange_test.cc
@@ -169,6 +169,23 @@
   }
 }
 
+// Guards against a response that a faulty server damaged and that a caller, or
+// another node, takes for an answer.
+TEST_CASE("A status that no final response may have is no response") {
+  for (const char* status : {"000", "001", "099", "101", "600", "999"}) {
+    INFO(status);
+    const std::string bytes = std::string("HTTP/1.1 ") + status +
+                              " Odd\r\nContent-Length: 2\r\n"
+                              "Kumquatmoor-Verdict: NotRun\r\n\r\nok";
+    const Outcome outcome = RunExchange(ServerScript{.bytes = bytes});
+    CHECK_FALSE(outcome.answered);
+    CHECK(outcome.verdict == Verdict::kMayHaveRun);
+  }
+  std::string interim;
+  for (int i = 0; i < 100; ++i) interim += "HTTP/1.1 103 Early\r\n\r\n";
+  CHECK_FALSE(RunExchange(ServerScript{.bytes = interim}).answered);
+}
+
 TEST_CASE("A streamed response keeps its framing and arrives complete") {
   // Larger than the buffer, so that it is streamed.
   const std::string body(2 * kMaxBufferedResponseBytes, 'x');
--- a/src/transport/http_call.cc
+++ b/src/transport/http_call.cc
@@ -17,6 +17,7 @@
 #include "kumquatmoor/transport/upstream_pool.h"
 #include "transport/body_reader.h"
 #include "transport/head_reader.h"
+#include "transport/response_checks.h"
 
 namespace kumquatmoor {
 namespace {
@@ -92,6 +93,9 @@
                                     if (!parser.is_header_done()) count_read();
                                     return boost::system::error_code();
                                   }));
+  if (!IsFinalStatus(parser.get().result_int())) {
+    ThrowIfFailed(http::error::bad_status);
+  }
   http::fields headers = parser.get().base();
   if (!begun) begun = std::chrono::steady_clock::now();
   if (!parser.is_done()) {
--- a/src/transport/http_call_test.cc
+++ b/src/transport/http_call_test.cc
@@ -162,6 +162,23 @@
   CHECK(call.elapsed < 5 * kTimeout);
 }
 
+// Guards against a damaged response of the platform that counts as an answer,
+// as that of a write that was refused.
+TEST_CASE("A response whose status is not final is a failed call") {
+  for (const char* status : {"000", "101", "600", "999"}) {
+    INFO(status);
+    const std::string bytes = std::string("HTTP/1.1 ") + status +
+                              " Odd\r\nContent-Length: 2\r\n\r\n{}";
+    const auto respond = [bytes](tcp::socket socket) -> asio::awaitable<void> {
+      std::string text = bytes;
+      co_await asio::async_write(socket, asio::buffer(text),
+                                 asio::use_awaitable);
+    };
+    SlowServer server(respond);
+    CHECK_FALSE(CallServer({}).complete);
+  }
+}
+
 // A chunked body whose trailer is larger than the HTTP library can store.
 std::string BodyWithHugeTrailer() {
   return "Transfer-Encoding: chunked\r\n\r\n0\r\nT: " +
--- a/src/transport/response_checks.cc
+++ b/src/transport/response_checks.cc
@@ -47,6 +47,12 @@
 
 }  // namespace
 
+bool IsFinalStatus(unsigned status) {
+  constexpr unsigned kFirst = 200;
+  constexpr unsigned kLast = 599;
+  return status >= kFirst && status <= kLast;
+}
+
 bool ContainsOtherHead(const ResponseHead& response) {
   return ContainsStatusLine(response.reason()) ||
          std::any_of(response.begin(), response.end(), [](const auto& field) {
--- a/src/transport/response_checks.h
+++ b/src/transport/response_checks.h
@@ -17,6 +17,11 @@
 
 using ResponseHead = boost::beast::http::response_header<>;
 
+// True for the statuses of final responses: 200 to 599 (RFC 9110, section 15).
+// The HTTP library accepts any three digits. A 101 switches to a protocol that
+// no request asks for.
+bool IsFinalStatus(unsigned status);
+
 // Returns why a backend server's response is invalid, or an empty text if it is
 // valid. If the deployment has a signature, a response needs it to be a
 // success, or to state that the request is wrong (3xx and 4xx): callers accept
--- a/src/transport/response_reader.cc
+++ b/src/transport/response_reader.cc
@@ -107,7 +107,10 @@
         co_await ReadResponse(result, options.deadline, is_head_request);
     if (error) co_return error;
     const ResponseHead& response = result.head;
-    const bool interim = response.result_int() / 100 == kInterimStatusClass;
+    const unsigned status = response.result_int();
+    const bool interim = status / 100 == kInterimStatusClass &&
+                         response.result() != http::status::switching_protocols;
+    if (!interim && !IsFinalStatus(status)) co_return http::error::bad_status;
     const size_t ids = response.count(options.headers->request_id);
     // A head that was cut short and the next one may run together.
     if (ids > 1) co_return http::error::bad_field;
