--- a/src/state/batch_test.cc
+++ b/src/state/batch_test.cc
@@ -50,6 +50,35 @@
   }
 }
 
+// Guards against a node that keeps an organisation, a zone's evacuation or the
+// need for keys since a delta does not carry its end.
+TEST_CASE("A delta carries organisations and evacuated zones, and their end") {
+  Batch plain;
+  plain.set_revision(1);
+  Batch full = plain;
+  full.set_revision(2);
+  for (const char* name : {"a", "b"}) {
+    Organisation* organisation = full.add_organisations();
+    organisation->set_name(name);
+    organisation->add_key_hashes(name);
+  }
+  full.set_requires_keys(true);
+  full.set_has_http_routes(true);
+  full.add_evacuated_zones("z");
+  Batch fewer = full;
+  fewer.set_revision(3);
+  fewer.mutable_organisations(1)->clear_key_hashes();
+  fewer.mutable_organisations()->DeleteSubrange(0, 1);
+  fewer.clear_evacuated_zones();
+  for (const auto& [from, to] :
+       {std::pair(plain, full), std::pair(full, fewer)}) {
+    const auto applied = ApplyDelta(from, MakeDelta(from, to));
+    REQUIRE(applied);
+    CHECK(applied->SerializeAsString() == to.SerializeAsString());
+    CHECK(DecisionDigest(from) != DecisionDigest(to));
+  }
+}
+
 TEST_CASE("Only a service whose rows changed starts a new move") {
   const Batch first = BuildBatch(
       {}, std::vector<TableRow>{{"a", "v1", 100}, {"b", "v1", 100}}, {}, {});
--- a/src/state/http_routes_test.cc
+++ b/src/state/http_routes_test.cc
@@ -17,6 +17,16 @@
   part->set_weight(1);
 }
 
+// Guards against requests that run on dropped routes, by the name of a service
+// in their path, once a configuration has lost its last route.
+TEST_CASE("Routes by host stay in use without a route") {
+  Batch batch;
+  CHECK_FALSE(HttpRouteIndex(batch).IsInUse());
+  batch.set_has_http_routes(true);
+  CHECK(HttpRouteIndex(batch).IsInUse());
+  CHECK(HttpRouteIndex(batch).Find("a.example", "/huts/") == nullptr);
+}
+
 TEST_CASE("The longest matching prefix of the host is chosen") {
   Batch batch;
   AddRoute("root", "a.example", "/", &batch);
