Exclude evacuated zones from routing and limit cold backend servers

Operators need to take a zone out of service by one key, and backend servers that have just started fail under full load. Nothing read the key op/evacuate/ZONE or the services' coldPerS and coldStartS.

OperatorSource builds Batch.evacuated_zones. A removal raises the revision of the batch: a watch names it, and a batch from a listing that lacks an evacuation of the batch in force takes the revision of the listing. Routing leaves out the targets of evacuated zones, and the node beside a target refuses new and queued requests. Each node keeps a zone for 5 s when the store returns without its key.

A backend server is cold as announced, after the start of its process, and from a lost connection, a crash or the end of an evacuation until its next announcement. The node beside it applies a token bucket with a burst of half a second; the member record makes callers' nodes offer it less.

--- a/include/kumquatmoor/coordination/configuration_source.h
+++ b/include/kumquatmoor/coordination/configuration_source.h
@@ -45,6 +45,9 @@
   // The departures that all nodes have written, if one of them changed.
   std::optional<std::vector<DepartureEntry>> departures;
   uint64_t generation = 0;  // Of the store; 0 if it names none.
+  // Revision of the store that was read, with its generation; 0 if unknown. All
+  // changes up to it are in this update or in earlier ones.
+  uint64_t read_revision = 0;
 };
 
 enum class MoveOutcome { kRunning, kDone, kRolledBack };
--- a/include/kumquatmoor/coordination/platform.h
+++ b/include/kumquatmoor/coordination/platform.h
@@ -45,6 +45,8 @@
 struct PlatformItem {
   std::string key;
   PlatformEntry entry;  // Version 0 if the key was removed.
+  // Revision of the store that removed the key, 0 if it was not removed.
+  uint64_t removed_at = 0;
 };
 
 struct PlatformItems {
--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -36,6 +36,7 @@
 
 #include "kumquatmoor/protocol/attempt_kind.h"
 #include "kumquatmoor/protocol/backend_notice.h"
+#include "kumquatmoor/state/cold_backend.h"
 #include "kumquatmoor/state/limits.h"
 #include "kumquatmoor/state/link_backlog.h"
 #include "kumquatmoor/state/recent_ids.h"
@@ -59,6 +60,7 @@
   // Start of its cold start: its first announcement plus the warm-up time that
   // it reported.
   TimePoint announced;
+  ColdStatus cold;
 };
 
 struct AdmissionOptions {
@@ -100,8 +102,11 @@
   // The backend server takes no requests for some time: it is draining or gone,
   // or its version was recalled or lost its share.
   bool leaving = false;
-  // The limit that the backend server names is reached for the time `wait`.
+  // The limit that the backend server names, or that it has while it is cold,
+  // is reached for the time `wait`.
   bool limited = false;
+  bool is_cold = false;    // Limited because the backend server is cold.
+  bool evacuated = false;  // The zone is evacuated; `leaving` is set, too.
   // The retry budget is used up, for requests of this kind.
   bool retry_denied = false;
   // The response would not get through the host's link in time.
@@ -144,9 +149,11 @@
   // Replaces the backend servers. Requests in flight stay counted, also for a
   // backend server that is no longer in the list. Of several backend servers
   // with the same service and version, only the last one is used.
-  void SetBackends(const std::vector<LocalBackend>& backends);
-  // Updates the limits of the table rows and the recalled versions.
-  void SetRoutes(const RouteTable& routes);
+  void SetBackends(const std::vector<LocalBackend>& backends,
+                   TimePoint now = Clock::now());
+  // Updates the limits of the table rows, the recalled versions and whether the
+  // zone is evacuated.
+  void SetRoutes(const RouteTable& routes, TimePoint now = Clock::now());
   // Refuses all new requests from now on.
   void StartDrain() { m_draining = true; }
   // Refuses new requests for a version that has lost its whole share.
@@ -167,10 +174,15 @@
                           const std::string& instance,
                           const BackendNotice& notice, TimePoint now);
 
-  // Returns nullptr if there is no such backend server.
+  // The backend server cannot be reached or has crashed, so that it counts as
+  // cold until it reports again. Returns true if it did not before.
+  bool NoteColdUnknown(const std::string& service, const std::string& version,
+                       TimePoint now);
+
   // True if the backend server takes no new requests, or is not known, so that
   // its end is no surprise.
   bool IsLeaving(const std::string& service, const std::string& version) const;
+  // Returns nullptr if there is no such backend server.
   const LocalBackend* FindBackend(const std::string& service,
                                   const std::string& version) const;
 
@@ -227,8 +239,10 @@
     // Set while the notice has a limit. Starts empty, as requests from before
     // are unknown.
     std::optional<TokenBucket> limit;
-    // The requests in the queue have no token of `limit`.
-    bool refuse_waiting = false;
+    ColdLimit cold;
+    // Why the requests in the queue are refused, as they have no token of
+    // `limit` or `cold`; "" if they are not.
+    std::string_view waiting_refusal;
     SlotQueue queue{{}};
     RunTimes run_times;
     std::map<uint64_t, AdmissionRequest> waiting;  // By ticket.
@@ -246,6 +260,14 @@
   bool HasFreeSlot(const AdmissionRequest& request, const Entry& entry) const;
   static void SetNotice(const BackendNotice& notice, Entry* entry,
                         TimePoint now);
+  // Takes the tokens of the backend server's limits. Returns false, and sets
+  // why in `result`, if one has none.
+  static bool TakeTokens(Entry* entry, TimePoint now, AdmissionResult* result);
+  static void ReturnTokens(Entry* entry);
+  // The time until a cold backend server gets another request.
+  static std::chrono::milliseconds ColdWait(Entry& entry, TimePoint now);
+  // Sets in `result` why the request is refused.
+  static void SetRefusal(std::string_view reason, AdmissionResult* result);
   // Why the backend server takes no requests at all, queued ones included; ""
   // if it does.
   std::string_view UnavailableReason(const Entry& entry) const;
@@ -270,6 +292,7 @@
   std::set<Key> m_closed;  // Versions that lost their whole share.
   uint64_t m_last_ticket = 0;
   bool m_draining = false;
+  bool m_evacuated = false;  // The zone of this node is evacuated.
   // Ids of non-idempotent requests that were admitted or queued.
   RecentIds m_seen_ids{kMaxSeenIds};
 };
--- a/include/kumquatmoor/node/backend_registry.h
+++ b/include/kumquatmoor/node/backend_registry.h
@@ -23,11 +23,13 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "control.pb.h"
 #include "kumquatmoor/node/admission.h"
 #include "kumquatmoor/protocol/failure.h"
+#include "kumquatmoor/state/cold_backend.h"
 
 namespace kumquatmoor {
 
@@ -69,7 +71,10 @@
 
 class BackendRegistry {
  public:
-  AnnounceOutcome Announce(const Announcement& announcement, TimePoint now);
+  // `process_age` is how long ago the process started, if this is its first
+  // announcement to this node but not its first one.
+  AnnounceOutcome Announce(const Announcement& announcement, TimePoint now,
+                           std::chrono::milliseconds process_age = {});
   // Marks the backend server as draining. Returns false if no backend server
   // changed, which includes a deregistration by an earlier process of the
   // instance. A deregistration with a start time is remembered also for an
@@ -84,6 +89,21 @@
   // last request has ended.
   void SetRetired(const std::string& service, const std::string& version,
                   bool retired);
+  // Sets the operators' settings by service. Services that are missing have
+  // none.
+  void SetColdSettings(std::map<std::string, ColdSettings> settings) {
+    m_cold_settings = std::move(settings);
+  }
+  const std::map<std::string, ColdSettings>& GetColdSettings() const {
+    return m_cold_settings;
+  }
+  // The state of the backend server with this address, or of all, is unknown
+  // since `at` unless it has announced itself since.
+  void NoteColdUnknown(const std::string& address, TimePoint at);
+  void NoteAllColdUnknown(TimePoint at);
+  // Updates which backend servers are cold, for Backends() and Endpoints().
+  // Returns the ids of the instances that differ from the last call.
+  std::vector<std::string> UpdateCold(TimePoint now);
   // Removes backend servers whose time to live is over. Returns true if there
   // was one.
   bool Expire(TimePoint now);
@@ -105,10 +125,17 @@
     TimePoint expires_at;
     bool deregistered = false;
     bool retired = false;
+    ColdPhase cold_phase;
+    // As of the last UpdateCold().
+    ColdStatus cold;
+    bool is_cold = false;
+    TimePoint published_until;  // End of the cold phase, as last published.
   };
+  ColdSettings SettingsOf(const std::string& service) const;
   bool IsLeaving(const Announcement& announcement) const;
 
-  std::map<std::string, Entry> m_entries;  // By address.
+  std::map<std::string, Entry> m_entries;               // By address.
+  std::map<std::string, ColdSettings> m_cold_settings;  // By service.
   // Unix start time of the latest leaving process by instance, 0 if unknown.
   std::map<std::string, int64_t> m_leaving;
 };
--- a/include/kumquatmoor/node/call_metrics.h
+++ b/include/kumquatmoor/node/call_metrics.h
@@ -36,6 +36,10 @@
   void OnRetry() { ++m_retries; }
   // Counts a request for a local backend server that this node refused.
   void OnRefusal() { ++m_refusals; }
+  // Counts such a request that was refused because the zone is evacuated, or
+  // because the backend server is cold.
+  void OnEvacuatedRefusal() { ++m_evacuated_refusals; }
+  void OnColdRefusal() { ++m_cold_refusals; }
   // Counts a request that was passed on to a local backend server.
   void OnLocalRun(AttemptKind kind) {
     ++m_local_runs[static_cast<size_t>(kind)];
@@ -81,6 +85,8 @@
   std::array<uint64_t, 3> m_calls{};  // Indexed by Verdict.
   uint64_t m_retries = 0;
   uint64_t m_refusals = 0;
+  uint64_t m_evacuated_refusals = 0;
+  uint64_t m_cold_refusals = 0;
   Runs m_local_runs{};
   uint64_t m_lost_outcomes = 0;
   uint64_t m_crashes = 0;
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -41,6 +41,7 @@
 #include "kumquatmoor/node/backend_registry.h"
 #include "kumquatmoor/node/move_controller.h"
 #include "kumquatmoor/node/proxy.h"
+#include "kumquatmoor/state/evacuation.h"
 #include "kumquatmoor/transport/bounded_ring.h"
 #include "kumquatmoor/transport/datagram_socket.h"
 
@@ -138,6 +139,9 @@
   // Marks a local backend server that said in a response that it leaves as
   // draining, unless another process runs at its address by now.
   void OnBackendLeaving(const LocalBackend& backend);
+  // The local backend server with this address counts as cold from `at` until
+  // it announces itself again.
+  void OnColdUnknown(const std::string& address, TimePoint at);
   // Replicates a crash of a local backend server, or its response to a request
   // that is known from a crash.
   void OnBackendCrash(const BackendCrash& crash);
@@ -188,6 +192,20 @@
   // which of its backend servers had said before a restart that they leave, so
   // it publishes none.
   void PublishBackends();
+  // Publishes the backend servers if one has become cold or warm.
+  void UpdateCold(TimePoint now);
+  // Notes the evacuated zones of the batch in force and the services' settings
+  // of cold starts.
+  void NoteBatchInForce(const Batch& batch, TimePoint now);
+  // Asks for a complete read if the store lacks an evacuation of the batch in
+  // force, which a listing does not show by a higher revision.
+  void CheckRemovedEvacuations(TimePoint now);
+  // Notes what the update shows of the store. Returns its batch, with a
+  // revision that replaces one whose evacuations were removed.
+  std::optional<Batch> NoteRead(const SourceUpdate& update, bool is_complete);
+  // How long ago the process of an announcement started, if this node has just
+  // started and may have missed its first announcement.
+  std::chrono::milliseconds ProcessAge(const Announcement& announcement) const;
   // Publishes the backend servers once the departures are known. Asks other
   // members for them until then.
   void AwaitDepartures(TimePoint now);
@@ -232,6 +250,9 @@
   AckTree m_ack_tree;
   MoveController m_move_controller;
   BackendRegistry m_registry;
+  EvacuatedZones m_evacuated;
+  EvacuationRead m_evacuation_read;  // Of the store, by this node.
+  TimePoint m_next_evacuation_check;
   bool m_ready = false;
   bool m_store_loaded = false;
   bool m_knows_departures = false;
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -118,6 +118,11 @@
   // Calls `handler` on the proxy's thread when a local backend server says in a
   // response that it leaves. Call before the context runs.
   void SetLeavingHandler(std::function<void(const LocalBackend&)> handler);
+  // Calls `handler` on the proxy's thread when a local backend server counts as
+  // cold from a time on, as it cannot be reached or has crashed. Call before
+  // the context runs.
+  void SetColdUnknownHandler(
+      std::function<void(const LocalBackend&, TimePoint)> handler);
   // Replaces what is known of requests that crash backend servers.
   void SetCrashes(std::shared_ptr<const CrashSuspects> crashes);
   // Calls `on_crash` on the proxy's thread when a local backend server has
--- a/include/kumquatmoor/state/picker.h
+++ b/include/kumquatmoor/state/picker.h
@@ -145,8 +145,11 @@
   // True for `retry_denied_backoff` after OnRetryDenied() for this kind.
   bool IsRetryDenied(const std::string& member_id, AttemptKind kind,
                      TimePoint now) const;
+  // The part of its usual rate that a cold target may get, by its slots and run
+  // time; 1 if it is not cold.
+  double UsableShare(const Target& target, TimePoint now) const;
   // Requests in flight per slot; the target is full from 1 on. Doubled during
-  // slow start.
+  // slow start. A cold target counts with the slots that its rate fills.
   double LoadOf(const Target& target, TimePoint now) const;
   // Time until the link of the target's host is idle, by its last report.
   std::chrono::milliseconds LinkWait(const std::string& member_id,
--- a/include/kumquatmoor/state/routes.h
+++ b/include/kumquatmoor/state/routes.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "control.pb.h"
+#include "kumquatmoor/state/evacuation.h"
 #include "kumquatmoor/state/http_routes.h"
 #include "kumquatmoor/state/marks.h"
 
@@ -37,6 +38,9 @@
   std::string data_address;  // Of the node's proxy.
   int64_t incarnation = 0;   // Of the node.
   uint32_t slots = 1;        // Requests that the backend server runs at once.
+  // Requests per second that the backend server gets while it is cold, 0 if it
+  // is not.
+  double cold_rate = 0;
 };
 
 // The targets of one version and its share of the traffic.
@@ -69,6 +73,8 @@
   // Routes by host and path; empty if the batch has none.
   std::shared_ptr<const HttpRouteIndex> http_routes;
   std::string zone;  // Of the node that routes by this table.
+  // Zones whose targets are left out, and whose nodes refuse requests.
+  ZoneSet evacuated_zones;
   // Unchanged services are shared with the previous snapshot.
   std::map<std::string, std::shared_ptr<const ServiceRoutes>, std::less<>>
       services;
@@ -93,20 +99,24 @@
 double ShareAt(const Row& row, uint32_t stage_permille, bool recalled);
 
 // Builds the snapshot for a node in `zone`. Skips members that are not alive,
-// and endpoints that drain or have retired.
+// endpoints that drain or have retired, and the targets of evacuated zones:
+// those of the batch and of `kept_zones`.
 std::shared_ptr<const RouteTable> BuildRoutes(
     const Batch& batch, const MarkSet& marks,
-    std::span<const MemberRecord> members, const std::string& zone);
+    std::span<const MemberRecord> members, const std::string& zone,
+    const ZoneSet& kept_zones = {});
 
 // Returns the members that may have targets of a service.
 using MembersOfService =
     std::function<std::vector<MemberRecord>(const std::string& service)>;
 
 // Builds the snapshot after `previous`: recomputes the services in `changed`
-// only, and the routes by host and path if the batch is a new one.
+// only, and the routes by host and path if the batch is a new one. Recomputes
+// all services if the evacuated zones are others.
 std::shared_ptr<const RouteTable> UpdateRoutes(
     const RouteTable& previous, const Batch& batch, const MarkSet& marks,
-    const std::set<std::string>& changed, const MembersOfService& members_of);
+    const std::set<std::string>& changed, const MembersOfService& members_of,
+    const ZoneSet& kept_zones = {});
 
 }  // namespace kumquatmoor
 
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 
+#include "node/admission_reasons.h"
+
 namespace kumquatmoor {
 namespace {
 
@@ -18,24 +20,6 @@
 // Burst of a row's rate limit: the requests that the rate allows in this time.
 constexpr double kBurstSeconds = 0.1;
 
-// Burst of the limit that a backend server names, likewise.
-constexpr double kBackendLimitBurstSeconds = 0.25;
-// Requests per second. A limit below this rate is raised to it, so that there
-// is a response that can withdraw the limit.
-constexpr double kMinBackendLimit = 0.25;
-
-constexpr std::string_view kDraining = "draining";
-constexpr std::string_view kRecalled = "version was recalled";
-constexpr std::string_view kDuplicate = "request id was seen before";
-constexpr std::string_view kClosed = "version has no share any more";
-constexpr std::string_view kAllSlotsTaken = "all slots are taken";
-constexpr std::string_view kNoSlotInTime = "no slot in time";
-constexpr std::string_view kNoLinkInTime = "the host's link is full";
-constexpr std::string_view kRetryBudget = "the retry budget is used up";
-constexpr std::string_view kBackendLimit =
-    "the limit of the backend server is reached";
-constexpr std::string_view kNoSuchBackend = "no such backend server here";
-
 // The part of one target in a limit that `targets` share, rounded up.
 uint32_t LimitPerTarget(uint32_t limit, size_t targets) {
   const auto count = static_cast<uint32_t>(std::max<size_t>(1, targets));
@@ -44,7 +28,8 @@
 
 }  // namespace
 
-void Admission::SetBackends(const std::vector<LocalBackend>& backends) {
+void Admission::SetBackends(const std::vector<LocalBackend>& backends,
+                            TimePoint now) {
   for (auto& [key, entry] : m_entries) entry.announced = false;
   for (const auto& backend : backends) {
     Entry& entry = m_entries[{backend.service, backend.version}];
@@ -64,6 +49,10 @@
     }
     entry.backend = backend;
     entry.announced = true;
+    if (!same_process) entry.cold = ColdLimit();
+    if (entry.cold.OnStatus(backend.cold, now)) {
+      entry.waiting_refusal = kColdLimit;
+    }
   }
   std::erase_if(m_entries, [](const auto& item) {
     return !item.second.announced && item.second.queue.Running() == 0 &&
@@ -71,8 +60,11 @@
   });
 }
 
-void Admission::SetRoutes(const RouteTable& routes) {
+void Admission::SetRoutes(const RouteTable& routes, TimePoint now) {
+  const bool was_evacuated = m_evacuated;
+  m_evacuated = routes.evacuated_zones.contains(routes.zone);
   for (auto& [key, entry] : m_entries) {
+    if (was_evacuated && !m_evacuated) entry.cold.OnUnknown(now);
     entry.recalled = routes.recalled.count(key) > 0;
     const ServiceRoutes* service = routes.Find(key.first);
     const VersionRoutes* version =
@@ -92,6 +84,7 @@
 std::string_view Admission::UnavailableReason(const Entry& entry) const {
   const bool leaving = entry.backend.draining || entry.notice.leaving;
   if (m_draining || leaving) return kDraining;
+  if (m_evacuated) return kEvacuated;
   if (!entry.announced) return kNoSuchBackend;
   if (entry.recalled) return kRecalled;
   if (entry.closed) return kClosed;
@@ -136,7 +129,8 @@
   result.in_flight =
       entry.queue.Running() + static_cast<uint32_t>(entry.queue.Waiting());
   result.run_time = entry.run_times.Expected(route);
-  result.warm = now - entry.backend.announced >= kColdStart;
+  result.warm =
+      now - entry.backend.announced >= kColdStart && !entry.cold.IsCold(now);
   return result;
 }
 
@@ -153,9 +147,7 @@
   result = Describe(entry, request.route, now);
   result.reason = RefusalReason(request, &entry, now);
   if (!result.reason.empty()) {
-    result.duplicate = result.reason == kDuplicate;
-    result.leaving = result.reason == kDraining || result.reason == kRecalled ||
-                     result.reason == kClosed;
+    SetRefusal(result.reason, &result);
     return result;
   }
   if (m_options.waiting_per_slot == 0 && !HasFreeSlot(request, entry)) {
@@ -174,11 +166,8 @@
     result.retry_denied = true;
     return result;
   }
-  if (entry.limit && !entry.limit->Take(now)) {
+  if (!TakeTokens(&entry, now, &result)) {
     entry.retries->Return(request.kind);
-    result.reason = kBackendLimit;
-    result.limited = true;
-    result.wait = entry.limit->WaitTime(now);
     return result;
   }
   const uint64_t ticket = ++m_last_ticket;
@@ -187,7 +176,7 @@
   result.wait = queue_result.wait;
   if (queue_result.admission == QueueAdmission::kRefused) {
     entry.retries->Return(request.kind);
-    if (entry.limit) entry.limit->Return();
+    ReturnTokens(&entry);
     result.reason = kNoSlotInTime;
     return result;
   }
@@ -232,19 +221,6 @@
   return {m_link, m_response_sizes.Expected(request.route).mean};
 }
 
-bool Admission::OnNotice(const std::string& service, const std::string& version,
-                         const std::string& instance,
-                         const BackendNotice& notice, TimePoint now) {
-  auto found = m_entries.find({service, version});
-  if (found == m_entries.end()) return false;
-  Entry& entry = found->second;
-  if (entry.backend.instance != instance) return false;
-  entry.responded = true;
-  const BackendNotice before = entry.notice;
-  SetNotice(KeepValidLimit(notice, before), &entry, now);
-  return entry.notice != before;
-}
-
 bool Admission::IsLeaving(const std::string& service,
                           const std::string& version) const {
   const auto found = m_entries.find({service, version});
@@ -258,37 +234,6 @@
   return &found->second.backend;
 }
 
-void Admission::OnRememberedNotice(const std::string& service,
-                                   const std::string& version,
-                                   const std::string& instance,
-                                   const BackendNotice& notice, TimePoint now) {
-  auto found = m_entries.find({service, version});
-  if (found == m_entries.end()) return;
-  Entry& entry = found->second;
-  if (entry.backend.instance != instance) return;
-  if (notice.leaving) entry.notice.leaving = true;
-  if (notice.limit && !entry.responded) SetNotice(notice, &entry, now);
-}
-
-void Admission::SetNotice(const BackendNotice& notice, Entry* entry,
-                          TimePoint now) {
-  entry->notice = {.limit = notice.limit,
-                   .leaving = notice.leaving || entry->notice.leaving};
-  if (!notice.limit) {
-    entry->limit.reset();
-    return;
-  }
-  const double rate = std::max(kMinBackendLimit, *notice.limit);
-  const TokenBucketOptions options{
-      .rate = rate, .burst = std::max(1.0, rate * kBackendLimitBurstSeconds)};
-  if (entry->limit) {
-    entry->limit->SetOptions(options, now);
-  } else {
-    entry->limit.emplace(options, now);
-    entry->refuse_waiting = true;
-  }
-}
-
 void Admission::Release(const AdmissionRequest& request, bool handed_over,
                         milliseconds expected,
                         std::optional<milliseconds> run_time) {
@@ -309,11 +254,9 @@
     entry.retries->Return(waiting.mapped().kind);
     WaitDecision decision{.ticket = ticket,
                           .result = Describe(entry, route, now)};
-    decision.result.reason = reason;
-    decision.result.limited = reason == kBackendLimit;
-    decision.result.leaving =
-        reason != kNoSlotInTime && !decision.result.limited;
-    decision.result.wait = decision.result.limited ? entry.limit->WaitTime(now)
+    SetRefusal(reason, &decision.result);
+    decision.result.wait = reason == kBackendLimit ? entry.limit->WaitTime(now)
+                           : reason == kColdLimit  ? ColdWait(entry, now)
                                                    : entry.queue.LongestWait();
     if (!waiting.mapped().idempotent) {
       m_seen_ids.Erase(waiting.mapped().request_id);
@@ -322,10 +265,11 @@
   };
   for (auto& [key, entry] : m_entries) {
     std::string_view unavailable = UnavailableReason(entry);
-    if (unavailable.empty() && entry.refuse_waiting && entry.limit) {
-      unavailable = kBackendLimit;
-    }
-    entry.refuse_waiting = false;
+    const bool is_refused = entry.waiting_refusal == kBackendLimit
+                                ? entry.limit.has_value()
+                                : entry.cold.IsCold(now);
+    if (unavailable.empty() && is_refused) unavailable = entry.waiting_refusal;
+    entry.waiting_refusal = {};
     while (!unavailable.empty() && !entry.waiting.empty()) {
       const uint64_t ticket = entry.waiting.begin()->first;
       entry.queue.Remove(ticket);
--- a/src/node/backend_registry.cc
+++ b/src/node/backend_registry.cc
@@ -8,9 +8,13 @@
 namespace kumquatmoor {
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr int64_t kMaxSlots = 100'000;
 constexpr int64_t kMaxTtlMs = 60'000;
 constexpr int64_t kDefaultTtlMs = 3'000;
+// An end of a cold phase that is later by less than this is not published.
+constexpr milliseconds kColdTolerance{200};
 
 // The fields whose change has to reach the proxy and the other members.
 auto PublishedFields(const Announcement& a) {
@@ -62,7 +66,8 @@
 }  // namespace
 
 AnnounceOutcome BackendRegistry::Announce(const Announcement& announcement,
-                                          TimePoint now) {
+                                          TimePoint now,
+                                          milliseconds process_age) {
   auto [found, added] = m_entries.try_emplace(announcement.address);
   Entry& entry = found->second;
   if (!added && IsOlder(announcement, entry.announcement)) {
@@ -76,7 +81,9 @@
   if (restarted) {
     entry = Entry{.announced_at = now + announcement.cold_left,
                   .deregistered = IsLeaving(announcement)};
+    entry.cold_phase.OnProcess(now, process_age);
   }
+  entry.cold_phase.OnReport(now, announcement.cold_left);
   entry.announcement = announcement;
   entry.expires_at = now + announcement.ttl;
   return changed ? AnnounceOutcome::kChanged : AnnounceOutcome::kRenewed;
@@ -138,6 +145,41 @@
   }
 }
 
+ColdSettings BackendRegistry::SettingsOf(const std::string& service) const {
+  const auto found = m_cold_settings.find(service);
+  return found == m_cold_settings.end() ? ColdSettings() : found->second;
+}
+
+void BackendRegistry::NoteColdUnknown(const std::string& address,
+                                      TimePoint at) {
+  const auto found = m_entries.find(address);
+  if (found != m_entries.end()) found->second.cold_phase.OnUnknown(at);
+}
+
+void BackendRegistry::NoteAllColdUnknown(TimePoint at) {
+  for (auto& [address, entry] : m_entries) entry.cold_phase.OnUnknown(at);
+}
+
+std::vector<std::string> BackendRegistry::UpdateCold(TimePoint now) {
+  std::vector<std::string> changed;
+  for (auto& [address, entry] : m_entries) {
+    const ColdStatus status =
+        entry.cold_phase.Status(SettingsOf(entry.announcement.service));
+    const bool is_cold = status.IsCold(now);
+    // Announcements repeat the end of a cold phase with small differences. An
+    // earlier end is published once it is reached.
+    const bool is_other =
+        is_cold != entry.is_cold || status.rate != entry.cold.rate ||
+        (is_cold && status.until - kColdTolerance > entry.published_until);
+    entry.is_cold = is_cold;
+    entry.cold = status;
+    if (!is_other) continue;
+    entry.published_until = status.until;
+    changed.push_back(entry.announcement.instance);
+  }
+  return changed;
+}
+
 bool BackendRegistry::Expire(TimePoint now) {
   return std::erase_if(m_entries, [&](const auto& item) {
            return item.second.expires_at <= now;
@@ -155,7 +197,8 @@
                         .slots = a.slots,
                         .connections = a.connections,
                         .draining = a.draining || entry.deregistered,
-                        .announced = entry.announced_at});
+                        .announced = entry.announced_at,
+                        .cold = entry.cold});
   }
   return backends;
 }
@@ -171,6 +214,7 @@
     endpoint.set_connections(a.connections);
     endpoint.set_draining(a.draining || entry.deregistered);
     endpoint.set_retired(entry.retired);
+    if (entry.is_cold) endpoint.set_cold_rate(entry.cold.rate);
     endpoints.push_back(std::move(endpoint));
   }
   return endpoints;
--- a/src/node/call_metrics.cc
+++ b/src/node/call_metrics.cc
@@ -47,6 +47,8 @@
   };
   counter("kumquatmoor_retries_total", m_retries);
   counter("kumquatmoor_refusals_total", m_refusals);
+  counter("kumquatmoor_evacuated_refusals_total", m_evacuated_refusals);
+  counter("kumquatmoor_cold_refusals_total", m_cold_refusals);
   counter("kumquatmoor_lost_outcomes_total", m_lost_outcomes);
   counter("kumquatmoor_backend_crashes_total", m_crashes);
   counter("kumquatmoor_blocked_requests_total", m_blocked);
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -112,6 +112,8 @@
         "announcement\"");
     PublishBackends();
   }
+  UpdateCold(now);
+  CheckRemovedEvacuations(now);
   RestoreLeavingInstances();
   AwaitDepartures(now);
   if (m_ready) Send(m_replica.Tick(now));
@@ -266,11 +268,12 @@
   if (complete_since && m_unread_since && *complete_since >= *m_unread_since) {
     m_unread_since.reset();
   }
-  const bool has_batch = update.batch && update.batch->revision() > 0;
+  const auto batch = NoteRead(update, complete_since.has_value());
+  const bool has_batch = batch && batch->revision() > 0;
   if (has_batch && complete_since) {
-    m_replica.OfferComplete(*update.batch, *complete_since);
+    m_replica.OfferComplete(*batch, *complete_since);
   } else if (has_batch) {
-    m_replica.Offer(*update.batch);
+    m_replica.Offer(*batch);
   } else if (complete_since) {
     m_replica.OnEmptyRead(*complete_since);
   }
@@ -289,25 +292,6 @@
           .outcomes = OutcomesOfMoves(m_replica)};
 }
 
-// Only the zone's first gateway removes entries of other members, and only
-// while it has joined and is not isolated.
-DirectoryPlan ControlLoop::PlanOwnDirectory() const {
-  const auto first =
-      SelectGateways(m_replica.Members(), m_options.replica.zone, 1);
-  const bool removes = m_ready && !IsIsolated() && !first.empty() &&
-                       first.front() == m_options.replica.id;
-  DirectoryPlan plan = PlanDirectory(m_directory, m_replica.Members(),
-                                     m_replica.Self(), removes);
-  if (!removes) return plan;
-  const int64_t oldest = UnixMs() - milliseconds(kDepartureRetention).count();
-  for (const auto& entry : m_departures) {
-    if (entry.zone == m_options.replica.zone && entry.written_ms < oldest) {
-      plan.remove_departures.push_back(DepartureKey(entry.member_id));
-    }
-  }
-  return plan;
-}
-
 void ControlLoop::StartDrain() {
   m_draining = true;
   m_accepts_callers = false;
@@ -354,28 +338,37 @@
 
 void ControlLoop::PublishRoutes() {
   if (!m_ready) return;
-  auto unreachable = m_replica.UnreachableZones(Clock::now());
+  const TimePoint now = Clock::now();
+  auto unreachable = m_replica.UnreachableZones(now);
   const uint64_t change = m_replica.ChangeCount();
-  const bool zones_changed = unreachable != m_published_unreachable;
+  const auto batch = m_replica.SharedBatch();
+  if (batch != m_published_batch) NoteBatchInForce(*batch, now);
+  const ZoneSet evacuated = m_evacuated.At(now);
+  const bool zones_changed =
+      unreachable != m_published_unreachable ||
+      (m_published != nullptr && evacuated != m_published->evacuated_zones);
   if (m_published != nullptr && change == m_published_change &&
       !zones_changed) {
     return;
   }
+  const bool was_evacuated =
+      m_published != nullptr &&
+      m_published->evacuated_zones.contains(m_options.replica.zone);
   const auto changed = m_replica.PopChangedServices();
   // An update of the routes takes a batch of the same revision for the same.
-  const auto batch = m_replica.SharedBatch();
   const bool is_replaced =
       batch != m_published_batch && batch->revision() == m_published_revision;
   if (m_published == nullptr || zones_changed || is_replaced) {
     m_published = BuildRoutes(m_replica.CurrentBatch(), m_replica.Marks(),
-                              m_replica.RoutableMembers(Clock::now()),
-                              m_options.replica.zone);
+                              m_replica.RoutableMembers(now),
+                              m_options.replica.zone, evacuated);
   } else {
-    m_published =
-        UpdateRoutes(*m_published, m_replica.CurrentBatch(), m_replica.Marks(),
-                     changed, [&](const std::string& service) {
-                       return m_replica.RoutableMembersOf(service, unreachable);
-                     });
+    m_published = UpdateRoutes(
+        *m_published, m_replica.CurrentBatch(), m_replica.Marks(), changed,
+        [&](const std::string& service) {
+          return m_replica.RoutableMembersOf(service, unreachable);
+        },
+        evacuated);
   }
   const uint64_t revision = m_published->revision;
   if (revision != m_published_revision) m_in_force_ms = UnixMs();
@@ -387,6 +380,9 @@
   m_published_change = change;
   m_published_unreachable = std::move(unreachable);
   m_proxy->SetRoutes(m_published);
+  const bool is_evacuated = evacuated.contains(m_options.replica.zone);
+  if (was_evacuated && !is_evacuated) m_registry.NoteAllColdUnknown(now);
+  UpdateCold(now);
 }
 
 }  // namespace kumquatmoor
--- a/src/node/control_loop_backends.cc
+++ b/src/node/control_loop_backends.cc
@@ -1,5 +1,5 @@
 // The part of ControlLoop that keeps the local backend servers: announcements,
-// departures and crashes.
+// departures and crashes, and this node's part in the member directory.
 //
 // A backend server that leaves is remembered in this node's member record,
 // which other members keep, and on the platform. After a start, this node
@@ -16,6 +16,7 @@
 #include <utility>
 
 #include "kumquatmoor/node/control_loop.h"
+#include "kumquatmoor/node/gateway_selection.h"
 #include "node/unix_time.h"
 
 namespace kumquatmoor {
@@ -32,7 +33,9 @@
 }  // namespace
 
 bool ControlLoop::Announce(const Announcement& announcement) {
-  const auto outcome = m_registry.Announce(announcement, Clock::now());
+  const TimePoint now = Clock::now();
+  const auto outcome =
+      m_registry.Announce(announcement, now, ProcessAge(announcement));
   if (outcome == AnnounceOutcome::kStale) {
     spdlog::info(
         "announce: event=stale service={} instance={} started_ms={} "
@@ -41,7 +44,10 @@
         announcement.sequence);
     return false;
   }
-  if (outcome == AnnounceOutcome::kRenewed) return true;
+  if (outcome == AnnounceOutcome::kRenewed) {
+    UpdateCold(now);
+    return true;
+  }
   spdlog::info(
       "announce: event=changed service={} version={} instance={} address={} "
       "slots={} draining={} sequence={}",
@@ -53,6 +59,7 @@
   if (announcement.draining && !announcement.instance.empty()) {
     NoteLeaving(announcement.instance, announcement.started_ms);
   }
+  m_registry.UpdateCold(now);
   PublishBackends();
   // Sends the change at once instead of at the next tick.
   if (m_ready) Send(m_replica.Tick(Clock::now()));
@@ -185,6 +192,8 @@
 void ControlLoop::SetReady() {
   m_ready = true;
   RestoreLeavingInstances();
+  // An evacuation has to be known before the backend servers are.
+  PublishRoutes();
   AwaitDepartures(Clock::now());
   PublishBackends();
 }
@@ -222,6 +231,25 @@
   RestoreLeavingInstances();
 }
 
+// Only the zone's first gateway removes entries of other members, and only
+// while it has joined and is not isolated.
+DirectoryPlan ControlLoop::PlanOwnDirectory() const {
+  const auto first =
+      SelectGateways(m_replica.Members(), m_options.replica.zone, 1);
+  const bool removes = m_ready && !IsIsolated() && !first.empty() &&
+                       first.front() == m_options.replica.id;
+  DirectoryPlan plan = PlanDirectory(m_directory, m_replica.Members(),
+                                     m_replica.Self(), removes);
+  if (!removes) return plan;
+  const int64_t oldest = UnixMs() - milliseconds(kDepartureRetention).count();
+  for (const auto& entry : m_departures) {
+    if (entry.zone == m_options.replica.zone && entry.written_ms < oldest) {
+      plan.remove_departures.push_back(DepartureKey(entry.member_id));
+    }
+  }
+  return plan;
+}
+
 void ControlLoop::PublishBackends() {
   if (!m_ready || !m_knows_departures) return;
   m_proxy->SetBackends(m_registry.Backends());
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -194,7 +194,7 @@
     co_await AwaitSlot(inbound, call, run);
   }
   if (!run.admission.admitted) {
-    m_metrics->OnRefusal();
+    CountRefusal(run.admission);
     run.result.verdict =
         run.admission.duplicate ? Verdict::kMayHaveRun : Verdict::kNotRun;
     run.result.reason = std::string(run.admission.reason);
@@ -229,6 +229,7 @@
       run.crashed = co_await m_crash_detector.HasCrashed(entry);
     }
   }
+  NoteLostBackend(call, run);
   if (!run.result.answered) co_return;
   ReadNotice(call, run);
   MeasureResponse(call, run);
@@ -242,6 +243,29 @@
   SetLinkWait(m_admission.LinkWait(), &run.result.head);
 }
 
+void LocalRunner::CountRefusal(const AdmissionResult& admission) {
+  m_metrics->OnRefusal();
+  if (admission.evacuated) m_metrics->OnEvacuatedRefusal();
+  if (admission.is_cold) m_metrics->OnColdRefusal();
+}
+
+void LocalRunner::NoteLostBackend(const Call& call, const LocalRun& run) {
+  const TimePoint now = Clock::now();
+  const bool is_unreachable = !run.result.answered && !run.result.offered &&
+                              !run.result.caller_gone && now < call.deadline;
+  if (!is_unreachable && !run.crashed) return;
+  const LocalBackend* backend =
+      m_admission.FindBackend(call.service, call.version);
+  // Another process may have announced itself since.
+  if (backend == nullptr || backend->instance != run.admission.instance) return;
+  if (!m_admission.NoteColdUnknown(call.service, call.version, now)) return;
+  spdlog::warn("admit: event=cold instance={} reason=\"{}\"",
+               run.admission.instance,
+               run.crashed ? "crashed" : run.result.reason);
+  if (m_on_cold_unknown) m_on_cold_unknown(*backend, now);
+  WakeWaiting();
+}
+
 void LocalRunner::MeasureResponse(const Call& call, LocalRun& run) {
   const auto size = BodyBytes(run.result);
   if (!size) return;
--- a/src/node/local_runner.h
+++ b/src/node/local_runner.h
@@ -96,6 +96,13 @@
   void SetCrashHandlers(std::function<void(const BackendCrash&)> on_crash,
                         std::function<void(const Call&)> on_response);
 
+  // Calls `handler` when a backend server of this host counts as cold because
+  // it cannot be reached or has crashed.
+  void SetColdUnknownHandler(
+      std::function<void(const LocalBackend&, TimePoint)> handler) {
+    m_on_cold_unknown = std::move(handler);
+  }
+
   // Aborts every request that waits or runs, at the end of the drain timeout.
   void AbortAll();
 
@@ -125,6 +132,10 @@
   void MeasureResponse(const Call& call, LocalRun& run);
   // Records what the backend server says of itself in its response.
   void ReadNotice(const Call& call, LocalRun& run);
+  // Treats the backend server as cold if it cannot be reached or has crashed.
+  void NoteLostBackend(const Call& call, const LocalRun& run);
+  // Counts a refusal by Admission.
+  void CountRefusal(const AdmissionResult& admission);
   void ReportOutcome(const Call& call, const LocalRun& run, bool complete);
 
   boost::asio::io_context& m_context;
@@ -135,6 +146,7 @@
   CallMetrics* m_metrics;
   std::shared_ptr<BufferBudget> m_budget;
   std::function<void(const LocalBackend&)> m_on_leaving;
+  std::function<void(const LocalBackend&, TimePoint)> m_on_cold_unknown;
   CrashDetector m_crash_detector;
   std::shared_ptr<const CrashSuspects> m_crashes =
       std::make_shared<const CrashSuspects>();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -143,6 +143,13 @@
     m_loop.Post(
         [backend](ControlLoop& loop) { loop.OnBackendLeaving(backend); });
   });
+  // Nothing repeats it: the backend server would stay cold for its node.
+  m_proxy.SetColdUnknownHandler([this](const LocalBackend& backend,
+                                       TimePoint at) {
+    m_loop.PostUnbounded([address = backend.address, at](ControlLoop& loop) {
+      loop.OnColdUnknown(address, at);
+    });
+  });
   m_loop.SetGenerationHandler([this] { m_departures.WriteAgain(); });
   m_proxy.SetCrashHandlers(
       [this](const BackendCrash& crash) {
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -106,12 +106,16 @@
 }
 
 void Proxy::SetRoutes(std::shared_ptr<const RouteTable> routes) {
-  asio::post(m_context, [this, routes = std::move(routes)]() mutable {
+  // An announcement after this call counts as later than the end of an
+  // evacuation, however late the proxy's thread runs.
+  asio::post(m_context, [this, routes = std::move(routes),
+                         now = Clock::now()]() mutable {
     if (m_routes == nullptr || m_routes->revision != routes->revision) {
       m_revision_since = Clock::now();
     }
     m_routes = std::move(routes);
-    m_runner->GetAdmission().SetRoutes(*m_routes);
+    m_runner->GetAdmission().SetRoutes(*m_routes, now);
+    m_runner->WakeWaiting();
     if (m_routes->http_routes != nullptr) {
       m_bounds = ToCallerBounds(m_routes->http_routes->Limits());
     }
@@ -137,6 +141,11 @@
   m_runner->SetLeavingHandler(std::move(handler));
 }
 
+void Proxy::SetColdUnknownHandler(
+    std::function<void(const LocalBackend&, TimePoint)> handler) {
+  m_runner->SetColdUnknownHandler(std::move(handler));
+}
+
 void Proxy::SetCrashes(std::shared_ptr<const CrashSuspects> crashes) {
   asio::post(m_context, [this, crashes = std::move(crashes)]() mutable {
     m_crashes = crashes;
--- a/src/state/picker.cc
+++ b/src/state/picker.cc
@@ -6,7 +6,8 @@
 // A refusal takes precedence over load reports: a target that refused as full
 // gets no requests for a short time. Targets of other zones are candidates only
 // if the target chosen in the own zone is full. Targets of a packed version are
-// filled in the order of their ids.
+// filled in the order of their ids. A cold target is a candidate of only so
+// many requests as it may get; the node beside it enforces the limit.
 //
 // A version without a target that may be tried is dropped, and another version
 // is drawn.
@@ -110,6 +111,21 @@
   return cost + static_cast<double>(link_wait.count());
 }
 
+// Skips cold targets at random, so that they are candidates in proportion to
+// the part of their usual rate that they may get. Skips none if all would be.
+Candidates WithoutColdTargets(const Candidates& targets,
+                              const TargetLoads& loads, TimePoint now,
+                              std::mt19937_64& rng) {
+  std::uniform_real_distribution<double> draw(0, 1);
+  Candidates accepted;
+  std::copy_if(targets.begin(), targets.end(), std::back_inserter(accepted),
+               [&](const Target* target) {
+                 return target->cold_rate <= 0 ||
+                        draw(rng) < loads.UsableShare(*target, now);
+               });
+  return accepted.empty() ? targets : accepted;
+}
+
 // The cheapest of a few targets that are drawn at random, or nullptr.
 const Target* CheapestOfFew(const Candidates& targets,
                             const PickOptions& options,
@@ -197,7 +213,8 @@
             .target = pinned,
             .reason = pinned == nullptr ? "none untried" : "pinned"};
   }
-  const Candidates candidates = TargetsNotFull(healthy, loads, now);
+  const Candidates candidates =
+      WithoutColdTargets(TargetsNotFull(healthy, loads, now), loads, now, rng);
   Candidates own_zone;
   std::copy_if(
       candidates.begin(), candidates.end(), std::back_inserter(own_zone),
--- a/src/state/routes.cc
+++ b/src/state/routes.cc
@@ -17,10 +17,12 @@
 using TargetMap = std::map<std::pair<std::string, std::string>,
                            std::vector<Target>>;  // By (service, version).
 
-TargetMap CollectTargets(std::span<const MemberRecord> members) {
+TargetMap CollectTargets(std::span<const MemberRecord> members,
+                         const ZoneSet& evacuated_zones) {
   TargetMap targets;
   for (const auto& member : members) {
     if (member.status() != ALIVE) continue;
+    if (evacuated_zones.contains(member.zone())) continue;
     for (const auto& endpoint : member.endpoints()) {
       if (endpoint.draining() || endpoint.retired()) continue;
       targets[{endpoint.service(), endpoint.version()}].push_back(
@@ -29,7 +31,8 @@
            .version = endpoint.version(),
            .data_address = member.data_address(),
            .incarnation = member.incarnation(),
-           .slots = std::max(1U, endpoint.slots())});
+           .slots = std::max(1U, endpoint.slots()),
+           .cold_rate = endpoint.cold_rate()});
     }
   }
   return targets;
@@ -173,13 +176,29 @@
       service, std::make_shared<const ServiceRoutes>(std::move(routes)));
 }
 
+ZoneSet EvacuatedZonesOf(const Batch& batch, const ZoneSet& kept_zones) {
+  ZoneSet zones = EvacuatedZonesOf(batch);
+  zones.insert(kept_zones.begin(), kept_zones.end());
+  return zones;
+}
+
+// The services of the batch and of the table.
+std::set<std::string> AllServices(const Batch& batch, const RouteTable& table) {
+  std::set<std::string> all;
+  for (const auto& config : batch.services()) all.insert(config.service());
+  for (const auto& [service, routes] : table.services) all.insert(service);
+  return all;
+}
+
 }  // namespace
 
 std::shared_ptr<const RouteTable> BuildRoutes(
     const Batch& batch, const MarkSet& marks,
-    std::span<const MemberRecord> members, const std::string& zone) {
-  const TargetMap targets = CollectTargets(members);
+    std::span<const MemberRecord> members, const std::string& zone,
+    const ZoneSet& kept_zones) {
   auto table = std::make_shared<RouteTable>();
+  table->evacuated_zones = EvacuatedZonesOf(batch, kept_zones);
+  const TargetMap targets = CollectTargets(members, table->evacuated_zones);
   table->revision = batch.revision();
   table->zone = zone;
   table->http_routes = std::make_shared<const HttpRouteIndex>(batch);
@@ -191,15 +210,22 @@
 
 std::shared_ptr<const RouteTable> UpdateRoutes(
     const RouteTable& previous, const Batch& batch, const MarkSet& marks,
-    const std::set<std::string>& changed, const MembersOfService& members_of) {
+    const std::set<std::string>& changed, const MembersOfService& members_of,
+    const ZoneSet& kept_zones) {
   auto table = std::make_shared<RouteTable>(previous);
+  table->evacuated_zones = EvacuatedZonesOf(batch, kept_zones);
+  const bool has_other_zones =
+      table->evacuated_zones != previous.evacuated_zones;
   if (table->revision != batch.revision()) {
     table->revision = batch.revision();
     table->http_routes = std::make_shared<const HttpRouteIndex>(batch);
   }
-  for (const auto& service : changed) {
+  for (const auto& service :
+       has_other_zones ? AllServices(batch, previous) : changed) {
     const auto members = members_of(service);
-    RebuildService(service, batch, marks, CollectTargets(members), table.get());
+    RebuildService(service, batch, marks,
+                   CollectTargets(members, table->evacuated_zones),
+                   table.get());
   }
   return table;
 }
--- a/src/state/target_loads.cc
+++ b/src/state/target_loads.cc
@@ -12,6 +12,12 @@
 
 // Routes of a target whose run times are kept. Bounds memory.
 constexpr size_t kMaxRoutesPerTarget = 64;
+constexpr double kMsPerSecond = 1'000;
+// Of a request at a target whose run time is not known.
+constexpr double kAssumedRunTimeMs = 100;
+// A cold target counts with at least this part of its slots, so that some
+// requests show its state.
+constexpr double kMinUsableShare = 0.01;
 
 }  // namespace
 
@@ -163,6 +169,14 @@
   return found != m_entries.end() && now < found->second.full_until;
 }
 
+double TargetLoads::UsableShare(const Target& target, TimePoint now) const {
+  if (target.cold_rate <= 0) return 1;
+  const double known_ms = RunTimeMs(target.member_id, "", now);
+  const double run_time_ms = known_ms > 0 ? known_ms : kAssumedRunTimeMs;
+  const double usual_rate = target.slots * kMsPerSecond / run_time_ms;
+  return std::clamp(target.cold_rate / usual_rate, kMinUsableShare, 1.0);
+}
+
 double TargetLoads::LoadOf(const Target& target, TimePoint now) const {
   auto found = m_entries.find(target.member_id);
   if (found == m_entries.end()) return 0;
@@ -171,7 +185,7 @@
   if (now - entry.reported_at < m_options.max_report_age) {
     in_flight = std::max(in_flight, entry.reported);
   }
-  double load = static_cast<double>(in_flight) / target.slots;
+  double load = in_flight / (target.slots * UsableShare(target, now));
   if (now - entry.first_sent < m_options.slow_start) load *= 2;
   return load;
 }
