Serve nested calls first and share slots between organisations

Calls that a backend server makes while it runs a request were queued like new work, so they were refused or timed out after their caller had used its slot. Requests of a busy organisation took the slots of small ones.

Requests without an organisation keep their order.

--- a/include/kumquatmoor/state/slot_queue.h
+++ b/include/kumquatmoor/state/slot_queue.h
@@ -18,15 +18,19 @@
 // margin for varying run times. Requests are served in this order:
 // 1. Requests that are not late. Under overload, plain earliest deadline first
 //    (EDF) would serve each request just after its objective.
-// 2. More urgent priorities.
-// 3. Shorter expected run times (SJF), by powers of 2. Calls that backend
-//    servers make of each other are short, and their callers hold slots
-//    elsewhere meanwhile.
-// 4. Earlier latest start that meets the objective (EDF).
+// 2. Nested calls, which backend servers make while they run other requests:
+//    their callers hold slots elsewhere meanwhile.
+// 3. More urgent priorities: of the organisation, then of the route.
+// 4. Organisations that have received less (start-time fair queueing).
+// 5. Shorter expected run times (SJF), by powers of 2.
+// 6. Earlier latest start that meets the objective (EDF).
 //
 // Late requests only use slots that would otherwise stay free: a few may wait
-// (`late_waiting_per_slot`) while no other request does. A request that is
-// refused is refused at once, with the estimated time until a slot is free.
+// (`late_waiting_per_slot`) while no other request does. A late nested call is
+// not one of these. It waits for as long as it can meet its deadline, behind
+// the requests that are not late: a refusal would waste what its caller has
+// done. A request that is refused is refused at once, with the estimated time
+// until a slot is free.
 //
 // Time is an argument. Not thread-safe.
 
@@ -34,8 +38,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
+#include "kumquatmoor/state/fair_share.h"
 #include "kumquatmoor/state/limits.h"
 
 namespace kumquatmoor {
@@ -59,6 +65,10 @@
   std::chrono::milliseconds run_time{50};  // Expected.
   TimePoint objective;  // A response up to this time is in time.
   TimePoint deadline;   // A response after this time is of no use.
+  // A backend server makes the request while it runs another one.
+  bool is_nested_call = false;
+  uint32_t organisation_priority = 0;  // Goes before `priority`.
+  std::string organisation;            // "" if none.
 };
 
 enum class QueueAdmission { kRunNow, kQueued, kRefused };
@@ -98,14 +108,29 @@
   // The latest time at which `request` can start without being late.
   TimePoint LatestStart(const QueuedRequest& request) const;
   bool IsLate(const QueuedRequest& request, TimePoint now) const;
+  // True if the request is late and no nested call, so that it waits only while
+  // no other request does.
+  bool IsExpendable(const QueuedRequest& request, TimePoint now) const;
   bool GoesBefore(const QueuedRequest& a, const QueuedRequest& b,
                   TimePoint now) const;
+  // The sum of the expected run times of the waiting requests that will start
+  // before `request`, if it enters the queue now.
+  std::chrono::milliseconds WorkBefore(const QueuedRequest& request,
+                                       TimePoint now) const;
+  // The same for the requests of its class, `same_class`, which includes it.
+  std::chrono::milliseconds WorkBeforeInClass(
+      const QueuedRequest& request,
+      std::vector<const QueuedRequest*> same_class) const;
+  auto ClassOf(const QueuedRequest& request, TimePoint now) const;
+  auto RankInOrganisation(const QueuedRequest& request) const;
+  // Assigns a slot to the request.
+  void Start(const QueuedRequest& request);
   // Estimated time until a request gets a slot if the waiting requests before
   // it have expected run times of `work` in total.
   std::chrono::milliseconds EstimatedWait(std::chrono::milliseconds work) const;
-  size_t CountLate(TimePoint now) const;
-  // Maximum number of late requests that may wait, given that `late` of the
-  // waiting requests are late: 0 while any other request waits.
+  size_t CountExpendable(TimePoint now) const;
+  // Maximum number of expendable requests that may wait, given that `late` of
+  // the waiting requests are expendable: 0 while any other request waits.
   size_t MaxLateWaiting(size_t late) const;
 
   SlotQueueOptions m_options;
@@ -113,6 +138,7 @@
   // Sum of the expected run times of the running requests.
   std::chrono::milliseconds m_running_work{0};
   std::vector<QueuedRequest> m_waiting;
+  FairShare m_shares;
 };
 
 }  // namespace kumquatmoor
--- a/src/state/slot_queue.cc
+++ b/src/state/slot_queue.cc
@@ -4,6 +4,12 @@
 // becomes free after R / (n + 1) on average, so a short request does not wait
 // for the full run time of a long one. Deadlines bound the wait and thus the
 // length of the queue, so the next request is found by a linear scan.
+//
+// Requests of the same class (lateness, nested or not, priorities) are served
+// by the start tags of their organisations. A tag rises with each request that
+// starts, so the estimate of what goes before a request has to look ahead: it
+// gives the waiting requests of an organisation the tags that they will have
+// once those before them have started.
 
 #include "kumquatmoor/state/slot_queue.h"
 
@@ -21,6 +27,8 @@
   return std::bit_width(static_cast<uint64_t>(request.run_time.count()));
 }
 
+enum class Lateness { kInTime, kLateNestedCall, kLate };
+
 }  // namespace
 
 SlotQueue::SlotQueue(SlotQueueOptions options) : m_options(options) {}
@@ -35,16 +43,96 @@
   return now > LatestStart(request);
 }
 
+bool SlotQueue::IsExpendable(const QueuedRequest& request,
+                             TimePoint now) const {
+  return !request.is_nested_call && IsLate(request, now);
+}
+
+// The part of the order that comes before that of organisations.
+auto SlotQueue::ClassOf(const QueuedRequest& request, TimePoint now) const {
+  Lateness lateness = Lateness::kInTime;
+  if (IsLate(request, now)) {
+    lateness =
+        request.is_nested_call ? Lateness::kLateNestedCall : Lateness::kLate;
+  }
+  return std::make_tuple(lateness, !request.is_nested_call,
+                         request.organisation_priority, request.priority);
+}
+
+// The order of requests of the same class and organisation.
+auto SlotQueue::RankInOrganisation(const QueuedRequest& request) const {
+  return std::make_tuple(SizeClass(request), LatestStart(request), request.id);
+}
+
 bool SlotQueue::GoesBefore(const QueuedRequest& a, const QueuedRequest& b,
                            TimePoint now) const {
   const auto rank = [&](const QueuedRequest& request) {
-    return std::make_tuple(IsLate(request, now), request.priority,
-                           SizeClass(request), LatestStart(request),
-                           request.id);
+    return std::make_tuple(ClassOf(request, now),
+                           m_shares.StartTag(request.organisation),
+                           RankInOrganisation(request));
   };
   return rank(a) < rank(b);
 }
 
+milliseconds SlotQueue::WorkBefore(const QueuedRequest& request,
+                                   TimePoint now) const {
+  const auto request_class = ClassOf(request, now);
+  milliseconds work{0};
+  std::vector<const QueuedRequest*> same_class{&request};
+  bool one_organisation = true;
+  for (const auto& other : m_waiting) {
+    const auto other_class = ClassOf(other, now);
+    if (other_class < request_class) work += other.run_time;
+    if (other_class != request_class) continue;
+    same_class.push_back(&other);
+    one_organisation &= other.organisation == request.organisation;
+  }
+  if (one_organisation) {
+    for (const QueuedRequest* other : same_class) {
+      if (RankInOrganisation(*other) < RankInOrganisation(request)) {
+        work += other->run_time;
+      }
+    }
+    return work;
+  }
+  return work + WorkBeforeInClass(request, std::move(same_class));
+}
+
+milliseconds SlotQueue::WorkBeforeInClass(
+    const QueuedRequest& request,
+    std::vector<const QueuedRequest*> same_class) const {
+  std::sort(same_class.begin(), same_class.end(),
+            [&](const QueuedRequest* a, const QueuedRequest* b) {
+              if (a->organisation != b->organisation) {
+                return a->organisation < b->organisation;
+              }
+              return RankInOrganisation(*a) < RankInOrganisation(*b);
+            });
+  std::vector<FairShare::Tag> tags(same_class.size());
+  size_t own = 0;
+  for (size_t i = 0; i < same_class.size(); ++i) {
+    const bool first = i == 0 || same_class[i - 1]->organisation !=
+                                     same_class[i]->organisation;
+    tags[i] = first ? m_shares.StartTag(same_class[i]->organisation)
+                    : tags[i - 1] + same_class[i - 1]->run_time;
+    if (same_class[i] == &request) own = i;
+  }
+  const auto rank = [&](size_t i) {
+    return std::make_tuple(tags[i], RankInOrganisation(*same_class[i]));
+  };
+  milliseconds work{0};
+  for (size_t i = 0; i < same_class.size(); ++i) {
+    if (rank(i) < rank(own)) work += same_class[i]->run_time;
+  }
+  return work;
+}
+
+void SlotQueue::Start(const QueuedRequest& request) {
+  ++m_running;
+  m_running_work += request.run_time;
+  m_shares.OnStarted(request.organisation, request.run_time);
+}
+
 milliseconds SlotQueue::EstimatedWait(milliseconds work) const {
   const milliseconds mean_run = m_running_work / std::max(1U, m_running);
   return work / std::max(1U, m_options.slots) + mean_run / (m_running + 1);
@@ -57,10 +145,11 @@
   return EstimatedWait(work);
 }
 
-size_t SlotQueue::CountLate(TimePoint now) const {
-  return static_cast<size_t>(std::count_if(
-      m_waiting.begin(), m_waiting.end(),
-      [&](const QueuedRequest& request) { return IsLate(request, now); }));
+size_t SlotQueue::CountExpendable(TimePoint now) const {
+  return static_cast<size_t>(std::count_if(m_waiting.begin(), m_waiting.end(),
+                                           [&](const QueuedRequest& request) {
+                                             return IsExpendable(request, now);
+                                           }));
 }
 
 size_t SlotQueue::MaxLateWaiting(size_t late) const {
@@ -70,21 +159,16 @@
 
 QueueResult SlotQueue::Enter(const QueuedRequest& request, TimePoint now) {
   if (m_waiting.empty() && m_running < m_options.slots) {
-    ++m_running;
-    m_running_work += request.run_time;
+    Start(request);
     return {.admission = QueueAdmission::kRunNow};
   }
-  milliseconds work{0};
-  for (const auto& other : m_waiting) {
-    if (GoesBefore(other, request, now)) work += other.run_time;
-  }
-  QueueResult result{.wait = EstimatedWait(work)};
+  QueueResult result{.wait = EstimatedWait(WorkBefore(request, now))};
   const TimePoint start = now + result.wait;
   const bool feasible = start + request.run_time <= request.deadline;
   const bool room =
       m_waiting.size() < m_options.waiting_per_slot * m_options.slots;
-  const bool late = IsLate(request, start);
-  const size_t waiting_late = CountLate(now);
+  const bool late = IsExpendable(request, start);
+  const size_t waiting_late = CountExpendable(now);
   const bool late_room = waiting_late < MaxLateWaiting(waiting_late);
   if (!feasible || !room || (late && !late_room)) return result;
   m_waiting.push_back(request);
@@ -105,9 +189,8 @@
                          return GoesBefore(a, b, now);
                        });
   const uint64_t id = next->id;
-  m_running_work += next->run_time;
+  Start(*next);
   m_waiting.erase(next);
-  ++m_running;
   return id;
 }
 
@@ -120,7 +203,7 @@
     removed.push_back(request.id);
     return true;
   });
-  size_t late = CountLate(now);
+  size_t late = CountExpendable(now);
   for (const size_t limit = MaxLateWaiting(late); late > limit; --late) {
     const auto last =
         std::max_element(m_waiting.begin(), m_waiting.end(),
--- a/src/state/slot_queue_test.cc
+++ b/src/state/slot_queue_test.cc
@@ -23,6 +23,18 @@
           .deadline = kNow + milliseconds(deadline_ms)};
 }
 
+QueuedRequest Nested(QueuedRequest request) {
+  request.is_nested_call = true;
+  return request;
+}
+
+QueuedRequest Of(const std::string& organisation, uint32_t priority,
+                 QueuedRequest request) {
+  request.organisation = organisation;
+  request.organisation_priority = priority;
+  return request;
+}
+
 // A queue whose only slot is taken.
 SlotQueue FullQueue(int run_time_ms) {
   SlotQueue queue({.slots = 1});
@@ -78,6 +90,18 @@
       {"short requests before long ones",
        {Request(2, 300, 900, 1, 200), Request(3, 900, 900, 1, 40)},
        {3, 2}},
+      {"nested calls before more urgent priorities, behind late ones",
+       {Request(4, 5, 900, 0), Nested(Request(2, 300, 900, 2)),
+        Request(3, 300, 900, 0), Nested(Request(5, 5, 900, 2))},
+       {2, 3, 5, 4}},
+      {"the organisation's priority before the route's",
+       {Of("a", 1, Request(2, 300, 900, 0)),
+        Of("b", 0, Request(3, 300, 900, 2))},
+       {3, 2}},
+      {"organisations in turn, each in the usual order",
+       {Of("a", 0, Request(2, 600, 900)), Of("a", 0, Request(3, 610, 900)),
+        Of("a", 0, Request(4, 605, 900)), Of("b", 0, Request(5, 700, 900))},
+       {2, 5, 4, 3}},
       {"equal requests in order of their ids",
        {Request(2, 300, 900), Request(3, 300, 900)},
        {2, 3}},
