Let nested calls inherit from the request that runs

A call that a backend server makes was queued by its own route's priority and objective, as the node did not know the request that it is made for.

LocalRunner keeps the running requests by id (RunningRequests). A call whose id is derived from one of them takes over its more urgent priority, organisation (for its share of the slots only), later objective and earlier deadline, and is marked as nested to the node beside the target.

--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -218,7 +218,10 @@
                        .priority = request.priority,
                        .run_time = run_time,
                        .objective = request.objective,
-                       .deadline = request.deadline};
+                       .deadline = request.deadline,
+                       .is_nested_call = request.is_nested_call,
+                       .organisation_priority = request.organisation_priority,
+                       .organisation = request.organisation};
   if (!request.via_link) return queued;
   const milliseconds transfer =
       m_link->TransferTime(m_response_sizes.Expected(request.route).mean);
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "kumquatmoor/node/admission.h"
 #include "kumquatmoor/protocol/attempt_kind.h"
@@ -37,10 +38,16 @@
   uint32_t organisation_priority = 0;  // Goes before `priority`.
   // A backend server makes the request while it runs another one.
   bool is_nested_call = false;
+  std::string parent_route;  // Of that request, for a nested call on its host.
   // The node beside the target may refuse the request because another target is
   // probably faster.
   bool may_hand_back = false;
 
+  // The organisation that the backend server is told. It is told none for a
+  // nested call, whose organisation only counts for its share of the slots.
+  std::string_view OrganisationForBackend() const {
+    return is_nested_call ? std::string_view() : organisation;
+  }
   AdmissionRequest ForAdmission() const {
     return {.service = service,
             .version = version,
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -223,6 +223,7 @@
                                 .instance = run.admission.instance,
                                 .address = run.admission.address,
                                 .key = call.key});
+    const RunningRequests::Entry running = m_running.Add(call);
     run.result = co_await Forward(m_pool, inbound, options);
     if (run.result.connection_lost &&
         !m_admission.IsLeaving(call.service, call.version)) {
--- a/src/node/local_runner.h
+++ b/src/node/local_runner.h
@@ -21,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -34,6 +35,7 @@
 #include "kumquatmoor/transport/upstream_pool.h"
 #include "node/call.h"
 #include "node/crash_detector.h"
+#include "node/running_requests.h"
 
 namespace kumquatmoor {
 
@@ -81,6 +83,11 @@
   // True if a backend server of this host makes the call with this id while it
   // runs a retry.
   bool IsCallOfRetry(const std::string& request_id) const;
+  // The request during which a backend server of this host makes the call with
+  // this id. Returns nullptr if it is no such call.
+  const Call* FindParent(std::string_view request_id) const {
+    return m_running.FindParent(request_id, m_headers.call_id_separator);
+  }
 
   // Calls `handler` when a backend server says that it leaves.
   void SetLeavingHandler(std::function<void(const LocalBackend&)> handler) {
@@ -143,6 +150,7 @@
   std::map<std::pair<std::string, std::string>, std::weak_ptr<void>> m_isolated;
   // Ids of retries that were sent to a backend server.
   RecentIds m_retried_runs{kMaxRetriedRuns};
+  RunningRequests m_running;
   std::map<uint64_t, std::shared_ptr<Waiter>> m_waiters;  // By ticket.
   // Connections to backend servers that carry a request.
   std::shared_ptr<ActiveStreams> m_active = std::make_shared<ActiveStreams>();
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -90,6 +90,7 @@
   if (m_runner->IsCallOfRetry(call->request_id)) {
     call->attempt_kind = AttemptKind::kCallOfRetry;
   }
+  const Call* parent = m_runner->FindParent(call->request_id);
   const RequestHead& head = inbound.Head();
   const std::string_view method = Text(head.method_string());
   if (!HasConfiguration()) {
@@ -103,6 +104,7 @@
         index->Find(Text(head[http::field::host]), Text(head.target()));
     if (route == nullptr) return Rejection{404, "no route"};
     ApplyRoute(*route, call);
+    if (parent != nullptr) InheritFromParent(*parent, call);
     call->key = KeyOf(inbound, *call);
     return std::nullopt;
   }
@@ -116,6 +118,7 @@
   if (call->request_id.empty()) call->request_id = NewRequestId();
   call->route = RouteOf(method, path);
   call->idempotent = IsIdempotent(method);
+  if (parent != nullptr) InheritFromParent(*parent, call);
   call->key = KeyOf(inbound, *call);
   return std::nullopt;
 }
