Authenticate callers by the keys of their organisations

Cause: the configuration may have organisations whose callers need an API key; the node routed every request and passed the key on. An index beside the routes of the same batch gives the organisation of a request. The caller's node removes the key and the callers' organisation header, the node beside the target sets the deployment's header. Calls of a backend server are recognised by the id of a request that runs on this host (RunningRequests). An unknown key gets 401, or 503 while the node is behind. The head of a request without organisations is passed on as before.

--- a/include/kumquatmoor/node/call_metrics.h
+++ b/include/kumquatmoor/node/call_metrics.h
@@ -20,6 +20,7 @@
 
 #include "kumquatmoor/protocol/attempt_kind.h"
 #include "kumquatmoor/protocol/verdict.h"
+#include "kumquatmoor/state/organisations.h"
 
 namespace kumquatmoor {
 
@@ -63,6 +64,10 @@
   // Counts a caller's request that was refused since the node knows that its
   // configuration is not the newest.
   void OnRefusedBehind() { ++m_refused_behind; }
+  // Counts a caller's request where the configuration has organisations.
+  void OnAuthentication(Authentication::Outcome outcome) {
+    ++m_authentications[outcome];
+  }
   // Counts bytes that the link carried of a response that was not completed.
   void OnWastedBytes(size_t bytes) { m_wasted_bytes += bytes; }
   // Counts an outcome that was dropped because the ring to the control thread
@@ -92,6 +97,7 @@
   uint64_t m_refused_behind = 0;
   std::chrono::nanoseconds m_longest_behind{0};
   std::map<std::pair<unsigned, Origin>, uint64_t> m_denied;
+  std::map<Authentication::Outcome, uint64_t> m_authentications;
   boost::histogram::histogram<std::tuple<Axis>> m_latency;
   double m_latency_sum_ms = 0;
 };
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -202,6 +202,15 @@
   // anything.
   std::optional<Rejection> ReadCallerCall(const InboundRequest& inbound,
                                           Call* call);
+  // True if the configuration has organisations, so that requests need keys.
+  bool RequiresKeys() const;
+  CallerCredentials CredentialsOf(const InboundRequest& inbound,
+                                  const HttpRoute& route,
+                                  const Call& call) const;
+  // Sets the organisation of `call` by the caller's key. Returns why the
+  // request must not be routed, if so.
+  std::optional<Rejection> Authenticate(const InboundRequest& inbound,
+                                        const HttpRoute& route, Call* call);
   // Reads what requests from callers and from other nodes have in common.
   Call ReadCall(const InboundRequest& inbound, const CallHeaders& names);
   // Refuses the request if the node has been behind for too long, or has just
@@ -274,6 +283,7 @@
   std::shared_ptr<const RouteTable> m_routes;
   std::optional<TimePoint> m_behind_since;
   TimePoint m_decides_until = TimePoint::max();
+  TimePoint m_started = Clock::now();
   TimePoint m_revision_since;  // Since when the revision is in force.
   std::shared_ptr<const CrashSuspects> m_crashes =
       std::make_shared<const CrashSuspects>();
--- a/include/kumquatmoor/state/routes.h
+++ b/include/kumquatmoor/state/routes.h
@@ -26,6 +26,7 @@
 #include "control.pb.h"
 #include "kumquatmoor/state/http_routes.h"
 #include "kumquatmoor/state/marks.h"
+#include "kumquatmoor/state/organisations.h"
 
 namespace kumquatmoor {
 
@@ -68,6 +69,8 @@
   uint64_t revision = 0;  // Of the batch.
   // Routes by host and path; empty if the batch has none.
   std::shared_ptr<const HttpRouteIndex> http_routes;
+  // By the keys of the same batch.
+  std::shared_ptr<const OrganisationIndex> organisations;
   std::string zone;  // Of the node that routes by this table.
   // Unchanged services are shared with the previous snapshot.
   std::map<std::string, std::shared_ptr<const ServiceRoutes>, std::less<>>
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -35,6 +35,7 @@
   bool via_link = false;               // The response goes to another host.
   std::string organisation;            // Of the caller, "" if none.
   uint32_t organisation_priority = 0;  // Goes before `priority`.
+  std::string key_hash;                // Of the caller's key, "" if none.
   // A backend server makes the request while it runs another one.
   bool is_nested_call = false;
   // The node beside the target may refuse the request because another target is
--- a/src/node/call_metrics.cc
+++ b/src/node/call_metrics.cc
@@ -42,6 +42,14 @@
         "kumquatmoor_denied_total{{status=\"{}\",origin=\"{}\"}} {}\n", status,
         origin == Origin::kNode ? "node" : "backend", count);
   }
+  if (!m_authentications.empty()) {
+    text += "# TYPE kumquatmoor_authentications_total counter\n";
+  }
+  for (const auto& [outcome, count] : m_authentications) {
+    text +=
+        fmt::format("kumquatmoor_authentications_total{{outcome=\"{}\"}} {}\n",
+                    AuthenticationName(outcome), count);
+  }
   const auto counter = [&](const char* name, uint64_t value) {
     text += fmt::format("# TYPE {} counter\n{} {}\n", name, name, value);
   };
--- a/src/node/denial_fixture.h
+++ b/src/node/denial_fixture.h
@@ -11,6 +11,7 @@
 //   caller.Send({Head("GET /a/1 HTTP/1.1") + "\r\n"});
 //   CHECK(caller.Status() == 200);
 
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -21,6 +22,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "kumquatmoor/node/proxy.h"
@@ -45,6 +47,8 @@
   uint64_t body_limit = kBodyLimit;
   // Where the other node expects the node beside the backend server.
   std::string data_address = kDataAddress;
+  // Organisations and their keys; none: requests need no key.
+  std::vector<std::pair<std::string, std::string>> keys = {};
 };
 
 class DenialFixture {
@@ -53,14 +57,18 @@
   std::string reply =
       "HTTP/1.1 200 OK\r\nSigned: y\r\nContent-Length: 2\r\n\r\nok";
 
+  // While it is true, the backend server does not respond to the request with
+  // the id "held".
+  std::atomic<bool> holds = false;
+
   // Puts revision 1 in force, unless `configured` is false.
   explicit DenialFixture(bool configured = true);
   ~DenialFixture();
   DenialFixture(const DenialFixture&) = delete;
   DenialFixture& operator=(const DenialFixture&) = delete;
 
-  // Puts a configuration with one route in force: host Huts.example, prefix
-  // "/a/".
+  // Puts a configuration in force whose routes have the host Huts.example and
+  // the prefix "/a/", or "/p/" if they are public.
   void Configure(uint64_t revision, const DenialOptions& options);
   // Puts routes of revision 0 in force: the node has joined a mesh in which no
   // configuration is known.
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -30,6 +30,11 @@
 constexpr std::string_view kIsolated =
     "another request that may crash the backend server runs";
 
+// Removes all fields of that name, if the deployment has such a header.
+void EraseHeader(const std::string& name, RequestHead* head) {
+  if (!name.empty()) head->erase(name);
+}
+
 milliseconds ElapsedSince(TimePoint start) {
   return std::chrono::duration_cast<milliseconds>(Clock::now() - start);
 }
@@ -60,6 +65,7 @@
                          std::shared_ptr<BufferBudget> budget)
     : m_context(context),
       m_headers(headers),
+      m_running(headers.call_id_separator),
       m_admission(options),
       m_pool(context),
       m_outcomes(outcomes),
@@ -134,6 +140,13 @@
         headers::kNestedCall, headers::kMayHandBack}) {
     head->erase(name);
   }
+  if (m_removes_credentials) EraseHeader(m_headers.authorization, head);
+  // A call of a backend server may count for an organisation, but has no key.
+  EraseHeader(m_headers.organisation, head);
+  if (!m_headers.organisation.empty() && !call.organisation.empty() &&
+      !call.is_nested_call) {
+    head->set(m_headers.organisation, call.organisation);
+  }
   head->set(m_headers.request_id, call.request_id);
   head->set(m_headers.deadline_ms,
             std::to_string(call.RemainingMs(Clock::now())));
@@ -223,6 +236,7 @@
                                 .instance = run.admission.instance,
                                 .address = run.admission.address,
                                 .key = call.key});
+    run.running = m_running.Begin(call);
     run.result = co_await Forward(m_pool, inbound, options);
     if (run.result.connection_lost &&
         !m_admission.IsLeaving(call.service, call.version)) {
@@ -282,6 +296,7 @@
                       run.admission.run_time, run_time);
   if (!run.result.caller_gone) ReportOutcome(call, run, complete);
   run.isolation.reset();
+  run.running.reset();
   // A 504 may say that the deadline ended the run before it could do harm.
   const bool responded =
       ran && complete && run.result.head.result_int() != kGatewayTimeout;
--- a/src/node/local_runner.h
+++ b/src/node/local_runner.h
@@ -34,6 +34,7 @@
 #include "kumquatmoor/transport/upstream_pool.h"
 #include "node/call.h"
 #include "node/crash_detector.h"
+#include "node/running_requests.h"
 
 namespace kumquatmoor {
 
@@ -48,6 +49,7 @@
   // Held while a request runs apart from others that may crash the backend
   // server.
   std::shared_ptr<void> isolation;
+  RunningRequests::Entry running;  // Held while the backend server runs it.
 };
 
 // The value of the load header: requests in flight and slots, as "3/10".
@@ -82,6 +84,11 @@
   // runs a retry.
   bool IsCallOfRetry(const std::string& request_id) const;
 
+  // The requests that the backend servers of this host run.
+  const RunningRequests& Running() const { return m_running; }
+  // If set, no credentials are passed to backend servers.
+  void SetRemovesCredentials(bool removes) { m_removes_credentials = removes; }
+
   // Calls `handler` when a backend server says that it leaves.
   void SetLeavingHandler(std::function<void(const LocalBackend&)> handler) {
     m_on_leaving = std::move(handler);
@@ -129,6 +136,8 @@
 
   boost::asio::io_context& m_context;
   const CallHeaders& m_headers;
+  RunningRequests m_running;
+  bool m_removes_credentials = false;
   Admission m_admission;
   UpstreamPool m_pool;
   BoundedRing<Outcome>* m_outcomes;
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -112,6 +112,7 @@
     }
     m_routes = std::move(routes);
     m_runner->GetAdmission().SetRoutes(*m_routes);
+    m_runner->SetRemovesCredentials(RequiresKeys());
     if (m_routes->http_routes != nullptr) {
       m_bounds = ToCallerBounds(m_routes->http_routes->Limits());
     }
--- a/src/node/proxy_attempts.cc
+++ b/src/node/proxy_attempts.cc
@@ -30,6 +30,11 @@
   if (!value.empty()) head->set(name, value);
 }
 
+// Removes all fields of that name, if the deployment has such a header.
+void RemoveHeader(const std::string& name, RequestHead* head) {
+  if (!name.empty()) head->erase(name);
+}
+
 }  // namespace
 
 milliseconds Proxy::RelayTime(const std::string& route) const {
@@ -42,6 +47,8 @@
                                const Call& call) const {
   RequestHead head = inbound.Head();
   RemoveHopByHopHeaders(&head);
+  if (RequiresKeys()) RemoveHeader(m_options.headers.authorization, &head);
+  RemoveHeader(m_options.headers.organisation, &head);
   head.set(headers::kService, call.service);
   head.set(headers::kVersion, call.version);
   head.set(m_options.headers.request_id, call.request_id);
--- a/src/node/proxy_behind.cc
+++ b/src/node/proxy_behind.cc
@@ -23,9 +23,9 @@
   return status == 413 || status == 431;
 }
 
-// True for the statuses that follow from routes or limits.
+// True for the statuses that follow from routes, keys or limits.
 bool FollowsFromConfiguration(unsigned status) {
-  return status == 404 || FollowsFromLimits(status);
+  return status == 401 || status == 404 || FollowsFromLimits(status);
 }
 
 }  // namespace
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -102,6 +102,7 @@
     const HttpRoute* route =
         index->Find(Text(head[http::field::host]), Text(head.target()));
     if (route == nullptr) return Rejection{404, "no route"};
+    if (auto refusal = Authenticate(inbound, *route, call)) return refusal;
     ApplyRoute(*route, call);
     call->key = KeyOf(inbound, *call);
     return std::nullopt;
--- a/src/state/routes.cc
+++ b/src/state/routes.cc
@@ -183,6 +183,7 @@
   table->revision = batch.revision();
   table->zone = zone;
   table->http_routes = std::make_shared<const HttpRouteIndex>(batch);
+  table->organisations = std::make_shared<const OrganisationIndex>(batch);
   for (const auto& config : batch.services()) {
     RebuildService(config.service(), batch, marks, targets, table.get());
   }
@@ -196,6 +197,7 @@
   if (table->revision != batch.revision()) {
     table->revision = batch.revision();
     table->http_routes = std::make_shared<const HttpRouteIndex>(batch);
+    table->organisations = std::make_shared<const OrganisationIndex>(batch);
   }
   for (const auto& service : changed) {
     const auto members = members_of(service);
