Merge the authentication of organisations

Nested calls are recognised by one table of running requests. A request with a key is that of a caller, also if its id begins like that of a running request, so that its organisation is never replaced.

--- a/include/kumquatmoor/state/routes.h
+++ b/include/kumquatmoor/state/routes.h
@@ -27,6 +27,7 @@
 #include "kumquatmoor/state/evacuation.h"
 #include "kumquatmoor/state/http_routes.h"
 #include "kumquatmoor/state/marks.h"
+#include "kumquatmoor/state/organisations.h"
 
 namespace kumquatmoor {
 
@@ -72,6 +73,8 @@
   uint64_t revision = 0;  // Of the batch.
   // Routes by host and path; empty if the batch has none.
   std::shared_ptr<const HttpRouteIndex> http_routes;
+  // By the keys of the same batch.
+  std::shared_ptr<const OrganisationIndex> organisations;
   std::string zone;  // Of the node that routes by this table.
   // Zones whose targets are left out, and whose nodes refuse requests.
   ZoneSet evacuated_zones;
--- a/src/node/local_runner.h
+++ b/src/node/local_runner.h
@@ -50,6 +50,7 @@
   // Held while a request runs apart from others that may crash the backend
   // server.
   std::shared_ptr<void> isolation;
+  RunningRequests::Entry running;  // Held while the backend server runs it.
 };
 
 // The value of the load header: requests in flight and slots, as "3/10".
@@ -86,9 +87,14 @@
   // The request during which a backend server of this host makes the call with
   // this id. Returns nullptr if it is no such call.
   const Call* FindParent(std::string_view request_id) const {
-    return m_running.FindParent(request_id, m_headers.call_id_separator);
+    return m_running.FindParent(request_id);
   }
 
+  // The requests that the backend servers of this host run.
+  const RunningRequests& Running() const { return m_running; }
+  // If set, no credentials are passed to backend servers.
+  void SetRemovesCredentials(bool removes) { m_removes_credentials = removes; }
+
   // Calls `handler` when a backend server says that it leaves.
   void SetLeavingHandler(std::function<void(const LocalBackend&)> handler) {
     m_on_leaving = std::move(handler);
@@ -147,6 +153,8 @@
 
   boost::asio::io_context& m_context;
   const CallHeaders& m_headers;
+  RunningRequests m_running;
+  bool m_removes_credentials = false;
   Admission m_admission;
   UpstreamPool m_pool;
   BoundedRing<Outcome>* m_outcomes;
@@ -162,7 +170,6 @@
   std::map<std::pair<std::string, std::string>, std::weak_ptr<void>> m_isolated;
   // Ids of retries that were sent to a backend server.
   RecentIds m_retried_runs{kMaxRetriedRuns};
-  RunningRequests m_running;
   std::map<uint64_t, std::shared_ptr<Waiter>> m_waiters;  // By ticket.
   // Connections to backend servers that carry a request.
   std::shared_ptr<ActiveStreams> m_active = std::make_shared<ActiveStreams>();
--- a/src/node/nested_calls_test.cc
+++ b/src/node/nested_calls_test.cc
@@ -129,16 +129,19 @@
                     .deadline = now + milliseconds(900),
                     .organisation = "o",
                     .organisation_priority = 2};
-  RunningRequests running;
-  CHECK(running.FindParent("r.1.1", ".") == nullptr);
+  RunningRequests running(".");
+  CHECK(running.FindParent("r.1.1") == nullptr);
   {
-    const auto entry = running.Add(parent);
-    const auto again = running.Add(parent);
-    REQUIRE(running.FindParent("r.1.1", ".") == &parent);
-    CHECK(running.FindParent("r.1", ".") == nullptr);
-    CHECK(running.FindParent("r.1", "") == nullptr);
+    const auto entry = running.Begin(parent);
+    const auto again = running.Begin(parent);
+    REQUIRE(running.FindParent("r.1.1") != nullptr);
+    CHECK(running.FindParent("r.1.1")->route == parent.route);
+    CHECK(running.FindParent("r.1") == nullptr);
   }
-  CHECK(running.FindParent("r.1.1", ".") == nullptr);
+  CHECK(running.FindParent("r.1.1") == nullptr);
+  RunningRequests without_separator("");
+  const auto entry = without_separator.Begin(parent);
+  CHECK(without_separator.FindParent("r.1") == nullptr);
   Call call{.priority = 2,
             .objective = now + milliseconds(100),
             .deadline = now + milliseconds(1'000)};
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -115,6 +115,7 @@
     }
     m_routes = std::move(routes);
     m_runner->GetAdmission().SetRoutes(*m_routes, now);
+    m_runner->SetRemovesCredentials(RequiresKeys());
     m_runner->WakeWaiting();
     if (m_routes->http_routes != nullptr) {
       m_bounds = ToCallerBounds(m_routes->http_routes->Limits());
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -103,8 +103,12 @@
     const HttpRoute* route =
         index->Find(Text(head[http::field::host]), Text(head.target()));
     if (route == nullptr) return Rejection{404, "no route"};
+    if (auto refusal = Authenticate(inbound, *route, call)) return refusal;
     ApplyRoute(*route, call);
-    if (parent != nullptr) InheritFromParent(*parent, call);
+    // A key is that of a caller, whatever the id of its request looks like.
+    if (parent != nullptr && call->key_hash.empty()) {
+      InheritFromParent(*parent, call);
+    }
     call->key = KeyOf(inbound, *call);
     return std::nullopt;
   }
--- a/src/node/running_requests.h
+++ b/src/node/running_requests.h
@@ -2,14 +2,18 @@
 #define KUMQUATMOOR_SRC_NODE_RUNNING_REQUESTS_H_
 
 // RunningRequests: the requests that the backend servers of this host run, by
-// id. A call that a backend server makes meanwhile has the id of the request
-// that it runs, a separator and a suffix.
+// id. A call that a backend server makes while it runs a request names that
+// request in its id.
 //
-//   const auto entry = running.Add(call);  // Until `entry` is destroyed.
-//   ...
-//   const Call* parent = running.FindParent("r17.1", ".");
-//   if (parent != nullptr) InheritFromParent(*parent, &nested_call);
+//   RunningRequests running(".");
+//   RunningRequests::Entry entry = running.Begin(call);  // Id "q7".
+//   const Call* parent = running.FindParent("q7.2");     // `call`
+//   entry.reset();                                       // The run has ended.
+//
+// Used from the one thread of the proxy's io_context. Entries may outlive the
+// table. Pointers to calls are valid until their entry ends.
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,34 +24,26 @@
 namespace kumquatmoor {
 
 class RunningRequests {
- private:
-  // The same id may run more than once if the request is idempotent.
-  using Calls = std::multimap<std::string, const Call*, std::less<>>;
-
  public:
-  class Entry {
-   public:
-    Entry(std::shared_ptr<Calls> calls, Calls::iterator position)
-        : m_calls(std::move(calls)), m_position(position) {}
-    ~Entry() { m_calls->erase(m_position); }
-    Entry(const Entry&) = delete;
-    Entry& operator=(const Entry&) = delete;
-
-   private:
-    std::shared_ptr<Calls> m_calls;  // Outlives the owner of the table.
-    Calls::iterator m_position;
-  };
-
-  // `call` must outlive the entry.
-  Entry Add(const Call& call) {
-    return {m_calls, m_calls->emplace(call.request_id, &call)};
-  }
-  // The request during which a backend server makes the call `call_id`. Returns
-  // nullptr if none runs, or if calls have no separator.
-  const Call* FindParent(std::string_view call_id,
-                         std::string_view separator) const;
+  // Ends the run when it is destroyed.
+  using Entry = std::unique_ptr<void, std::function<void(void*)>>;
+
+  // `separator` is between the id of a request and the rest of the id of a call
+  // that is made for it. If it is empty, calls cannot be recognised.
+  explicit RunningRequests(std::string separator)
+      : m_separator(std::move(separator)) {}
+
+  Entry Begin(const Call& call);
+  // The request that a backend server of this host runs and for which it makes
+  // the call with this id. Returns nullptr if there is none.
+  const Call* FindParent(std::string_view request_id) const;
+  // True if the id has the form of that of a call.
+  bool HasCallId(std::string_view request_id) const;
 
  private:
+  using Calls = std::multimap<std::string, Call, std::less<>>;
+
+  std::string m_separator;
   std::shared_ptr<Calls> m_calls = std::make_shared<Calls>();
 };
 
