Exchange quota tokens between nodes and refuse requests beyond a quota

A request of an organisation with a rate takes a token at its caller's node, or waits at most 100 ms for one, and gets 429 with Retry-After without one. One that no target has run returns its token. The control thread asks the authorities; requests for tokens of 2 ms share a datagram.

--- a/include/kumquatmoor/coordination/quota_client.h
+++ b/include/kumquatmoor/coordination/quota_client.h
@@ -7,11 +7,9 @@
 //   QuotaClient client(seed);
 //   client.SetLimits(limits, known_members, now);
 //   const QuotaDecision decision = client.Take("acme", now);
-//   std::visit(Overloaded{[](QuotaTaken) { Serve(); },
-//                         [](QuotaDenied denied) { Refuse(denied.retry_after);
-//                         },
-//                         [](QuotaWait) { WaitForGrant(); }},
-//              decision);
+//   if (const auto* denied = std::get_if<QuotaDenied>(&decision)) {
+//     Refuse(denied->retry_after);
+//   }
 //   if (client.NextRequestsAt() <= now) Send(client.PopRequests(now));
 //   client.OnGrant(grant, sent, now);
 //
--- a/include/kumquatmoor/node/call_metrics.h
+++ b/include/kumquatmoor/node/call_metrics.h
@@ -28,6 +28,11 @@
   using Runs = std::array<uint64_t, 3>;  // Indexed by AttemptKind.
 
   enum class Origin { kNode, kBackend };  // What made a response.
+  // What a request of an organisation with a quota got: a token of the
+  // authority, one of the fallback, or a denial.
+  enum class Quota { kGranted, kFallback, kDenied };
+  // Organisations with counters of their own. Others are counted together.
+  static constexpr size_t kMaxOrganisations = 100;
 
   CallMetrics();
 
@@ -65,6 +70,7 @@
   void OnRefusedBehind() { ++m_refused_behind; }
   // Counts bytes that the link carried of a response that was not completed.
   void OnWastedBytes(size_t bytes) { m_wasted_bytes += bytes; }
+  void OnQuota(const std::string& organisation, Quota outcome);
   // Counts an outcome that was dropped because the ring to the control thread
   // was full.
   void OnLostOutcome() { ++m_lost_outcomes; }
@@ -74,6 +80,8 @@
   std::string ToPrometheus() const;
 
  private:
+  std::string QuotaText() const;
+
   using Axis =
       boost::histogram::axis::regular<double,
                                       boost::histogram::axis::transform::log>;
@@ -92,6 +100,9 @@
   uint64_t m_refused_behind = 0;
   std::chrono::nanoseconds m_longest_behind{0};
   std::map<std::pair<unsigned, Origin>, uint64_t> m_denied;
+  using QuotaCounts = std::array<uint64_t, 3>;  // Indexed by Quota.
+  std::map<std::string, QuotaCounts> m_quotas;  // By organisation.
+  QuotaCounts m_other_quotas{};
   boost::histogram::histogram<std::tuple<Axis>> m_latency;
   double m_latency_sum_ms = 0;
 };
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -37,6 +37,7 @@
 
 #include "kumquatmoor/coordination/ack_tree.h"
 #include "kumquatmoor/coordination/member_directory.h"
+#include "kumquatmoor/coordination/quota_exchange.h"
 #include "kumquatmoor/coordination/replica.h"
 #include "kumquatmoor/node/backend_registry.h"
 #include "kumquatmoor/node/move_controller.h"
@@ -143,6 +144,9 @@
   void OnBackendCrash(const BackendCrash& crash);
   void OnSuspectResponse(const std::string& key, const std::string& service,
                          const std::string& version);
+  // Asks the quota authorities for the tokens that the proxy requested at
+  // `sent`, by BootTime().
+  void AskForQuota(const std::vector<QuotaRequest>& requests, TimePoint sent);
   // Forgets the crashes of a request in the whole mesh. Returns false if there
   // is no such record.
   bool ClearCrashes(const std::string& key);
@@ -197,6 +201,11 @@
   // Passes changed crash records to the proxy and logs requests that are newly
   // blocked or no longer blocked.
   void PublishCrashes();
+  // Takes the quotas from a new batch, and passes quotas and the number of
+  // members to the proxy if they, or the authorities, have changed.
+  void UpdateQuotas();
+  void OnQuotaDatagram(const Datagram& datagram, TimePoint now);
+  void SendQuotas(QuotaExchange::Result result);
   std::vector<std::string> OwnZoneIds() const;
   void UpdateAckTree(TimePoint now);
   void UpdateMoves(TimePoint now);
@@ -232,6 +241,9 @@
   AckTree m_ack_tree;
   MoveController m_move_controller;
   BackendRegistry m_registry;
+  QuotaExchange m_quotas;
+  std::shared_ptr<const Batch> m_quota_batch;  // That the quotas are of.
+  std::shared_ptr<const QuotaLimits> m_quota_limits;
   bool m_ready = false;
   bool m_store_loaded = false;
   bool m_knows_departures = false;
--- a/include/kumquatmoor/node/log_budget.h
+++ b/include/kumquatmoor/node/log_budget.h
@@ -25,6 +25,7 @@
   kFailed,     // Requests that failed or whose outcome is unknown.
   kAdmission,  // Admission decisions of the node at the target's host.
   kDenied,     // Requests that got a status of 3xx or 4xx.
+  kQuota,      // Requests that exceed the quota of their organisation.
 };
 
 inline std::string_view LogKindName(LogKind kind) {
@@ -39,6 +40,8 @@
       return "admission";
     case LogKind::kDenied:
       return "denied";
+    case LogKind::kQuota:
+      return "quota";
   }
   return "";
 }
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -33,6 +33,7 @@
 #include <string>
 #include <vector>
 
+#include "kumquatmoor/coordination/quota_limits.h"
 #include "kumquatmoor/node/admission.h"
 #include "kumquatmoor/node/call_metrics.h"
 #include "kumquatmoor/node/log_budget.h"
@@ -52,7 +53,9 @@
 namespace kumquatmoor {
 
 class LocalRunner;
+class QuotaGate;
 struct Call;
+struct QuotaDenied;
 
 struct ProxyOptions {
   std::string id;  // Member id of this node.
@@ -128,6 +131,19 @@
       std::function<void(const std::string& key, const std::string& service,
                          const std::string& version)>
           on_response);
+  // Replaces the quotas of organisations and the number of members that share
+  // them. Call it also when authorities of quotas may have changed.
+  void SetQuotas(std::shared_ptr<const QuotaLimits> limits,
+                 size_t known_members);
+  // Calls `handler` on the proxy's thread with requests for tokens of quotas
+  // and the time, by BootTime(), at which they were made. Call before the
+  // context runs.
+  void SetQuotaHandler(
+      std::function<void(std::vector<QuotaRequest>, TimePoint)> handler);
+  // The tokens of this node. Use it on the proxy's thread.
+  QuotaGate& Quotas() { return *m_quotas; }
+  // Takes over the replies to requests for tokens that were made at `sent`.
+  void OnQuotaGrants(std::vector<QuotaGrant> grants, TimePoint sent);
   // Refuses new requests for a version that has lost its share. Calls `closed`
   // once no request for the version is left.
   void CloseVersion(std::string service, std::string version,
@@ -184,6 +200,18 @@
                            const Attempt& attempt);
   // The configuration by which a request is routed, for the log.
   std::string ConfigurationText() const;
+  // Takes a token if the request's organisation has a quota. Returns the denial
+  // if there is none. `taken` is set to the time of the token, if one was
+  // taken.
+  boost::asio::awaitable<std::optional<QuotaDenied>> TakeQuotaToken(
+      const Call& call, std::optional<TimePoint>* taken);
+  // Responds that the quota is used up. False if the connection must be closed.
+  boost::asio::awaitable<bool> RefuseByQuota(InboundRequest& inbound,
+                                             const Call& call,
+                                             QuotaDenied denied);
+  // Returns the token that was taken at `taken`, if the request has not run.
+  void ReturnUnusedToken(const Call& call, std::optional<TimePoint> taken,
+                         Verdict verdict);
   // Sends the request to one target after another until an attempt succeeds or
   // no retry is allowed. `attempt` has the result of the last attempt.
   boost::asio::awaitable<void> TryTargets(InboundRequest& inbound,
@@ -281,6 +309,7 @@
   CallMetrics m_metrics;
   CallMetrics::Runs m_logged_runs{};  // As of the last LogRetries().
   std::unique_ptr<LocalRunner> m_runner;
+  std::unique_ptr<QuotaGate> m_quotas;
   LogBudget m_log_budget;
   TargetLoads m_loads;
   ResponseSizes m_response_sizes;  // Of responses to callers.
--- a/src/node/call_metrics.cc
+++ b/src/node/call_metrics.cc
@@ -9,6 +9,14 @@
 constexpr double kLowestMs = 0.1;
 constexpr double kHighestMs = 30'000;
 
+// A value of a label, without the characters that would end it.
+std::string LabelText(std::string text) {
+  std::replace_if(
+      text.begin(), text.end(),
+      [](char c) { return c == '"' || c == '\\' || c == '\n'; }, '?');
+  return text;
+}
+
 }  // namespace
 
 CallMetrics::CallMetrics()
@@ -21,6 +29,34 @@
   m_latency_sum_ms += latency_ms;
 }
 
+void CallMetrics::OnQuota(const std::string& organisation, Quota outcome) {
+  auto found = m_quotas.find(organisation);
+  if (found == m_quotas.end() && m_quotas.size() < kMaxOrganisations) {
+    found = m_quotas.emplace(organisation, QuotaCounts{}).first;
+  }
+  QuotaCounts& counts =
+      found == m_quotas.end() ? m_other_quotas : found->second;
+  ++counts[static_cast<size_t>(outcome)];
+}
+
+std::string CallMetrics::QuotaText() const {
+  if (m_quotas.empty()) return "";
+  std::string text = "# TYPE kumquatmoor_quota_requests_total counter\n";
+  const auto add = [&](const std::string& organisation,
+                       const QuotaCounts& counts) {
+    const char* const outcomes[] = {"granted", "fallback", "denied"};
+    for (size_t i = 0; i < counts.size(); ++i) {
+      text += fmt::format(
+          "kumquatmoor_quota_requests_total{{organisation=\"{}\","
+          "outcome=\"{}\"}} {}\n",
+          LabelText(organisation), outcomes[i], counts[i]);
+    }
+  };
+  for (const auto& [name, counts] : m_quotas) add(name, counts);
+  if (m_quotas.size() >= kMaxOrganisations) add("", m_other_quotas);
+  return text;
+}
+
 std::string CallMetrics::ToPrometheus() const {
   std::string text = "# TYPE kumquatmoor_calls_total counter\n";
   for (auto verdict : {Verdict::kNotRun, Verdict::kMayHaveRun, Verdict::kRan}) {
@@ -42,6 +78,7 @@
         "kumquatmoor_denied_total{{status=\"{}\",origin=\"{}\"}} {}\n", status,
         origin == Origin::kNode ? "node" : "backend", count);
   }
+  text += QuotaText();
   const auto counter = [&](const char* name, uint64_t value) {
     text += fmt::format("# TYPE {} counter\n{} {}\n", name, name, value);
   };
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -12,6 +12,7 @@
 #include "kumquatmoor/state/observed_clock.h"
 #include "kumquatmoor/state/routes.h"
 #include "kumquatmoor/state/store_revision.h"
+#include "node/boot_time.h"
 #include "node/unix_time.h"
 
 namespace kumquatmoor {
@@ -51,8 +52,9 @@
       m_timer(context),
       m_replica(m_options.replica, Clock::now()),
       m_ack_tree(AckTreeOptions{.id = m_options.replica.id}),
-      m_move_controller(MoveControllerOptions{
-          .id = m_options.replica.id, .zone = m_options.replica.zone}) {}
+      m_move_controller(MoveControllerOptions{.id = m_options.replica.id,
+                                              .zone = m_options.replica.zone}),
+      m_quotas(m_options.replica.id, BootTime()) {}
 
 boost::system::error_code ControlLoop::Start() {
   m_started_at = Clock::now();
@@ -131,6 +133,7 @@
   }
   if (auto peer = m_replica.PopSyncPeer()) m_syncs->TryPush(std::move(*peer));
   PublishRoutes();
+  UpdateQuotas();
   CheckGeneration();
   PublishBehindSince();
   ExtendDecisions(now);
@@ -153,6 +156,7 @@
   const TimePoint now = Clock::now();
   NotePause(now);
   m_last_datagram_at = now;
+  if (datagram.kind() == Datagram::QUOTA) return OnQuotaDatagram(datagram, now);
   if (datagram.kind() == Datagram::EVIDENCE) {
     m_move_controller.OnOutcomeCounts(datagram.from(), datagram.incarnation(),
                                       datagram.evidence());
@@ -320,7 +324,9 @@
 // Publishes a new batch at once. Other changes wait for the next tick, so that
 // a burst of them costs one snapshot of the routes.
 void ControlLoop::PublishNewBatch() {
-  if (m_replica.SharedBatch() != m_published_batch) PublishRoutes();
+  if (m_replica.SharedBatch() == m_published_batch) return;
+  PublishRoutes();
+  UpdateQuotas();
 }
 
 void ControlLoop::PublishBehindSince() {
--- a/src/node/control_loop_log.cc
+++ b/src/node/control_loop_log.cc
@@ -87,6 +87,7 @@
          line("kumquatmoor_control_sent_bytes_total", m_socket.BytesSent()) +
          line("kumquatmoor_control_received_bytes_total",
               m_socket.BytesReceived()) +
+         line("kumquatmoor_quota_buckets", m_quotas.Buckets()) +
          line("kumquatmoor_crash_suspects", m_replica.Crashes().All().size()) +
          line("kumquatmoor_blocked_keys", m_replica.Crashes().BlockedCount()) +
          line("kumquatmoor_control_sent_total", m_socket.DatagramsSent());
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -143,6 +143,12 @@
     m_loop.Post(
         [backend](ControlLoop& loop) { loop.OnBackendLeaving(backend); });
   });
+  m_proxy.SetQuotaHandler(
+      [this](std::vector<QuotaRequest> requests, TimePoint sent) {
+        m_loop.Post([requests = std::move(requests), sent](ControlLoop& loop) {
+          loop.AskForQuota(requests, sent);
+        });
+      });
   m_loop.SetGenerationHandler([this] { m_departures.WriteAgain(); });
   m_proxy.SetCrashHandlers(
       [this](const BackendCrash& crash) {
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -16,6 +16,7 @@
 
 #include "node/caller_connection.h"
 #include "node/local_runner.h"
+#include "node/quota_gate.h"
 
 namespace kumquatmoor {
 namespace {
@@ -94,6 +95,7 @@
       m_runner(std::make_unique<LocalRunner>(context, m_options.headers,
                                              m_options.admission, outcomes,
                                              &m_metrics, m_budget)),
+      m_quotas(std::make_unique<QuotaGate>(context, m_options.seed)),
       m_rng(m_options.seed) {}
 
 Proxy::~Proxy() = default;
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -15,6 +15,7 @@
 #include <optional>
 #include <utility>
 
+#include "kumquatmoor/coordination/quota_client.h"
 #include "kumquatmoor/node/proxy.h"
 #include "kumquatmoor/protocol/backend_notice.h"
 #include "kumquatmoor/protocol/headers.h"
@@ -186,9 +187,14 @@
     co_return co_await Reject(inbound, std::move(*rejection));
   }
   if (m_behind_since) m_metrics.OnDecidedBehind(Clock::now() - *m_behind_since);
+  std::optional<TimePoint> token;
+  if (const auto denied = co_await TakeQuotaToken(call, &token)) {
+    co_return co_await RefuseByQuota(inbound, call, *denied);
+  }
   Attempt attempt;
   attempt.call = call;
   co_await TryTargets(inbound, call, attempt);
+  ReturnUnusedToken(call, token, attempt.result.verdict);
   if (attempt.result.caller_gone) co_return false;
   const ForwardResult& result = attempt.result;
   if (result.answered && result.verdict != Verdict::kNotRun &&
