--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -150,6 +150,12 @@
       loop.OnColdUnknown(address, at);
     });
   });
+  m_proxy.SetQuotaHandler(
+      [this](std::vector<QuotaRequest> requests, TimePoint sent) {
+        m_loop.Post([requests = std::move(requests), sent](ControlLoop& loop) {
+          loop.AskForQuota(requests, sent);
+        });
+      });
   m_loop.SetGenerationHandler([this] { m_departures.WriteAgain(); });
   m_proxy.SetCrashHandlers(
       [this](const BackendCrash& crash) {
