Accept keys only while the batch is confirmed to be current

Cause: a node that cannot hear of a revocation went on accepting the key. Change: BatchConfirmation holds as of when the batch in force is the newest one of the store, on CLOCK_BOOTTIME: from own reads, and from ages in the digests of other members. A pushed age is exact only within the time in flight, so a node that hears of a much fresher confirmation probes the sender before it passes it on. The proxy refuses keys with 503 beyond 0.9 of key_revocation_s, checked for each request and each further attempt. Without keys, or with the setting 0, nothing is sent. The node and platform cases are built, but have not been run at this commit.

--- a/include/kumquatmoor/node/call_metrics.h
+++ b/include/kumquatmoor/node/call_metrics.h
@@ -68,6 +68,9 @@
   void OnAuthentication(Authentication::Outcome outcome) {
     ++m_authentications[outcome];
   }
+  // Counts a caller's request that was refused since its key could not be
+  // decided by a configuration that may have been replaced.
+  void OnRefusedUnconfirmed() { ++m_refused_unconfirmed; }
   // Counts bytes that the link carried of a response that was not completed.
   void OnWastedBytes(size_t bytes) { m_wasted_bytes += bytes; }
   // Counts an outcome that was dropped because the ring to the control thread
@@ -95,6 +98,7 @@
   uint64_t m_wasted_bytes = 0;
   uint64_t m_decided_behind = 0;
   uint64_t m_refused_behind = 0;
+  uint64_t m_refused_unconfirmed = 0;
   std::chrono::nanoseconds m_longest_behind{0};
   std::map<std::pair<unsigned, Origin>, uint64_t> m_denied;
   std::map<Authentication::Outcome, uint64_t> m_authentications;
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -31,11 +31,13 @@
 #include <future>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "kumquatmoor/coordination/ack_tree.h"
+#include "kumquatmoor/coordination/batch_confirmation.h"
 #include "kumquatmoor/coordination/member_directory.h"
 #include "kumquatmoor/coordination/replica.h"
 #include "kumquatmoor/node/backend_registry.h"
@@ -59,6 +61,8 @@
   // A node whose calls to the platform failed may be selected as a gateway
   // again after this time, which is the length of a long partition.
   std::chrono::milliseconds platform_retry_delay{10'000};
+  // As in ProxyOptions. If it is 0, members are told of no confirmations.
+  std::chrono::milliseconds key_revocation{0};
 };
 
 class ControlLoop {
@@ -116,6 +120,9 @@
   // state; empty for a read of changes.
   void ApplySourceUpdate(const SourceUpdate& update,
                          std::optional<TimePoint> complete_since);
+  // A read of the platform that began at that time showed no newer batch than
+  // that of the stamp, which has been applied before.
+  void ConfirmRead(BootTime began, const BatchStamp& read);
   // Records whether the last call to the platform succeeded. While it did not,
   // other members select another gateway.
   void SetPlatformReachable(bool reachable);
@@ -184,6 +191,16 @@
   // Lets the proxy decide for some more time, unless the process was stopped
   // and has not heard of other members since.
   void ExtendDecisions(TimePoint now);
+  // Confirmations are passed on to other members only where keys need them.
+  bool SharesConfirmation() const;
+  void ReceiveConfirmation(const Datagram& datagram, BootTime now);
+  // Responds to a probe that asks for a confirmation only, or takes over the
+  // one in its ACK. Returns false for other datagrams.
+  bool OnConfirmationProbe(const Datagram& datagram, BootTime now);
+  // Tells the proxy as of when the batch in force is confirmed, and some
+  // members.
+  void PublishConfirmation();
+  void PushConfirmation();
   // Before the node has joined and has read the platform, it does not know
   // which of its backend servers had said before a restart that they leave, so
   // it publishes none.
@@ -229,6 +246,10 @@
   DatagramSocket m_socket;
   boost::asio::steady_timer m_timer;
   Replica m_replica;
+  BatchConfirmation m_confirmation;
+  std::optional<BootTime> m_published_confirmation;
+  uint64_t m_confirmation_probes = 0;
+  std::mt19937_64 m_rng;
   AckTree m_ack_tree;
   MoveController m_move_controller;
   BackendRegistry m_registry;
--- a/include/kumquatmoor/node/gateway.h
+++ b/include/kumquatmoor/node/gateway.h
@@ -84,7 +84,9 @@
   // call.
   bool NeedsCompleteRead();
   // Passes an update to the control loop, and waits while its ring is full.
-  void Deliver(SourceUpdate update, std::optional<TimePoint> complete_since);
+  // The read began at `began`.
+  void Deliver(SourceUpdate update, std::optional<TimePoint> complete_since,
+               BootTime began);
   // Logs a failed call and reports it to the control loop.
   void RecordFailure(const Failure& failure);
   // Prepares a read of the complete state.
@@ -103,6 +105,7 @@
   Platform* m_platform;
   ConfigurationSource* m_source;
   std::mt19937_64 m_rng;
+  BatchStamp m_read_batch;  // The last one that the source had.
   bool m_loaded = false;    // The complete configuration has been read.
   bool m_reachable = true;  // The last call to the platform succeeded.
   std::chrono::milliseconds m_backoff;
--- a/include/kumquatmoor/node/node_settings.h
+++ b/include/kumquatmoor/node/node_settings.h
@@ -62,6 +62,9 @@
   // Retries and calls of retries of a service, over all nodes and in any
   // period, for each request.
   double retry_ratio = 0.2;
+  // Time for which a key may be accepted after it was revoked. Zero: as long as
+  // the node does not know of the revocation.
+  std::chrono::milliseconds key_revocation{0};
   // Time after SIGTERM for which callers are still served, so that they can
   // switch to another node.
   std::chrono::milliseconds caller_grace{1'500};
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -38,6 +38,7 @@
 #include "kumquatmoor/node/log_budget.h"
 #include "kumquatmoor/node/remembered_notices.h"
 #include "kumquatmoor/protocol/verdict.h"
+#include "kumquatmoor/state/boot_clock.h"
 #include "kumquatmoor/state/crash_suspects.h"
 #include "kumquatmoor/state/outcome_counters.h"
 #include "kumquatmoor/state/picker.h"
@@ -76,6 +77,10 @@
   // Time after which a node that knows of a newer configuration than its own
   // serves no callers.
   std::chrono::milliseconds max_time_behind_serving{1'000};
+  // Time for which a key may still be accepted after a configuration without it
+  // is in force in the store. 0: keys are accepted however old the
+  // configuration of this node is.
+  std::chrono::milliseconds key_revocation{0};
   // Time after the drain timeout in which responses can be written, also to
   // callers that read slowly.
   std::chrono::milliseconds reply_timeout{200};
@@ -108,6 +113,9 @@
   // this function. A process that was stopped finds the time expired and thus
   // refuses what arrived meanwhile. Without a call there is no limit.
   void SetDecidesUntil(TimePoint until);
+  // The configuration of the routes was the newest one of the store at `at`,
+  // and has been set before.
+  void SetConfirmedAt(BootTime at);
   // True if callers are refused at `now` by a node that has been behind since
   // `since`. Safe from any thread.
   bool IsTooFarBehind(std::optional<TimePoint> since, TimePoint now) const;
@@ -207,6 +215,11 @@
   CallerCredentials CredentialsOf(const InboundRequest& inbound,
                                   const HttpRoute& route,
                                   const Call& call) const;
+  // False if the configuration may have been replaced for so long that keys
+  // must not be decided by it.
+  bool IsConfirmed() const;
+  // True if the key of the call is still valid; for another attempt.
+  bool MayUseKey(const Call& call) const;
   // Sets the organisation of `call` by the caller's key. Returns why the
   // request must not be routed, if so.
   std::optional<Rejection> Authenticate(const InboundRequest& inbound,
@@ -283,6 +296,7 @@
   std::shared_ptr<const RouteTable> m_routes;
   std::optional<TimePoint> m_behind_since;
   TimePoint m_decides_until = TimePoint::max();
+  std::optional<BootTime> m_confirmed_at;
   TimePoint m_started = Clock::now();
   TimePoint m_revision_since;  // Since when the revision is in force.
   std::shared_ptr<const CrashSuspects> m_crashes =
--- a/src/node/authentication_test.cc
+++ b/src/node/authentication_test.cc
@@ -94,6 +94,32 @@
   CHECK(status_of("k-4") == 200);
 }
 
+// Guards against a revoked key that a node without news of the store accepts,
+// and against a 401 for a key that it does not know yet.
+TEST_CASE_METHOD(DenialFixture, "Keys need a configuration that is confirmed") {
+  Configure(2, kWithKeys);
+  RawCaller caller;
+  const auto status_of = [&](const char* target, const char* key) {
+    caller.Send({Get(target, std::string("Auth: Token ") + key + "\r\n")});
+    return caller.Status();
+  };
+  Confirm(std::chrono::milliseconds(3'500));
+  Metrics();
+  CHECK(status_of("/a/1", "k-1") == 200);
+  CHECK(status_of("/a/1", "k-3") == 401);
+  Confirm(std::chrono::milliseconds(4'600));
+  Metrics();
+  CHECK(status_of("/a/1", "k-1") == 503);
+  CHECK(status_of("/a/1", "k-3") == 503);
+  CHECK(status_of("/p/1", "k-1") == 200);
+  CHECK(LastHead().count("Org") == 0);
+  CHECK(status_of("/b/1", "k-1") == 404);
+  CHECK(Metrics().find("refused_unconfirmed_total 2") != std::string::npos);
+  Confirm(std::chrono::milliseconds(100));
+  Metrics();
+  CHECK(status_of("/a/1", "k-1") == 200);
+}
+
 // Guards against calls of backend servers that are denied, and against callers
 // that pass for backend servers by the id of a request that has ended.
 TEST_CASE_METHOD(DenialFixture, "A call needs no key while its parent runs") {
--- a/src/node/call_metrics.cc
+++ b/src/node/call_metrics.cc
@@ -62,6 +62,7 @@
   counter("kumquatmoor_buffer_refusals_total", m_buffer_refusals);
   counter("kumquatmoor_link_wasted_bytes_total", m_wasted_bytes);
   counter("kumquatmoor_refused_behind_total", m_refused_behind);
+  counter("kumquatmoor_refused_unconfirmed_total", m_refused_unconfirmed);
   counter("kumquatmoor_decided_behind_total", m_decided_behind);
   text += fmt::format(
       "# TYPE kumquatmoor_decided_behind_max_ms gauge\n"
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -50,6 +50,7 @@
       m_socket(context, faults),
       m_timer(context),
       m_replica(m_options.replica, Clock::now()),
+      m_rng(m_options.replica.seed),
       m_ack_tree(AckTreeOptions{.id = m_options.replica.id}),
       m_move_controller(MoveControllerOptions{
           .id = m_options.replica.id, .zone = m_options.replica.zone}) {}
@@ -87,6 +88,7 @@
 
 void ControlLoop::PublishCommandResults() {
   PublishNewBatch();
+  PublishConfirmation();
   PublishBehindSince();
   // The process may have been stopped while a command ran.
   const TimePoint now = Clock::now();
@@ -97,6 +99,7 @@
 
 void ControlLoop::Tick() {
   const TimePoint now = Clock::now();
+  m_confirmation.NoteRunning(BootClock::now());
   NotePause(now);
   m_last_tick = now;
   if (m_tick_due != TimePoint()) {
@@ -131,6 +134,7 @@
   }
   if (auto peer = m_replica.PopSyncPeer()) m_syncs->TryPush(std::move(*peer));
   PublishRoutes();
+  PublishConfirmation();
   CheckGeneration();
   PublishBehindSince();
   ExtendDecisions(now);
@@ -151,6 +155,8 @@
     return;
   }
   const TimePoint now = Clock::now();
+  const BootTime arrived = BootClock::now();
+  m_confirmation.NoteRunning(arrived);
   NotePause(now);
   m_last_datagram_at = now;
   if (datagram.kind() == Datagram::EVIDENCE) {
@@ -159,20 +165,17 @@
   } else if (datagram.kind() == Datagram::SUBTREE) {
     m_ack_tree.OnReport(datagram.from(), datagram.subtree(), now);
   }
-  Send(m_replica.OnDatagram(datagram, now));
+  if (!OnConfirmationProbe(datagram, arrived)) {
+    Send(m_replica.OnDatagram(datagram, now));
+    ReceiveConfirmation(datagram, arrived);
+  }
   PublishNewBatch();
+  PublishConfirmation();
   PublishBehindSince();
   ExtendDecisions(now);
   PublishCrashes();
 }
 
-void ControlLoop::Send(const std::vector<OutgoingDatagram>& out) {
-  for (const auto& outgoing : out) {
-    m_socket.Send(outgoing.address, outgoing.zone,
-                  outgoing.datagram.SerializeAsString());
-  }
-}
-
 Datagram ControlLoop::MakeDatagram(Datagram::Kind kind) const {
   Datagram datagram;
   datagram.set_kind(kind);
--- a/src/node/denial_fixture.cc
+++ b/src/node/denial_fixture.cc
@@ -98,6 +98,7 @@
   const auto routes = BuildRoutes(batch, {}, std::vector{member}, "z");
   m_proxy.SetRoutes(routes);
   m_remote.SetRoutes(routes);
+  if (!options.keys.empty()) Confirm(milliseconds(0));
 }
 
 void DenialFixture::JoinWithoutConfiguration() {
@@ -112,6 +113,11 @@
                                    : std::nullopt);
 }
 
+void DenialFixture::Confirm(milliseconds age) {
+  m_proxy.SetConfirmedAt(BootClock::now() - age);
+  m_remote.SetConfirmedAt(BootClock::now() - age);
+}
+
 std::string DenialFixture::Metrics() {
   std::promise<std::string> text;
   m_proxy.ReadMetrics([&](const CallMetrics& metrics) {
@@ -141,6 +147,7 @@
                      .authorization = "Auth",
                      .authorization_scheme = "Token",
                      .organisation = "Org"};
+  options.key_revocation = milliseconds(5'000);
   options.admission.waiting_per_slot = 4;
   return options;
 }
--- a/src/node/denial_fixture.h
+++ b/src/node/denial_fixture.h
@@ -75,6 +75,8 @@
   void JoinWithoutConfiguration();
   // Lets the node beside the backend server know of a newer configuration.
   void SetBehind(bool is_behind);
+  // Confirms the configuration of both nodes as of `age` ago.
+  void Confirm(std::chrono::milliseconds age);
   // The metrics of the node beside the backend server.
   std::string Metrics();
   // The head of the last request that the backend server has read.
--- a/src/node/gateway.cc
+++ b/src/node/gateway.cc
@@ -113,6 +113,7 @@
   if (NeedsCompleteRead()) m_loaded = false;
   std::optional<TimePoint> complete_since;
   if (!m_loaded) complete_since = Clock::now();
+  const BootTime began = BootClock::now();
   auto update = Attempt([&] {
     return m_loaded ? m_source->Await(m_options.watch_timeout)
                     : m_source->Load();
@@ -133,7 +134,7 @@
   m_reachable = true;
   m_backoff = m_options.initial_backoff;
   m_loaded = true;
-  Deliver(std::get<SourceUpdate>(std::move(update)), complete_since);
+  Deliver(std::get<SourceUpdate>(std::move(update)), complete_since, began);
   ReportProgress();
   MaintainDirectory();
   SleepFor(m_options.watch_pause);
@@ -142,10 +143,13 @@
 // An update that was dropped would be missing for good, since the next read
 // returns the changes after it.
 void Gateway::Deliver(SourceUpdate update,
-                      std::optional<TimePoint> complete_since) {
+                      std::optional<TimePoint> complete_since, BootTime began) {
+  if (update.batch) m_read_batch = StampOf(*update.batch);
   const auto shared = std::make_shared<const SourceUpdate>(std::move(update));
-  const auto apply = [shared, complete_since](ControlLoop& loop) {
+  const auto apply = [shared, complete_since, began,
+                      read = m_read_batch](ControlLoop& loop) {
     loop.ApplySourceUpdate(*shared, complete_since);
+    loop.ConfirmRead(began, read);
     loop.SetStoreLoaded();
   };
   while (!m_loop->Post(apply)) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -67,6 +67,7 @@
                                              settings.retry_ratio}},
           .caller_grace = settings.caller_grace,
           .drain_timeout = settings.drain_timeout,
+          .key_revocation = settings.key_revocation,
           .reply_timeout = settings.reply_timeout,
           .link_rate = settings.link_mbps * kBytesPerSecondPerMbps,
           .callers_use_link = settings.callers_use_link,
@@ -83,6 +84,7 @@
   options.replica.started_ms = UnixMs();
   options.replica.seed = RandomSeed();
   options.replica.probe_interval = settings.probe_interval;
+  options.key_revocation = settings.key_revocation;
   options.gateways_per_zone = static_cast<size_t>(settings.gateways_per_zone);
   return options;
 }
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -93,6 +93,10 @@
       "waiting_per_slot", {.fallback = 0, .minimum = 0, .maximum = 1'000});
   settings->retry_ratio = reader->Number(
       "retry_ratio", {.fallback = 0.2, .minimum = 0, .maximum = 1});
+  const double revocation_s = reader->Number(
+      "key_revocation_s", {.fallback = 0, .minimum = 0, .maximum = 3'600});
+  settings->key_revocation =
+      milliseconds(static_cast<int64_t>(revocation_s * kMsPerSecond));
   settings->link_mbps = reader->Number(
       "link_mbps", {.fallback = 0, .minimum = 0, .maximum = 1e6});
   settings->callers_use_link = reader->Bool("callers_use_link", false);
--- a/src/node/proxy_authentication.cc
+++ b/src/node/proxy_authentication.cc
@@ -5,6 +5,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <boost/asio/post.hpp>
 #include <iterator>
 #include <utility>
 
@@ -16,6 +17,13 @@
 namespace kumquatmoor {
 namespace {
 
+namespace asio = boost::asio;
+
+// The part of the time for revocations that is used. The rest covers a request
+// that the check found valid and that its client sent a moment before, and the
+// rounding of ages.
+constexpr double kUsedPart = 0.9;
+
 // Time after the start of a node for which requests of its backend server may
 // run that the node does not know of: those that the node before it has sent.
 constexpr std::chrono::seconds kUnknownParentTime{10};
@@ -50,12 +58,37 @@
   return caller;
 }
 
+void Proxy::SetConfirmedAt(BootTime at) {
+  asio::post(m_context, [this, at] { m_confirmed_at = at; });
+}
+
+bool Proxy::IsConfirmed() const {
+  if (m_options.key_revocation.count() == 0) return true;
+  return m_confirmed_at && BootClock::now() - *m_confirmed_at <
+                               kUsedPart * m_options.key_revocation;
+}
+
+bool Proxy::MayUseKey(const Call& call) const {
+  if (call.key_hash.empty() || !RequiresKeys()) return true;
+  const auto* organisation = m_routes->organisations->Find(call.key_hash);
+  return organisation != nullptr && organisation->name == call.organisation &&
+         IsConfirmed();
+}
+
 std::optional<Proxy::Rejection> Proxy::Authenticate(
     const InboundRequest& inbound, const HttpRoute& route, Call* call) {
   if (!RequiresKeys()) return std::nullopt;
   Authentication result = AuthenticateCaller(
       *m_routes->organisations, CredentialsOf(inbound, route, *call));
   m_metrics.OnAuthentication(result.outcome);
+  const bool depends_on_keys = result.outcome != Authentication::kOpen &&
+                               result.outcome != Authentication::kCallOfBackend;
+  if (depends_on_keys && !IsConfirmed()) {
+    // The key may be revoked by now, so the request is not named by it.
+    if (route.is_public()) return std::nullopt;
+    m_metrics.OnRefusedUnconfirmed();
+    return Rejection{503, "the configuration is not known to be current"};
+  }
   switch (result.outcome) {
     case Authentication::kOpen:
       return std::nullopt;
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -203,7 +203,7 @@
                                         const Call& call, Attempt& attempt) {
   std::set<std::string> tried;
   std::optional<Attempt> arrived;  // The last one that may have arrived.
-  while (true) {
+  while (tried.empty() || MayUseKey(call)) {
     // `pick` points into the routing table, which must stay alive during the
     // attempt.
     const std::shared_ptr<const RouteTable> routes = m_routes;
--- a/tools/soak_mesh.py
+++ b/tools/soak_mesh.py
@@ -28,12 +28,15 @@
         "heartbeatS": HEARTBEAT_S, "service": host.service,
         "appAddr": host.at(BACKEND_PORT), "bounds.budgetRatio": 0.2,
         "bounds.graceS": GRACE_S, "limits.linkMbps": 1000.0,
-        "limits.memoryMb": 260}
+        "limits.memoryMb": 260, "bounds.revokeEverywhere": False}
     with open(os.path.join(ROOT, "deploy/node.json.template")) as file:
-        return re.sub(
-            r"\{\{([\w.]+)(\|json)?\}\}",
-            lambda m: json.dumps(values[m[1]]) if m[2] else str(values[m[1]]),
-            file.read())
+        text = re.sub(
+            r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}",
+            lambda m: m[2] if values[m[1]] else "", file.read(), flags=re.S)
+    return re.sub(
+        r"\{\{([\w.]+)(\|json)?\}\}",
+        lambda m: json.dumps(values[m[1]]) if m[2] else str(values[m[1]]),
+        text)
 
 
 class Mesh(Cluster):
