--- a/src/node/boot_time.h
+++ b/src/node/boot_time.h
@@ -1,22 +1,16 @@
 #ifndef KUMQUATMOOR_SRC_NODE_BOOT_TIME_H_
 #define KUMQUATMOOR_SRC_NODE_BOOT_TIME_H_
 
-// The time since the host was started, with the time for which it was
-// suspended. The steady clock stands still meanwhile. Not comparable with
-// Clock::now().
-
-#include <chrono>
-#include <ctime>
+// The time of BootClock for decisions that take a TimePoint. Not comparable
+// with Clock::now().
 
+#include "kumquatmoor/state/boot_clock.h"
 #include "kumquatmoor/state/limits.h"
 
 namespace kumquatmoor {
 
-inline TimePoint BootTime() {
-  timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return TimePoint(std::chrono::seconds(time.tv_sec) +
-                   std::chrono::nanoseconds(time.tv_nsec));
+inline TimePoint BootTimePoint() {
+  return TimePoint(BootClock::now().time_since_epoch());
 }
 
 }  // namespace kumquatmoor
--- a/src/node/control_loop_quota.cc
+++ b/src/node/control_loop_quota.cc
@@ -10,7 +10,7 @@
 namespace kumquatmoor {
 
 void ControlLoop::UpdateQuotas() {
-  const TimePoint now = BootTime();
+  const TimePoint now = BootTimePoint();
   m_quotas.Advance(now);
   if (!m_ready) return;
   bool changed = false;
@@ -29,11 +29,11 @@
 
 void ControlLoop::AskForQuota(const std::vector<QuotaRequest>& requests,
                               TimePoint sent) {
-  SendQuotas(m_quotas.Ask(requests, sent, BootTime()));
+  SendQuotas(m_quotas.Ask(requests, sent, BootTimePoint()));
 }
 
 void ControlLoop::OnQuotaDatagram(const Datagram& datagram, TimePoint now) {
-  SendQuotas(m_quotas.OnDatagram(datagram, BootTime()));
+  SendQuotas(m_quotas.OnDatagram(datagram, BootTimePoint()));
   ExtendDecisions(now);
 }
 
--- a/src/node/proxy_quota.cc
+++ b/src/node/proxy_quota.cc
@@ -71,7 +71,7 @@
   const bool is_fallback = token != nullptr && token->is_fallback;
   m_metrics.OnQuota(call.organisation,
                     is_fallback ? Quota::kFallback : Quota::kGranted);
-  *taken = BootTime();
+  *taken = BootTimePoint();
   co_return std::nullopt;
 }
 
--- a/src/node/quota_gate.cc
+++ b/src/node/quota_gate.cc
@@ -1,5 +1,5 @@
 // A request that waits is woken by each reply for its organisation and asks the
-// client again. Timers run on the steady clock, tokens expire by BootTime().
+// client again. Timers run on the steady clock, tokens expire by BootTimePoint().
 
 #include "node/quota_gate.h"
 
@@ -29,7 +29,7 @@
 
 asio::awaitable<QuotaDecision> QuotaGate::Take(std::string organisation,
                                                TimePoint until) {
-  QuotaDecision decision = m_client.Take(organisation, BootTime());
+  QuotaDecision decision = m_client.Take(organisation, BootTimePoint());
   if (std::holds_alternative<QuotaWait>(decision)) {
     decision = co_await Wait(organisation, until);
   }
@@ -57,7 +57,7 @@
     timer.expires_at(until);
     boost::system::error_code woken;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, woken));
-    const TimePoint now = BootTime();
+    const TimePoint now = BootTimePoint();
     decision = Clock::now() < until ? m_client.TakeWaiting(organisation, now)
                                     : m_client.StopWaiting(organisation, now);
   }
@@ -65,13 +65,13 @@
 }
 
 void QuotaGate::Return(std::string_view organisation, TimePoint taken) {
-  m_client.Return(organisation, taken, BootTime());
+  m_client.Return(organisation, taken, BootTimePoint());
   Schedule();
 }
 
 void QuotaGate::OnGrants(const std::vector<QuotaGrant>& grants,
                          TimePoint sent) {
-  const TimePoint now = BootTime();
+  const TimePoint now = BootTimePoint();
   for (const auto& grant : grants) {
     m_client.OnGrant(grant, sent, now);
     const auto waiting = m_waiters->find(grant.organisation());
@@ -87,7 +87,7 @@
   m_scheduled = next;
   const auto delay = next == TimePoint::min()
                          ? Clock::duration(0)
-                         : std::max(Clock::duration(0), next - BootTime());
+                         : std::max(Clock::duration(0), next - BootTimePoint());
   m_timer.expires_after(delay);
   m_timer.async_wait([this](boost::system::error_code error) {
     if (!error) SendRequests();
@@ -95,7 +95,7 @@
 }
 
 void QuotaGate::SendRequests() {
-  const TimePoint now = BootTime();
+  const TimePoint now = BootTimePoint();
   m_scheduled = TimePoint::max();
   auto requests = m_client.PopRequests(now);
   if (!requests.empty() && m_handler) m_handler(std::move(requests), now);
--- a/src/node/quota_gate.h
+++ b/src/node/quota_gate.h
@@ -49,7 +49,7 @@
   // and does not return QuotaWait.
   boost::asio::awaitable<QuotaDecision> Take(std::string organisation,
                                              TimePoint until);
-  // Returns the token that a request took at `taken`, by BootTime(), since it
+  // Returns the token that a request took at `taken`, by BootTimePoint(), since it
   // has not run.
   void Return(std::string_view organisation, TimePoint taken);
   void OnGrants(const std::vector<QuotaGrant>& grants, TimePoint sent);
@@ -71,7 +71,7 @@
   Handler m_handler;
   std::shared_ptr<Waiters> m_waiters = std::make_shared<Waiters>();
   boost::asio::steady_timer m_timer;
-  TimePoint m_scheduled = TimePoint::max();  // By BootTime().
+  TimePoint m_scheduled = TimePoint::max();  // By BootTimePoint().
 };
 
 }  // namespace kumquatmoor
