Add decisions on failing calls, slow hosts and hand-backs

A request whose nested calls fail used a slot for nothing, and a caller's node cannot know that a host is slow for less than a second.

CallFailures sheds the share of new requests of a route by which the calls made for them fail. HandBacks and HandBackPolicy bound how often a request is handed back.

--- a/include/kumquatmoor/protocol/headers.h
+++ b/include/kumquatmoor/protocol/headers.h
@@ -94,6 +94,9 @@
 // Response between nodes: set if the request was refused for that reason, to
 // the expected time until its response, in milliseconds.
 inline constexpr char kHandedBack[] = "Kumquatmoor-Handed-Back";
+// Response between nodes: "1" if the request was refused because the calls that
+// it would make probably fail, which no other target changes.
+inline constexpr char kShed[] = "Kumquatmoor-Shed";
 
 }  // namespace kumquatmoor::headers
 
--- a/include/kumquatmoor/state/slot_queue.h
+++ b/include/kumquatmoor/state/slot_queue.h
@@ -62,7 +62,7 @@
 struct QueuedRequest {
   uint64_t id = 0;                         // Unique among waiting requests.
   uint32_t priority = 0;                   // 0 is the most urgent.
-  std::chrono::milliseconds run_time{50};  // Expected.
+  std::chrono::milliseconds run_time{50};  // Expected, at the usual speed.
   TimePoint objective;  // A response up to this time is in time.
   TimePoint deadline;   // A response after this time is of no use.
   // A backend server makes the request while it runs another one.
@@ -97,14 +97,24 @@
   bool Remove(uint64_t id);
 
   void SetWaitingPerSlot(size_t limit) { m_options.waiting_per_slot = limit; }
+  // How long requests run now, in per cent of their expected run times. The
+  // order and the shares of organisations depend on the latter.
+  void SetRunTimePercent(uint32_t percent) { m_run_time_percent = percent; }
   void SetSlots(uint32_t slots) { m_options.slots = slots; }
   uint32_t Slots() const { return m_options.slots; }
   uint32_t Running() const { return m_running; }
   size_t Waiting() const { return m_waiting.size(); }
   // Estimated time until a request at the end of the queue gets a slot.
   std::chrono::milliseconds LongestWait() const;
+  // Estimated time until `request` gets a slot if it enters now.
+  std::chrono::milliseconds WaitOf(const QueuedRequest& request,
+                                   TimePoint now) const;
 
  private:
+  // The expected run time of `request` at the present speed.
+  std::chrono::milliseconds RunTime(const QueuedRequest& request) const {
+    return request.run_time * m_run_time_percent / 100;
+  }
   // The latest time at which `request` can start without being late.
   TimePoint LatestStart(const QueuedRequest& request) const;
   bool IsLate(const QueuedRequest& request, TimePoint now) const;
@@ -134,6 +144,7 @@
   size_t MaxLateWaiting(size_t late) const;
 
   SlotQueueOptions m_options;
+  uint32_t m_run_time_percent = 100;
   uint32_t m_running = 0;
   // Sum of the expected run times of the running requests.
   std::chrono::milliseconds m_running_work{0};
--- a/src/state/contention_test.cc
+++ b/src/state/contention_test.cc
@@ -6,7 +6,10 @@
 #include <string>
 #include <vector>
 
+#include "kumquatmoor/state/call_failures.h"
 #include "kumquatmoor/state/fair_share.h"
+#include "kumquatmoor/state/hand_backs.h"
+#include "kumquatmoor/state/host_speed.h"
 #include "kumquatmoor/state/slot_queue.h"
 
 namespace kumquatmoor {
@@ -191,5 +194,107 @@
   CHECK(idle.StartTag("new") == idle.StartTag("1"));
 }
 
+// Ends `calls` calls of a route, evenly over a time, of which a share fails
+// that depends on the shed share. Returns the shed share at the end.
+template <typename FailureShare>
+double EndCalls(int calls, milliseconds time, FailureShare failure_share,
+                CallFailures* failures, TimePoint* now) {
+  double owed = 0;
+  for (int i = 0; i < calls; ++i) {
+    *now += time / calls;
+    owed += failure_share(failures->ShedShare("r", *now));
+    const bool failed = owed >= 1;
+    if (failed) owed -= 1;
+    failures->OnCallEnded("r", failed, *now);
+  }
+  return failures->ShedShare("r", *now);
+}
+
+// Guards against requests that use a slot although their calls fail, against
+// shedding that goes on after a recovery, and against shedding that feeds on
+// itself.
+TEST_CASE("Requests are shed by the share of their calls that fail") {
+  CallFailures failures;
+  TimePoint now = kNow;
+  const auto fail = [](double share) { return [=](double) { return share; }; };
+  CHECK(EndCalls(200, milliseconds(4'000), fail(0.08), &failures, &now) == 0);
+  CHECK_FALSE(failures.ShouldShed("r", now));
+  // Failures that do not depend on the load.
+  const double shed =
+      EndCalls(500, milliseconds(10'000), fail(0.3), &failures, &now);
+  CHECK(shed > 0.25);
+  CHECK(shed < 0.4);
+  int refused = 0;
+  for (int i = 0; i < 1'000; ++i) refused += failures.ShouldShed("r", now);
+  CHECK(refused == Approx(1'000 * shed).margin(2));
+  CHECK_FALSE(failures.ShouldShed("other", now));
+  // Some requests go through while all calls fail.
+  CHECK(EndCalls(500, milliseconds(10'000), fail(1), &failures, &now) == 0.75);
+  CHECK(EndCalls(250, milliseconds(20'000), fail(0), &failures, &now) == 0);
+}
+
+// Guards against requests that are lost late: of calls for 1.4 times what the
+// called service can serve, 0.29 fail without shedding. A shed share equal to
+// that of the calls that fail, whatever the load, splits the loss in half.
+TEST_CASE("Shedding prevents nearly half of the failed calls under overload") {
+  CallFailures failures;
+  TimePoint now = kNow;
+  double failed = 0;
+  int steps = 0;
+  const auto overload = [&](double shed) {
+    const double demand = 1.4 * (1 - shed);
+    const double share = demand > 1 ? 1 - 1 / demand : 0;
+    failed += share;
+    ++steps;
+    return share;
+  };
+  EndCalls(3'000, milliseconds(60'000), overload, &failures, &now);
+  INFO("failed " << failed / steps);
+  CHECK(failed / steps < 0.55 * (1 - 1 / 1.4));
+  CHECK(failures.ShedShare("r", now) > 0.1);
+}
+
+// Guards against estimates that ignore that the host is slow at the moment, and
+// against a slow host that gets no request by which it could recover.
+TEST_CASE("Estimates follow the speed of the host while its report is fresh") {
+  SlotQueue queue({.slots = 1});
+  const QueuedRequest request{.id = 1,
+                              .run_time = milliseconds(100),
+                              .objective = kNow + milliseconds(900),
+                              .deadline = kNow + milliseconds(900)};
+  queue.Enter(request, kNow);
+  CHECK(queue.WaitOf(request, kNow) == milliseconds(50));
+  queue.SetRunTimePercent(250);
+  CHECK(queue.WaitOf(request, kNow) == milliseconds(125));
+  HostSpeed speed;
+  CHECK_FALSE(speed.IsReported());
+  speed.OnReport(250, kNow);
+  CHECK(speed.IsSlow(kNow + milliseconds(200)));
+  CHECK_FALSE(speed.IsSlow(kNow + milliseconds(300)));
+  CHECK(speed.Percent(kNow + milliseconds(300)) == 250);
+  CHECK(speed.Percent(kNow + milliseconds(1'100)) == 100);
+  speed.OnReport(std::nullopt, kNow);
+  CHECK(speed.Percent(kNow) == 100);
+  CHECK_FALSE(speed.IsReported());
+}
+
+// Guards against requests that pass from target to target while all are busy.
+TEST_CASE("A request is handed back three times at most, then to the best") {
+  HandBacks hand_backs;
+  CHECK(hand_backs.Best().empty());
+  hand_backs.Add("a", milliseconds(90));
+  hand_backs.Add("b", milliseconds(60));
+  CHECK_FALSE(hand_backs.IsSpent());
+  hand_backs.Add("c", milliseconds(70));
+  CHECK(hand_backs.IsSpent());
+  CHECK(hand_backs.TakeBest() == "b");
+  CHECK(hand_backs.Best().empty());
+  HandBackPolicy policy;
+  CHECK(policy.MayAsk("s", kNow));
+  policy.OnSpent("s", kNow);
+  CHECK_FALSE(policy.MayAsk("s", kNow + milliseconds(99)));
+  CHECK(policy.MayAsk("s", kNow + milliseconds(100)));
+}
+
 }  // namespace
 }  // namespace kumquatmoor
--- a/src/state/slot_queue.cc
+++ b/src/state/slot_queue.cc
@@ -35,7 +35,7 @@
 
 TimePoint SlotQueue::LatestStart(const QueuedRequest& request) const {
   const std::chrono::duration<double, std::milli> margin =
-      request.run_time * m_options.run_time_margin;
+      RunTime(request) * m_options.run_time_margin;
   return request.objective - std::chrono::duration_cast<milliseconds>(margin);
 }
 
@@ -135,7 +135,9 @@
 
 milliseconds SlotQueue::EstimatedWait(milliseconds work) const {
   const milliseconds mean_run = m_running_work / std::max(1U, m_running);
-  return work / std::max(1U, m_options.slots) + mean_run / (m_running + 1);
+  const milliseconds wait =
+      work / std::max(1U, m_options.slots) + mean_run / (m_running + 1);
+  return wait * m_run_time_percent / 100;
 }
 
 milliseconds SlotQueue::LongestWait() const {
@@ -145,6 +147,12 @@
   return EstimatedWait(work);
 }
 
+milliseconds SlotQueue::WaitOf(const QueuedRequest& request,
+                               TimePoint now) const {
+  if (m_waiting.empty() && m_running < m_options.slots) return milliseconds(0);
+  return EstimatedWait(WorkBefore(request, now));
+}
+
 size_t SlotQueue::CountExpendable(TimePoint now) const {
   return static_cast<size_t>(std::count_if(m_waiting.begin(), m_waiting.end(),
                                            [&](const QueuedRequest& request) {
@@ -164,7 +172,7 @@
   }
   QueueResult result{.wait = EstimatedWait(WorkBefore(request, now))};
   const TimePoint start = now + result.wait;
-  const bool feasible = start + request.run_time <= request.deadline;
+  const bool feasible = start + RunTime(request) <= request.deadline;
   const bool room =
       m_waiting.size() < m_options.waiting_per_slot * m_options.slots;
   const bool late = IsExpendable(request, start);
@@ -199,7 +207,7 @@
   std::erase_if(m_waiting, [&](const QueuedRequest& request) {
     // A request may run for less than the mean, so only half of the expected
     // run time has to fit.
-    if (now + request.run_time / 2 <= request.deadline) return false;
+    if (now + RunTime(request) / 2 <= request.deadline) return false;
     removed.push_back(request.id);
     return true;
   });
