Shed and hand back requests at the node, and scale run times

Uses CallFailures, HostSpeed and HandBacks in the node: the node on the host of a backend server records how its nested calls end and sheds new requests of the route; the node beside a target reads the fourth figure of the server's load, expects run times accordingly, and hands back a request that would wait there or run on a slow host, if its caller's node allows that. The latter tries two other targets, then the best one. A service whose backend servers send no fourth figure gets no hand-backs. The notices of backend servers move from admission.cc to a file of their own.

--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -36,6 +36,9 @@
 
 #include "kumquatmoor/protocol/attempt_kind.h"
 #include "kumquatmoor/protocol/backend_notice.h"
+#include "kumquatmoor/protocol/server_load.h"
+#include "kumquatmoor/state/call_failures.h"
+#include "kumquatmoor/state/host_speed.h"
 #include "kumquatmoor/state/limits.h"
 #include "kumquatmoor/state/link_backlog.h"
 #include "kumquatmoor/state/recent_ids.h"
@@ -106,6 +109,11 @@
   bool retry_denied = false;
   // The response would not get through the host's link in time.
   bool link_full = false;
+  // The calls of the request would probably fail, wherever it runs.
+  bool shed = false;
+  // Set if another target is probably faster: the expected time until the
+  // response from this one.
+  std::optional<std::chrono::milliseconds> handed_back;
   // The request crashes backend servers or, if `wait` is not 0, another one
   // that may do so runs. Decided by LocalRunner.
   bool blocked = false;
@@ -113,9 +121,13 @@
   uint64_t ticket = 0;
   std::chrono::milliseconds wait{0};  // Estimated time until a slot is free.
   std::chrono::milliseconds run_time{0};  // Expected.
-  std::string instance;                   // Of the backend server.
-  BackendNotice notice;                   // Of the backend server.
-  std::string address;                    // Of the backend server.
+  // The same at the usual speed of the host, and the present run time in per
+  // cent of that.
+  std::chrono::milliseconds usual_run_time{0};
+  uint32_t run_time_percent = HostSpeed::kUsualPercent;
+  std::string instance;  // Of the backend server.
+  BackendNotice notice;  // Of the backend server.
+  std::string address;   // Of the backend server.
   // Requests that run or wait; includes this one if it is admitted or queued.
   uint32_t in_flight = 0;
   uint32_t slots = 0;
@@ -167,10 +179,22 @@
                           const std::string& instance,
                           const BackendNotice& notice, TimePoint now);
 
-  // Returns nullptr if there is no such backend server.
+  // The same for its load. Expected run times follow the speed of the host.
+  void OnServerLoad(const std::string& service, const std::string& version,
+                    const std::string& instance, const ServerLoad& load,
+                    TimePoint now);
+  // A nested call has ended that a local backend server made while it ran a
+  // request of `parent_route`. `failed`: it was refused, or there was no
+  // response in time.
+  void OnNestedCallEnded(const std::string& parent_route, bool failed,
+                         TimePoint now) {
+    m_call_failures.OnCallEnded(parent_route, failed, now);
+  }
+
   // True if the backend server takes no new requests, or is not known, so that
   // its end is no surprise.
   bool IsLeaving(const std::string& service, const std::string& version) const;
+  // Returns nullptr if there is no such backend server.
   const LocalBackend* FindBackend(const std::string& service,
                                   const std::string& version) const;
 
@@ -179,9 +203,9 @@
   AdmissionResult Admit(const AdmissionRequest& request, TimePoint now);
   // Frees the slot of an admitted request. `handed_over` is false if it is
   // certain that the request did not run; a request with the same id is then
-  // admitted again. `expected` is `AdmissionResult::run_time`. `run_time` is
-  // the measured run time, or nullopt if it must not count as a sample for the
-  // route, for example because the request failed.
+  // admitted again. `expected` is `AdmissionResult::usual_run_time`. `run_time`
+  // is the measured run time at the usual speed, or nullopt if it must not
+  // count as a sample for the route, for example because the request failed.
   void Release(const AdmissionRequest& request, bool handed_over,
                std::chrono::milliseconds expected = {},
                std::optional<std::chrono::milliseconds> run_time = {});
@@ -230,7 +254,8 @@
     // The requests in the queue have no token of `limit`.
     bool refuse_waiting = false;
     SlotQueue queue{{}};
-    RunTimes run_times;
+    HostSpeed speed;
+    RunTimes run_times;                            // At the usual speed.
     std::map<uint64_t, AdmissionRequest> waiting;  // By ticket.
     // This target's part of the limits of the table row; 0 means no limit.
     uint32_t max_concurrent = 0;
@@ -246,6 +271,13 @@
   bool HasFreeSlot(const AdmissionRequest& request, const Entry& entry) const;
   static void SetNotice(const BackendNotice& notice, Entry* entry,
                         TimePoint now);
+  static void UpdateSpeed(Entry* entry, TimePoint now);
+  // Whether the request is refused because its calls would fail, or because
+  // another target is probably faster. Sets the reason in `result`.
+  bool IsShed(const AdmissionRequest& request, TimePoint now,
+              AdmissionResult* result);
+  bool IsHandedBack(const AdmissionRequest& request, const Entry& entry,
+                    TimePoint now, AdmissionResult* result) const;
   // Why the backend server takes no requests at all, queued ones included; ""
   // if it does.
   std::string_view UnavailableReason(const Entry& entry) const;
@@ -266,6 +298,7 @@
   // Shared with reservations, whose coroutine frames may outlive this object.
   std::shared_ptr<LinkBacklog> m_link;
   ResponseSizes m_response_sizes;
+  CallFailures m_call_failures;
   std::map<Key, Entry> m_entries;
   std::set<Key> m_closed;  // Versions that lost their whole share.
   uint64_t m_last_ticket = 0;
--- a/include/kumquatmoor/node/call_metrics.h
+++ b/include/kumquatmoor/node/call_metrics.h
@@ -47,6 +47,11 @@
   // Counts a request whose response would not have got through the host's link
   // in time.
   void OnLinkRefusal() { ++m_link_refusals; }
+  // Counts a request that was refused because its calls would probably fail.
+  void OnShed() { ++m_shed; }
+  // Counts a request that was refused because another target is probably
+  // faster.
+  void OnHandedBack() { ++m_handed_back; }
   // Counts a request that was refused since the buffers of all connections
   // together are full.
   void OnBufferRefusal() { ++m_buffer_refusals; }
@@ -86,6 +91,8 @@
   uint64_t m_crashes = 0;
   uint64_t m_blocked = 0;
   uint64_t m_link_refusals = 0;
+  uint64_t m_shed = 0;
+  uint64_t m_handed_back = 0;
   uint64_t m_buffer_refusals = 0;
   uint64_t m_wasted_bytes = 0;
   uint64_t m_decided_behind = 0;
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -39,6 +39,7 @@
 #include "kumquatmoor/node/remembered_notices.h"
 #include "kumquatmoor/protocol/verdict.h"
 #include "kumquatmoor/state/crash_suspects.h"
+#include "kumquatmoor/state/hand_backs.h"
 #include "kumquatmoor/state/outcome_counters.h"
 #include "kumquatmoor/state/picker.h"
 #include "kumquatmoor/state/routes.h"
@@ -227,6 +228,15 @@
                           const Call& call) const;
   Pick PickFor(const Call& call, AttemptKind kind,
                const std::set<std::string>& tried);
+  // The next target: one that was not tried or, once no other one may hand the
+  // request back, the best of those that did.
+  Pick PickOrReturn(const Call& call, AttemptKind kind,
+                    const std::set<std::string>& tried, HandBacks* hand_backs);
+  // Whether the next target may hand the request back.
+  bool MayHandBack(const InboundRequest& inbound, const Call& call,
+                   const HandBacks& hand_backs) const;
+  // Records how a call ended that a backend server of this host made.
+  void ReportNestedCall(const Call& call, const Attempt& attempt);
   // The key of a caller's request. A body that is streamed counts by its
   // buffered beginning and its length.
   std::string KeyOf(const InboundRequest& inbound, const Call& call) const;
@@ -286,6 +296,7 @@
   ResponseSizes m_response_sizes;  // Of responses to callers.
   RememberedNotices m_notices;     // Of the backend servers of other hosts.
   TypicalDeadlines m_typical_deadlines;
+  HandBackPolicy m_hand_back_policy;
   std::mt19937_64 m_rng;
   // Connections of callers. Shared with the sessions, whose coroutine frames
   // may outlive the proxy.
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -300,6 +300,10 @@
   bool crashed = false;       // The backend server crashed.
   bool blocked = false;       // The request crashes backend servers.
   bool link_full = false;     // The host's link has no room in time.
+  bool shed = false;          // Calls of the request would probably fail.
+  // Expected time until the response, if the request is handed back.
+  std::optional<std::chrono::milliseconds> handed_back;
+  std::chrono::milliseconds run_time{0};  // Expected; 0 if not known.
   // As in headers::kLinkWaitMs.
   std::chrono::milliseconds link_wait{0};
   // What the process `instance` of the backend server last said of itself.
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -18,12 +18,6 @@
 // Burst of a row's rate limit: the requests that the rate allows in this time.
 constexpr double kBurstSeconds = 0.1;
 
-// Burst of the limit that a backend server names, likewise.
-constexpr double kBackendLimitBurstSeconds = 0.25;
-// Requests per second. A limit below this rate is raised to it, so that there
-// is a response that can withdraw the limit.
-constexpr double kMinBackendLimit = 0.25;
-
 constexpr std::string_view kDraining = "draining";
 constexpr std::string_view kRecalled = "version was recalled";
 constexpr std::string_view kDuplicate = "request id was seen before";
@@ -59,6 +53,7 @@
                               entry.backend.announced == backend.announced;
     if (!same_process) {
       entry.notice = {};
+      entry.speed = {};
       entry.responded = false;
       entry.limit.reset();
     }
@@ -135,7 +130,9 @@
   result.address = entry.backend.address;
   result.in_flight =
       entry.queue.Running() + static_cast<uint32_t>(entry.queue.Waiting());
-  result.run_time = entry.run_times.Expected(route);
+  result.usual_run_time = entry.run_times.Expected(route);
+  result.run_time_percent = entry.speed.Percent(now);
+  result.run_time = result.usual_run_time * result.run_time_percent / 100;
   result.warm = now - entry.backend.announced >= kColdStart;
   return result;
 }
@@ -150,6 +147,7 @@
     return result;
   }
   Entry& entry = found->second;
+  UpdateSpeed(&entry, now);
   result = Describe(entry, request.route, now);
   result.reason = RefusalReason(request, &entry, now);
   if (!result.reason.empty()) {
@@ -158,6 +156,8 @@
                      result.reason == kClosed;
     return result;
   }
+  if (IsShed(request, now, &result)) return result;
+  if (IsHandedBack(request, entry, now, &result)) return result;
   if (m_options.waiting_per_slot == 0 && !HasFreeSlot(request, entry)) {
     result.reason = kAllSlotsTaken;
     return result;
@@ -183,7 +183,7 @@
   }
   const uint64_t ticket = ++m_last_ticket;
   const QueueResult queue_result =
-      entry.queue.Enter(ForQueue(request, ticket, result.run_time), now);
+      entry.queue.Enter(ForQueue(request, ticket, result.usual_run_time), now);
   result.wait = queue_result.wait;
   if (queue_result.admission == QueueAdmission::kRefused) {
     entry.retries->Return(request.kind);
@@ -235,19 +235,6 @@
   return {m_link, m_response_sizes.Expected(request.route).mean};
 }
 
-bool Admission::OnNotice(const std::string& service, const std::string& version,
-                         const std::string& instance,
-                         const BackendNotice& notice, TimePoint now) {
-  auto found = m_entries.find({service, version});
-  if (found == m_entries.end()) return false;
-  Entry& entry = found->second;
-  if (entry.backend.instance != instance) return false;
-  entry.responded = true;
-  const BackendNotice before = entry.notice;
-  SetNotice(KeepValidLimit(notice, before), &entry, now);
-  return entry.notice != before;
-}
-
 bool Admission::IsLeaving(const std::string& service,
                           const std::string& version) const {
   const auto found = m_entries.find({service, version});
@@ -261,37 +248,6 @@
   return &found->second.backend;
 }
 
-void Admission::OnRememberedNotice(const std::string& service,
-                                   const std::string& version,
-                                   const std::string& instance,
-                                   const BackendNotice& notice, TimePoint now) {
-  auto found = m_entries.find({service, version});
-  if (found == m_entries.end()) return;
-  Entry& entry = found->second;
-  if (entry.backend.instance != instance) return;
-  if (notice.leaving) entry.notice.leaving = true;
-  if (notice.limit && !entry.responded) SetNotice(notice, &entry, now);
-}
-
-void Admission::SetNotice(const BackendNotice& notice, Entry* entry,
-                          TimePoint now) {
-  entry->notice = {.limit = notice.limit,
-                   .leaving = notice.leaving || entry->notice.leaving};
-  if (!notice.limit) {
-    entry->limit.reset();
-    return;
-  }
-  const double rate = std::max(kMinBackendLimit, *notice.limit);
-  const TokenBucketOptions options{
-      .rate = rate, .burst = std::max(1.0, rate * kBackendLimitBurstSeconds)};
-  if (entry->limit) {
-    entry->limit->SetOptions(options, now);
-  } else {
-    entry->limit.emplace(options, now);
-    entry->refuse_waiting = true;
-  }
-}
-
 void Admission::Release(const AdmissionRequest& request, bool handed_over,
                         milliseconds expected,
                         std::optional<milliseconds> run_time) {
@@ -324,6 +280,7 @@
     decisions.push_back(std::move(decision));
   };
   for (auto& [key, entry] : m_entries) {
+    UpdateSpeed(&entry, now);
     std::string_view unavailable = UnavailableReason(entry);
     if (unavailable.empty() && entry.refuse_waiting && entry.limit) {
       unavailable = kBackendLimit;
--- a/src/node/call_metrics.cc
+++ b/src/node/call_metrics.cc
@@ -51,6 +51,8 @@
   counter("kumquatmoor_backend_crashes_total", m_crashes);
   counter("kumquatmoor_blocked_requests_total", m_blocked);
   counter("kumquatmoor_link_refusals_total", m_link_refusals);
+  counter("kumquatmoor_shed_requests_total", m_shed);
+  counter("kumquatmoor_handed_back_requests_total", m_handed_back);
   counter("kumquatmoor_buffer_refusals_total", m_buffer_refusals);
   counter("kumquatmoor_link_wasted_bytes_total", m_wasted_bytes);
   counter("kumquatmoor_refused_behind_total", m_refused_behind);
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -195,6 +195,8 @@
   }
   if (!run.admission.admitted) {
     m_metrics->OnRefusal();
+    if (run.admission.shed) m_metrics->OnShed();
+    if (run.admission.handed_back) m_metrics->OnHandedBack();
     run.result.verdict =
         run.admission.duplicate ? Verdict::kMayHaveRun : Verdict::kNotRun;
     run.result.reason = std::string(run.admission.reason);
@@ -251,9 +253,19 @@
   if (success) m_admission.OnResponse(call.route, *size);
 }
 
+void LocalRunner::ReadServerLoad(const Call& call, const LocalRun& run) {
+  if (m_headers.server_load.empty()) return;
+  const auto text = run.result.head[m_headers.server_load];
+  const auto load = ParseServerLoad({text.data(), text.size()});
+  if (!load) return;
+  m_admission.OnServerLoad(call.service, call.version, run.admission.instance,
+                           *load, Clock::now());
+}
+
 void LocalRunner::ReadNotice(const Call& call, LocalRun& run) {
   const BackendNotice notice = NoticeOf(run.result.head, m_headers);
   const std::string& instance = run.admission.instance;
+  ReadServerLoad(call, run);
   if (notice != BackendNotice()) {
     run.result.head.set(headers::kInstance, instance);
   }
@@ -277,10 +289,12 @@
   run.finished = true;
   const bool ran = run.result.answered && run.result.verdict == Verdict::kRan;
   std::optional<milliseconds> run_time;
-  if (ran && complete) run_time = ElapsedSince(run.started);
+  if (ran && complete) {
+    run_time = ElapsedSince(run.started) * 100 / run.admission.run_time_percent;
+  }
   m_admission.Release(call.ForAdmission(),
                       run.result.verdict != Verdict::kNotRun,
-                      run.admission.run_time, run_time);
+                      run.admission.usual_run_time, run_time);
   if (!run.result.caller_gone) ReportOutcome(call, run, complete);
   run.isolation.reset();
   // A 504 may say that the deadline ended the run before it could do harm.
--- a/src/node/local_runner.h
+++ b/src/node/local_runner.h
@@ -130,6 +130,7 @@
   bool IsBlocked(const Call& call, LocalRun& run);
   // Records the size of a successful response.
   void MeasureResponse(const Call& call, LocalRun& run);
+  void ReadServerLoad(const Call& call, const LocalRun& run);
   // Records what the backend server says of itself in its response.
   void ReadNotice(const Call& call, LocalRun& run);
   void ReportOutcome(const Call& call, const LocalRun& run, bool complete);
--- a/src/node/proxy_attempt.h
+++ b/src/node/proxy_attempt.h
@@ -26,12 +26,15 @@
   bool limited = false;       // As in AdmissionResult.
   bool retry_denied = false;  // As in AdmissionResult.
   bool link_full = false;     // As in AdmissionResult.
-  bool blocked = false;       // As in AdmissionResult.
-  bool crashed = false;       // The backend server of this attempt crashed.
-  uint32_t crashes = 0;       // Backend servers that crashed, in all attempts.
-  int64_t offers = 0;         // Attempts that may have arrived.
-  int refusals = 0;           // Nodes that refused the request.
-  int unreachable = 0;        // Nodes that could not be connected to.
+  bool shed = false;          // As in AdmissionResult.
+  // As in AdmissionResult.
+  std::optional<std::chrono::milliseconds> handed_back;
+  bool blocked = false;  // As in AdmissionResult.
+  bool crashed = false;  // The backend server of this attempt crashed.
+  uint32_t crashes = 0;  // Backend servers that crashed, in all attempts.
+  int64_t offers = 0;    // Attempts that may have arrived.
+  int refusals = 0;      // Nodes that refused the request.
+  int unreachable = 0;   // Nodes that could not be connected to.
   std::chrono::milliseconds retry_after{0};
 
   // True if this attempt may have reached a backend server.
--- a/src/node/proxy_attempts.cc
+++ b/src/node/proxy_attempts.cc
@@ -126,9 +126,13 @@
     attempt.retry_denied = run.admission.retry_denied;
     attempt.blocked = run.admission.blocked;
     attempt.crashed = run.crashed;
+    attempt.shed = run.admission.shed;
+    attempt.handed_back = run.admission.handed_back;
     attempt.retry_after = run.admission.wait;
     std::swap(attempt.result, run.result);
-    if (attempt.result.verdict == Verdict::kNotRun) ++attempt.refusals;
+    if (attempt.result.verdict == Verdict::kNotRun && !attempt.handed_back) {
+      ++attempt.refusals;
+    }
     co_return;
   }
   ForwardOptions options;
@@ -145,11 +149,15 @@
   options.budget = m_budget;
   options.to_node = true;
   attempt.result = co_await Forward(m_pool, inbound, options);
-  if (attempt.result.verdict == Verdict::kNotRun) {
+  const auto& head = attempt.result.head;
+  if (attempt.result.answered && attempt.result.verdict == Verdict::kNotRun) {
+    const auto expected = ParseCount(Text(head[headers::kHandedBack]));
+    if (expected) attempt.handed_back = milliseconds(*expected);
+  }
+  if (attempt.result.verdict == Verdict::kNotRun && !attempt.handed_back) {
     ++(attempt.result.answered ? attempt.refusals : attempt.unreachable);
   }
   if (!attempt.result.answered) co_return;
-  const auto& head = attempt.result.head;
   ReadLoad(pick.target->member_id, call.route, head);
   RememberNotice(pick.target->member_id, attempt.result);
   attempt.crashed = head.count(headers::kCrashed) > 0;
@@ -161,6 +169,7 @@
     attempt.limited = head.count(headers::kLimited) > 0;
     attempt.retry_denied = head.count(headers::kRetryDenied) > 0;
     attempt.link_full = head.count(headers::kLinkFull) > 0;
+    attempt.shed = head.count(headers::kShed) > 0;
     attempt.retry_after = ParseRetryAfter(Text(head[http::field::retry_after]));
   }
 }
@@ -172,7 +181,10 @@
   const std::string& target = pick.target->member_id;
   const unsigned status = result.answered ? result.head.result_int() : 0;
   const bool refused = result.answered && result.verdict == Verdict::kNotRun;
-  const bool failed = !result.answered || (status >= 500 && !refused);
+  // Neither is a fault of the target, also if it is on this host.
+  const bool declined = attempt.shed || attempt.handed_back;
+  const bool failed =
+      !declined && (!result.answered || (status >= 500 && !refused));
   const bool ran = result.answered && result.verdict == Verdict::kRan;
   std::optional<milliseconds> latency;
   if (ran) {
@@ -190,7 +202,7 @@
   } else if (attempt.limited) {
     m_loads.OnFull(target, now, std::min(attempt.retry_after, kMaxRetryAfter));
   } else if (result.verdict == Verdict::kNotRun && !attempt.blocked &&
-             !attempt.link_full) {
+             !attempt.link_full && !declined) {
     m_loads.OnFull(target, now);
   }
   // The load of another node was in a header of its response.
@@ -201,9 +213,9 @@
                       .run_time = attempt.local->admission.run_time},
                      now);
   }
-  const LogKind kind = refused || unreachable ? LogKind::kRefused
-                       : failed               ? LogKind::kFailed
-                                              : LogKind::kServed;
+  const LogKind kind = refused || unreachable || declined ? LogKind::kRefused
+                       : failed                           ? LogKind::kFailed
+                                                          : LogKind::kServed;
   if (!m_log_budget.Allow(kind, now)) return;
   spdlog::info(
       "route: event=attempt request={} route={} service={} version={} "
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -192,6 +192,7 @@
   Attempt attempt;
   attempt.call = call;
   co_await TryTargets(inbound, call, attempt);
+  if (call.is_nested_call) ReportNestedCall(call, attempt);
   if (attempt.result.caller_gone) co_return false;
   const ForwardResult& result = attempt.result;
   if (result.answered && result.verdict != Verdict::kNotRun &&
@@ -205,13 +206,14 @@
                                         const Call& call, Attempt& attempt) {
   std::set<std::string> tried;
   std::optional<Attempt> arrived;  // The last one that may have arrived.
+  HandBacks hand_backs;
   while (true) {
     // `pick` points into the routing table, which must stay alive during the
     // attempt.
     const std::shared_ptr<const RouteTable> routes = m_routes;
     AttemptKind kind = call.attempt_kind;
     if (arrived || attempt.MayHaveArrived()) kind = AttemptKind::kRetry;
-    const Pick pick = PickFor(call, kind, tried);
+    const Pick pick = PickOrReturn(call, kind, tried, &hand_backs);
     if (pick.target == nullptr) {
       if (tried.empty()) {
         attempt.result.reason = std::string(pick.reason);
@@ -221,18 +223,23 @@
       break;
     }
     tried.insert(pick.target->member_id);
+    const bool may_hand_back = MayHandBack(inbound, call, hand_backs);
     Attempt next = attempt.Next();
     if (attempt.MayHaveArrived()) arrived = std::move(attempt);
     attempt = std::move(next);
     attempt.call.version = pick.target->version;
     attempt.call.known_crashes = attempt.crashes;
     attempt.call.attempt_kind = kind;
+    attempt.call.may_hand_back = may_hand_back;
     attempt.call.deadline = std::min(call.deadline, m_drain_end);
     co_await TryTarget(inbound, pick, attempt);
     RecordAttempt(pick, attempt);
     if (attempt.MayHaveArrived()) ++attempt.offers;
     if (attempt.crashed) ++attempt.crashes;
     if (attempt.result.caller_gone) co_return;
+    if (attempt.handed_back) {
+      hand_backs.Add(pick.target->member_id, *attempt.handed_back);
+    }
     if (!ShouldRetry(inbound, attempt)) break;
     m_metrics.OnRetry();
   }
@@ -251,6 +258,7 @@
   const bool failed =
       !result.answered || result.head.result_int() >= 500 || refused;
   if (!failed || inbound.streamed || attempt.blocked) return false;
+  if (attempt.shed) return false;
   // One crash may have had another cause.
   const CrashStanding standing =
       m_crashes->StandingOf(call.key, call.service, call.version);
--- a/src/node/proxy_responses.cc
+++ b/src/node/proxy_responses.cc
@@ -205,6 +205,9 @@
   answer.limited = run.admission.limited;
   answer.retry_denied = run.admission.retry_denied;
   answer.link_full = run.admission.link_full;
+  answer.shed = run.admission.shed;
+  answer.handed_back = run.admission.handed_back;
+  answer.run_time = run.admission.run_time;
   answer.link_wait = m_runner->GetAdmission().LinkWait();
   if (answer.link_full) m_metrics.OnLinkRefusal();
   if (run.admission.slots > 0) answer.load = LoadText(run.admission);
--- a/src/transport/relay.cc
+++ b/src/transport/relay.cc
@@ -215,6 +215,14 @@
   if (reply.crashed) response.set(headers::kCrashed, "1");
   if (reply.blocked) response.set(headers::kBlocked, "1");
   if (reply.link_full) response.set(headers::kLinkFull, "1");
+  if (reply.shed) response.set(headers::kShed, "1");
+  if (reply.handed_back) {
+    response.set(headers::kHandedBack,
+                 std::to_string(reply.handed_back->count()));
+  }
+  if (reply.run_time.count() > 0) {
+    response.set(headers::kRunTimeMs, std::to_string(reply.run_time.count()));
+  }
   SetLinkWait(reply.link_wait, &response);
   SetNoticeHeaders(reply.instance, reply.notice, &response);
   if (reply.offered) response.set(headers::kOffered, "1");
