--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -44,6 +44,7 @@
                               entry.backend.announced == backend.announced;
     if (!same_process) {
       entry.notice = {};
+      entry.speed = {};
       entry.responded = false;
       entry.limit.reset();
     }
@@ -128,7 +129,9 @@
   result.address = entry.backend.address;
   result.in_flight =
       entry.queue.Running() + static_cast<uint32_t>(entry.queue.Waiting());
-  result.run_time = entry.run_times.Expected(route);
+  result.usual_run_time = entry.run_times.Expected(route);
+  result.run_time_percent = entry.speed.Percent(now);
+  result.run_time = result.usual_run_time * result.run_time_percent / 100;
   result.warm =
       now - entry.backend.announced >= kColdStart && !entry.cold.IsCold(now);
   return result;
@@ -144,12 +147,15 @@
     return result;
   }
   Entry& entry = found->second;
+  UpdateSpeed(&entry, now);
   result = Describe(entry, request.route, now);
   result.reason = RefusalReason(request, &entry, now);
   if (!result.reason.empty()) {
     SetRefusal(result.reason, &result);
     return result;
   }
+  if (IsShed(request, now, &result)) return result;
+  if (IsHandedBack(request, entry, now, &result)) return result;
   if (m_options.waiting_per_slot == 0 && !HasFreeSlot(request, entry)) {
     result.reason = kAllSlotsTaken;
     return result;
@@ -172,7 +178,7 @@
   }
   const uint64_t ticket = ++m_last_ticket;
   const QueueResult queue_result =
-      entry.queue.Enter(ForQueue(request, ticket, result.run_time), now);
+      entry.queue.Enter(ForQueue(request, ticket, result.usual_run_time), now);
   result.wait = queue_result.wait;
   if (queue_result.admission == QueueAdmission::kRefused) {
     entry.retries->Return(request.kind);
@@ -267,6 +273,7 @@
     decisions.push_back(std::move(decision));
   };
   for (auto& [key, entry] : m_entries) {
+    UpdateSpeed(&entry, now);
     std::string_view unavailable = UnavailableReason(entry);
     const bool is_refused = entry.waiting_refusal == kBackendLimit
                                 ? entry.limit.has_value()
