--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -163,6 +163,26 @@
   boost::asio::awaitable<void> CallerSession(
       boost::asio::ip::tcp::socket socket);
   boost::asio::awaitable<void> DataSession(boost::asio::ip::tcp::socket socket);
+  // Reads the requests of a caller's connection, and serves them or starts a
+  // coroutine for them.
+  boost::asio::awaitable<void> ReadRequests(
+      std::shared_ptr<CallerConnection> caller);
+  boost::asio::awaitable<ReadOutcome> ReadRequest(CallerConnection& caller,
+                                                  InboundRequest& inbound);
+  // Serves a request while no other one of its connection is in flight. False
+  // if the connection must be closed.
+  boost::asio::awaitable<bool> ServeAlone(CallerConnection& caller,
+                                          InboundRequest& inbound,
+                                          ReadOutcome read);
+  // Serves a request while others of its connection may be in flight.
+  boost::asio::awaitable<void> ServeBesideOthers(
+      std::shared_ptr<CallerConnection> caller,
+      std::shared_ptr<InboundRequest> inbound);
+  // True if the request is complete and idempotent, and leaves the connection
+  // open.
+  bool MayRunBesideOthers(const InboundRequest& inbound) const;
+  // True if a drain closes the connection after the response to this request.
+  bool ClosesAfter(const InboundRequest& inbound) const;
   // Serves one request, from a caller or from another node. False if the
   // connection must be closed.
   boost::asio::awaitable<bool> ServeCaller(InboundRequest& inbound);
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -42,6 +42,8 @@
 #include "kumquatmoor/protocol/headers.h"
 #include "kumquatmoor/protocol/verdict.h"
 #include "kumquatmoor/transport/buffer_budget.h"
+#include "kumquatmoor/transport/caller_pipeline.h"
+#include "kumquatmoor/transport/caller_watch.h"
 #include "kumquatmoor/transport/fault_plan.h"
 #include "kumquatmoor/transport/link_pacer.h"
 #include "kumquatmoor/transport/upstream_pool.h"
@@ -120,9 +122,26 @@
   bool IsFullyBuffered() const { return m_fully_buffered; }
   // True if the connection may carry another request.
   bool KeepAlive() const { return !close_after_response && m_keep_alive; }
-  // True if the caller has closed its connection by now. CallerWatch reports
-  // this, too, but not before the io_context has polled the socket.
+  // True if the caller has closed its connection by now, or the request is
+  // cancelled. CallerWatch reports this, too, but not before the io_context has
+  // polled the socket.
   bool CallerHasLeft();
+  // Makes the request one of several on its connection. Call after ReadHead,
+  // with a complete body. Without a call, it is the only one.
+  void Join(const std::shared_ptr<CallerPipeline>& pipeline);
+  // The place on the connection, if the request is one of several.
+  const std::optional<PipelinePlace>& Place() const { return m_place; }
+  // What a CallerWatch watches for the end of this request.
+  WatchedPeer Peer();
+  // Waits until the response may be written. Returns false if the request is
+  // cancelled. Writing a response awaits this, too.
+  boost::asio::awaitable<bool> AwaitTurn();
+  // False if requests behind this one are in flight.
+  bool IsLastRead() const;
+  // The response that is written next closes the connection.
+  void CloseAfterResponse();
+  // Ends the timeout of the connection while a response is awaited.
+  void StopTimer();
   boost::beast::tcp_stream& Stream() { return m_stream; }
   // True once Forward has begun to stream the body, so that the request
   // cannot be retried.
@@ -131,6 +150,11 @@
   bool responding = false;
   // The response ends with the connection.
   bool close_after_response = false;
+  // A complete response was written.
+  bool responded = false;
+  // Awaited before 100 Continue is sent, if it is set. If it returns false, the
+  // connection counts as closed.
+  std::function<boost::asio::awaitable<bool>()> before_continue;
 
  private:
   boost::beast::tcp_stream& m_stream;
@@ -144,6 +168,7 @@
   boost::system::error_code Hold(size_t bytes);
 
   CallerBounds m_bounds;
+  std::optional<PipelinePlace> m_place;
   RequestHead m_head;
   bool m_keep_alive = false;
   BufferShare m_share;
@@ -156,30 +181,6 @@
   boost::system::error_code m_rejection;
 };
 
-// Watches a caller's connection while the response is awaited, and calls
-// `on_gone` at most once, when the caller closes the connection. Create it only
-// after the request's body has been read completely, because the wait must not
-// coincide with a read of the same socket. Bytes of the next request end the
-// watch without a call of `on_gone`.
-class CallerWatch {
- public:
-  CallerWatch(boost::beast::tcp_stream& caller, std::function<void()> on_gone);
-  CallerWatch(const CallerWatch&) = delete;
-  CallerWatch& operator=(const CallerWatch&) = delete;
-  ~CallerWatch();
-
-  bool CallerGone() const { return m_state->gone; }
-
- private:
-  struct State {
-    std::function<void()> on_gone;
-    bool gone = false;
-  };
-  boost::beast::tcp_stream& m_caller;
-  // Shared with the completion handler, which may run after the destruction.
-  std::shared_ptr<State> m_state;
-};
-
 // The upstream connections that have a request in flight. Closing one of them
 // ends its request.
 using ActiveStreams = std::set<boost::beast::tcp_stream*>;
--- a/include/kumquatmoor/transport/link_pacer.h
+++ b/include/kumquatmoor/transport/link_pacer.h
@@ -21,6 +21,7 @@
 #include <memory>
 #include <optional>
 
+#include "kumquatmoor/transport/caller_watch.h"
 #include "kumquatmoor/transport/link_scheduler.h"
 
 namespace kumquatmoor {
@@ -32,10 +33,8 @@
 
   bool IsEnabled() const { return m_scheduler.has_value(); }
   // Waits until `part` may be sent. Returns false if its deadline passes before
-  // that, or if `peer`, the connection that it is for, is closed by the other
-  // side. A null `peer` is not watched.
-  boost::asio::awaitable<bool> Await(LinkPart part,
-                                     boost::beast::tcp_stream* peer = nullptr);
+  // that, or if `peer`, the caller that it is for, leaves.
+  boost::asio::awaitable<bool> Await(LinkPart part, WatchedPeer peer = {});
   // Counts bytes that are sent without waiting.
   void Charge(size_t bytes);
 
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -99,8 +99,8 @@
   {
     std::unique_ptr<CallerWatch> watch;
     if (inbound.IsFullyBuffered()) {
-      inbound.Stream().expires_never();
-      watch = std::make_unique<CallerWatch>(inbound.Stream(), [waiter] {
+      inbound.StopTimer();
+      watch = std::make_unique<CallerWatch>(inbound.Peer(), [waiter] {
         waiter->caller_gone = true;
         waiter->timer.cancel();
       });
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -1,6 +1,6 @@
-// This file has the sessions and the functions that other threads call. How a
-// request is routed and retried is in proxy_calls.cc, the drain in
-// proxy_drain.cc.
+// This file has the sessions of other nodes and the functions that other
+// threads call. The sessions of callers are in caller_session.cc, how a request
+// is routed and retried is in proxy_calls.cc, the drain in proxy_drain.cc.
 
 #include "kumquatmoor/node/proxy.h"
 
@@ -14,7 +14,6 @@
 #include <limits>
 #include <utility>
 
-#include "node/caller_connection.h"
 #include "node/local_runner.h"
 
 namespace kumquatmoor {
@@ -227,44 +226,6 @@
   }
 }
 
-asio::awaitable<void> Proxy::CallerSession(asio::ip::tcp::socket socket) {
-  CallerConnection caller{.stream = beast::tcp_stream(std::move(socket))};
-  const auto unregister = [callers = m_callers](CallerConnection* gone) {
-    callers->erase(gone);
-  };
-  const std::unique_ptr<CallerConnection, decltype(unregister)> registration(
-      &caller, unregister);
-  m_callers->insert(&caller);
-  beast::flat_buffer buffer;
-  bool keep_open = true;
-  while (keep_open) {
-    InboundRequest inbound(caller.stream, buffer, m_bounds, m_budget);
-    caller.idle_since = Clock::now();
-    caller.inbound = &inbound;
-    const ReadOutcome read =
-        co_await inbound.ReadHead([this, &caller, &inbound] {
-          caller.idle_since.reset();
-          inbound.SetBounds(m_bounds);
-        });
-    if (read == ReadOutcome::kClosed) break;
-    if (read == ReadOutcome::kRejected) {
-      Rejection rejection;
-      rejection.status = inbound.RejectionStatus();
-      rejection.reason =
-          "the request is not accepted: " + inbound.RejectionReason();
-      co_await Reject(inbound, std::move(rejection));
-      co_await CloseAfterReply(caller.stream);
-      break;
-    }
-    try {
-      keep_open = co_await ServeCaller(inbound);
-    } catch (const std::exception& error) {
-      spdlog::info("route: event=caller_lost reason=\"{}\"", error.what());
-      keep_open = false;
-    }
-  }
-}
-
 asio::awaitable<void> Proxy::DataSession(asio::ip::tcp::socket socket) {
   beast::tcp_stream stream(std::move(socket));
   beast::flat_buffer buffer;
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -185,6 +185,8 @@
   if (rejection) {
     co_return co_await Reject(inbound, std::move(*rejection));
   }
+  // The route may have changed since the request was read.
+  if (!call.idempotent && !co_await inbound.AwaitTurn()) co_return false;
   if (m_behind_since) m_metrics.OnDecidedBehind(Clock::now() - *m_behind_since);
   Attempt attempt;
   attempt.call = call;
--- a/src/node/proxy_drain.cc
+++ b/src/node/proxy_drain.cc
@@ -119,10 +119,13 @@
   }
   size_t idle = 0;
   for (const CallerConnection* caller : *m_callers) {
-    if (caller->idle_since || caller->inbound == nullptr) {
-      ++idle;
-    } else {
+    for (const InboundRequest* inbound : caller->in_flight) {
+      add("caller", *inbound, StateOf(*inbound));
+    }
+    if (!caller->idle_since && caller->inbound != nullptr) {
       add("caller", *caller->inbound, StateOf(*caller->inbound));
+    } else if (caller->in_flight.empty()) {
+      ++idle;
     }
   }
   return fmt::format(
@@ -138,7 +141,10 @@
   m_runner->AbortAll();
   for (auto* stream : *m_active) stream->close();
   for (CallerConnection* caller : *m_callers) {
-    if (caller->inbound != nullptr) caller->inbound->CancelRead();
+    // The last response of a pipelined connection ends the read, too.
+    if (caller->inbound != nullptr && caller->pipeline->IsIdle()) {
+      caller->inbound->CancelRead();
+    }
   }
   for (InboundRequest* request : *m_node_requests) request->CancelRead();
   CloseIdleCallers(milliseconds(0));
--- a/src/node/proxy_errors.cc
+++ b/src/node/proxy_errors.cc
@@ -96,6 +96,7 @@
 
 asio::awaitable<bool> Proxy::Reject(InboundRequest& inbound,
                                     Rejection rejection) {
+  if (!co_await inbound.AwaitTurn()) co_return false;
   rejection = WithoutDenialByDefaults(std::move(rejection));
   rejection = WithoutDenialWhileBehind(std::move(rejection));
   rejection = WithoutDenialByReplacedLimits(inbound, std::move(rejection));
@@ -108,7 +109,7 @@
   answer.request_id_header = m_options.headers.request_id;
   answer.reason = std::move(rejection.reason);
   if (rejection.status == 503) answer.retry_after = kNotReadyRetryAfter;
-  answer.close = m_draining;
+  answer.close = ClosesAfter(inbound);
   co_await WriteLocalReply(inbound, answer);
   co_return inbound.KeepAlive() && inbound.IsFullyBuffered() && !answer.close;
 }
--- a/src/node/proxy_responses.cc
+++ b/src/node/proxy_responses.cc
@@ -43,10 +43,12 @@
   if (size && status < kFirstErrorStatus) {
     m_response_sizes.Add(attempt.call.route, *size);
   }
+  UpstreamPool& pool = attempt.local ? m_runner->Pool() : m_pool;
+  if (attempt.result.fully_buffered) ReleaseConnection(attempt.result, pool);
+  co_await inbound.AwaitTurn();
   // A drain that begins during the write must not close a connection that the
   // response keeps open.
-  const bool close = m_draining;
-  UpstreamPool& pool = attempt.local ? m_runner->Pool() : m_pool;
+  const bool close = ClosesAfter(inbound);
   const bool uses_link = m_options.callers_use_link;
   // A response that is complete is delivered, also when late.
   const TimePoint relay_until =
@@ -76,13 +78,14 @@
 
 asio::awaitable<bool> Proxy::GiveUp(InboundRequest& inbound, const Call& call,
                                     const Attempt& attempt) {
+  if (!co_await inbound.AwaitTurn()) co_return false;
   const ForwardResult& result = attempt.result;
   LocalReply answer;
   answer.verdict = result.verdict;
   answer.reason = result.reason.empty() ? "refused" : result.reason;
   answer.request_id = call.request_id;
   answer.request_id_header = m_options.headers.request_id;
-  answer.close = m_draining;
+  answer.close = ClosesAfter(inbound);
   if (result.verdict == Verdict::kNotRun) {
     answer.retry_after =
         std::clamp(attempt.retry_after, kMinRetryAfter, kMaxRetryAfter);
--- a/src/node/test_mesh.cc
+++ b/src/node/test_mesh.cc
@@ -85,11 +85,13 @@
     row->set_version("*");
     row->set_weight(100);
     row->set_from_weight(100);
-    for (const std::string& route_name : {name, name + "/other"}) {
+    for (const std::string& route_name :
+         {name, name + "/other", name + "/write"}) {
       HttpRoute* route = batch.add_routes();
       route->set_name(route_name);
       route->set_host(kRouteHost);
       route->set_prefix("/" + route_name + "/");
+      if (route_name.ends_with("/write")) route->set_kind(NON_IDEMPOTENT);
       route->set_max_attempts(kMaxAttempts);
       route->set_objective_ms(static_cast<uint32_t>(objective.count()));
       WeightedService* part = route->add_parts();
--- a/src/node/test_mesh.h
+++ b/src/node/test_mesh.h
@@ -16,8 +16,8 @@
 // Crashes that a node reports are known to all nodes 50 ms later, in place of
 // gossip. Everything runs on the thread that calls Run. A request to
 // "/SERVICE/..." is routed to the service, by a route of its own if it begins
-// with "/SERVICE/other/". The headers have short names, see
-// TestMeshHeaders.
+// with "/SERVICE/other/" or "/SERVICE/write/", which is not idempotent. The
+// headers have short names, see TestMeshHeaders.
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -102,10 +102,10 @@
   if (has_body) request.content_length(request.body().size());
   const size_t size = request.body().size();
   http::request_serializer<http::string_body> serializer(request);
-  co_return co_await WritePaced(
-      connection.stream, serializer,
-      {.body_bytes = size, .body_left = size, .deadline = options.deadline},
-      options.pacer);
+  const PacedMessage message{
+      .body_bytes = size, .body_left = size, .deadline = options.deadline};
+  co_return co_await WritePaced(connection.stream, serializer, message,
+                                options.pacer);
 }
 
 // Sends the buffered part of the body, then the rest as the caller sends it.
@@ -287,8 +287,8 @@
   const auto close_upstream = [&stream] { stream.close(); };
   std::unique_ptr<CallerWatch> watch;
   if (inbound.IsFullyBuffered()) {
-    inbound.Stream().expires_never();
-    watch = std::make_unique<CallerWatch>(inbound.Stream(), close_upstream);
+    inbound.StopTimer();
+    watch = std::make_unique<CallerWatch>(inbound.Peer(), close_upstream);
   }
   stream.expires_at(options.deadline);
   if (!co_await ApplyFaults(options, options.deadline)) {
@@ -309,8 +309,8 @@
   if (!error) {
     if (!inbound.IsFullyBuffered()) {
       // The body has been read, so that the watch cannot coincide with a read.
-      inbound.Stream().expires_never();
-      watch = std::make_unique<CallerWatch>(inbound.Stream(), close_upstream);
+      inbound.StopTimer();
+      watch = std::make_unique<CallerWatch>(inbound.Peer(), close_upstream);
     }
     if (!co_await ApplyFaults(options, options.deadline)) {
       error = beast::error::timeout;
--- a/src/transport/inbound.cc
+++ b/src/transport/inbound.cc
@@ -17,6 +17,7 @@
 
 #include "kumquatmoor/transport/exchange.h"
 #include "transport/body_reader.h"
+#include "transport/caller_bytes.h"
 #include "transport/framing.h"
 #include "transport/head_reader.h"
 
@@ -39,31 +40,6 @@
   return asio::redirect_error(asio::use_awaitable, error);
 }
 
-bool HasBytesToRead(beast::tcp_stream& stream) {
-  Error error;
-  return stream.socket().available(error) > 0 && !error;
-}
-
-std::string_view Unread(const beast::flat_buffer& buffer) {
-  const auto bytes = buffer.data();
-  return {static_cast<const char*>(bytes.data()), bytes.size()};
-}
-
-// Empty lines before a request are ignored (RFC 9112, section 2.2): some
-// callers write one after the body of the request before.
-void SkipEmptyLines(beast::flat_buffer& buffer) {
-  while (Unread(buffer).starts_with("\r\n")) buffer.consume(2);
-}
-
-// True if no byte of a request has arrived, at most half of an empty line.
-bool IsBlank(const beast::flat_buffer& buffer) {
-  return buffer.size() == 0 || Unread(buffer) == "\r";
-}
-
-}  // namespace
-
-namespace {
-
 // Brings a target in absolute form ("http://host/path") into origin form
 // ("/path"). Its host replaces that of the Host field (RFC 9112, 3.2.2).
 void ToOriginForm(http::request_header<>* head) {
@@ -84,29 +60,6 @@
 
 }  // namespace
 
-CallerWatch::CallerWatch(beast::tcp_stream& caller,
-                         std::function<void()> on_gone)
-    : m_caller(caller), m_state(std::make_shared<State>()) {
-  m_state->on_gone = std::move(on_gone);
-  auto& socket = caller.socket();
-  socket.async_wait(asio::ip::tcp::socket::wait_read,
-                    [state = m_state, &socket](Error error) {
-                      if (error || state->on_gone == nullptr) return;
-                      // Readable with bytes is the next request; readable
-                      // without bytes is the end of the stream or a failure.
-                      Error failed;
-                      if (socket.available(failed) > 0 && !failed) return;
-                      state->gone = true;
-                      state->on_gone();
-                    });
-}
-
-CallerWatch::~CallerWatch() {
-  m_state->on_gone = nullptr;
-  Error ignored;
-  m_caller.socket().cancel(ignored);
-}
-
 InboundRequest::InboundRequest(beast::tcp_stream& stream,
                                beast::flat_buffer& buffer,
                                const CallerBounds& bounds,
@@ -193,6 +146,10 @@
   // A caller of HTTP/1.0 knows no interim responses.
   if (Head().version() >= kHttp11 &&
       beast::iequals(Head()[http::field::expect], "100-continue")) {
+    if (before_continue) {
+      if (!co_await before_continue()) co_return ReadOutcome::kClosed;
+      m_stream.expires_after(m_bounds.header_timeout);
+    }
     http::response<http::empty_body> continue_response(http::status::continue_,
                                                        11);
     FrameResponse({.method = Head().method(), .version = Head().version()}, 0,
@@ -236,14 +193,38 @@
 }
 
 bool InboundRequest::CallerHasLeft() {
-  char byte = 0;
-  Error error;
-  auto& socket = m_stream.socket();
-  socket.non_blocking(true, error);
-  if (error) return true;
-  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
-                 error);
-  return error && error != asio::error::would_block;
+  if (m_place && m_place->pipeline->IsCancelled(m_place->ticket)) return true;
+  return HasEnded(m_stream);
+}
+
+void InboundRequest::Join(const std::shared_ptr<CallerPipeline>& pipeline) {
+  const size_t bytes = m_head_memory + m_buffered_body.size();
+  m_place = PipelinePlace{.pipeline = pipeline, .ticket = pipeline->Add(bytes)};
+}
+
+WatchedPeer InboundRequest::Peer() {
+  if (m_place) return *m_place;
+  return &m_stream;
+}
+
+asio::awaitable<bool> InboundRequest::AwaitTurn() {
+  if (!m_place) co_return true;
+  co_return co_await m_place->pipeline->AwaitTurn(m_place->ticket);
+}
+
+bool InboundRequest::IsLastRead() const {
+  return !m_place || m_place->pipeline->IsLast(m_place->ticket);
+}
+
+void InboundRequest::CloseAfterResponse() {
+  close_after_response = true;
+  if (m_place) m_place->pipeline->CloseAfter(m_place->ticket);
+}
+
+void InboundRequest::StopTimer() {
+  // The timer of a pipelined connection belongs to its reader and to the
+  // response that is written.
+  if (!m_place) m_stream.expires_never();
 }
 
 asio::awaitable<void> InboundRequest::ReadChunk(std::string* chunk) {
--- a/src/transport/link_pacer.cc
+++ b/src/transport/link_pacer.cc
@@ -3,9 +3,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
-#include <optional>
-
-#include "kumquatmoor/transport/exchange.h"
+#include <utility>
 
 namespace kumquatmoor {
 namespace {
@@ -20,8 +18,7 @@
   if (link_rate > 0) m_scheduler.emplace(LinkSchedulerOptions{link_rate});
 }
 
-asio::awaitable<bool> LinkPacer::Await(LinkPart part,
-                                       boost::beast::tcp_stream* peer) {
+asio::awaitable<bool> LinkPacer::Await(LinkPart part, WatchedPeer peer) {
   if (!m_scheduler || m_scheduler->TakeNow(part.bytes, SteadyClock::now())) {
     co_return true;
   }
@@ -30,10 +27,7 @@
   const uint64_t ticket = m_scheduler->Enqueue(part);
   m_waiters.emplace(ticket, waiter);
   StartTimer();
-  std::optional<CallerWatch> watch;
-  if (peer != nullptr) {
-    watch.emplace(*peer, [this, ticket] { Abandon(ticket); });
-  }
+  const CallerWatch watch(std::move(peer), [this, ticket] { Abandon(ticket); });
   boost::system::error_code cancelled;
   co_await waiter->granted.async_wait(
       asio::redirect_error(asio::use_awaitable, cancelled));
--- a/src/transport/paced_write.h
+++ b/src/transport/paced_write.h
@@ -27,9 +27,8 @@
   LinkPart::TimePoint deadline = LinkPart::TimePoint::max();
   LinkPart::TimePoint ready = std::chrono::steady_clock::now();
   size_t* sent_bytes = nullptr;  // As in RelayOptions.
-  // The message is a response: nobody needs the rest once the peer has closed
-  // the connection.
-  bool is_response = false;
+  // Of a response: the caller. Nobody needs the rest once it has left.
+  WatchedPeer peer = {};
 };
 
 // Writes what `serializer` holds, part by part as `pacer` permits; at once if
@@ -57,8 +56,7 @@
                           .message_left = message.body_left,
                           .message_ready = message.ready,
                           .deadline = message.deadline};
-      const bool may_send =
-          co_await pacer->Await(part, message.is_response ? &stream : nullptr);
+      const bool may_send = co_await pacer->Await(part, message.peer);
       if (!may_send) co_return asio::error::timed_out;
     }
     serializer.limit(granted > 0 ? granted : kLinkPartBytes);
--- a/src/transport/paced_write_test.cc
+++ b/src/transport/paced_write_test.cc
@@ -53,7 +53,7 @@
     const PacedMessage message{.body_bytes = kBodyBytes,
                                .body_left = kBodyBytes,
                                .sent_bytes = &sent_bytes,
-                               .is_response = true};
+                               .peer = &*m_stream};
     outcome = co_await WritePaced(*m_stream, serializer, message, &m_pacer);
   }
 
--- a/src/transport/relay.cc
+++ b/src/transport/relay.cc
@@ -59,13 +59,14 @@
   }
   const size_t size = response.body().size();
   http::response_serializer<http::string_body> serializer(response);
-  const Error error = co_await WritePaced(inbound.Stream(), serializer,
-                                          {.body_bytes = size,
-                                           .body_left = size,
-                                           .deadline = options.deadline,
-                                           .sent_bytes = options.sent_bytes,
-                                           .is_response = true},
-                                          options.pacer);
+  // GCC 12 destroys a temporary aggregate in a co_await expression twice.
+  const PacedMessage message{.body_bytes = size,
+                             .body_left = size,
+                             .deadline = options.deadline,
+                             .sent_bytes = options.sent_bytes,
+                             .peer = inbound.Peer()};
+  const Error error =
+      co_await WritePaced(inbound.Stream(), serializer, message, options.pacer);
   co_return !error;
 }
 
@@ -90,7 +91,7 @@
   PacedMessage message{.body_left = kMaxBufferedResponseBytes,
                        .deadline = options.deadline,
                        .sent_bytes = options.sent_bytes,
-                       .is_response = true};
+                       .peer = inbound.Peer()};
   const auto hold = [&]() -> Error {
     result.share.Resize(std::max(
         kStreamBytes, chunk.capacity() + result.connection->buffer.capacity()));
@@ -129,7 +130,7 @@
   const BodyFraming framing =
       FrameResponse(Framed(inbound), BodyBytes(result), &result.head);
   const bool ends_with_connection = framing == BodyFraming::kUntilClose;
-  if (ends_with_connection) inbound.close_after_response = true;
+  if (ends_with_connection) inbound.CloseAfterResponse();
   const bool complete = co_await WriteStreamed(inbound, result, options);
   if (!complete && ends_with_connection) ResetOnClose(inbound);
   co_return complete;
@@ -182,24 +183,29 @@
 asio::awaitable<bool> RelayResponse(InboundRequest& inbound,
                                     ForwardResult& result, UpstreamPool& pool,
                                     RelayOptions options) {
+  if (result.fully_buffered) ReleaseConnection(result, pool);
+  if (!co_await inbound.AwaitTurn()) co_return false;
   inbound.responding = true;
   RemoveHopByHopHeaders(&result.head);
   result.head.version(11);
   if (options.close || !inbound.KeepAlive()) {
     result.head.set(http::field::connection, "close");
+    inbound.CloseAfterResponse();
   }
   inbound.Stream().expires_after(kCallerWriteTimeout);
   if (result.fully_buffered) {
-    ReleaseConnection(result, pool);
-    co_return co_await RelayBuffered(inbound, result, options);
+    inbound.responded = co_await RelayBuffered(inbound, result, options);
+    co_return inbound.responded;
   }
   const bool complete = co_await RelayStreamed(inbound, result, options);
   ReleaseConnection(result, pool);
+  inbound.responded = complete;
   co_return complete;
 }
 
 asio::awaitable<void> WriteLocalReply(InboundRequest& inbound,
                                       const LocalReply& reply) {
+  if (!co_await inbound.AwaitTurn()) co_return;
   inbound.responding = true;
   http::response<http::string_body> response;
   response.version(11);
@@ -230,9 +236,11 @@
   if (framing == BodyFraming::kNone) response.body().clear();
   response.keep_alive(!reply.close && inbound.KeepAlive() &&
                       inbound.IsFullyBuffered());
+  if (!response.keep_alive()) inbound.CloseAfterResponse();
   inbound.Stream().expires_after(kCallerWriteTimeout);
   Error error;
   co_await http::async_write(inbound.Stream(), response, Into(error));
+  inbound.responded = !error;
 }
 
 asio::awaitable<void> CloseAfterReply(boost::beast::tcp_stream& stream) {
