Test pipelining without temporary aggregates in co_await and co_return

GCC 12 destroys such temporaries twice (shown with a small program under AddressSanitizer for co_await). Link-limited hosts cut a response in the test of cancellation.

--- a/src/node/pipelining_test.cc
+++ b/src/node/pipelining_test.cc
@@ -48,8 +48,9 @@
     const ProxyOptions options{.caller_grace = milliseconds(100),
                                .drain_timeout = milliseconds(2'000)};
     mesh.AddHost({.service = "own", .proxy = options});
-    mesh.AddHost({.service = "s", .slots = 64});
-    mesh.AddHost({.service = "s", .slots = 64});
+    const ProxyOptions with_link{.link_rate = 8e6};
+    mesh.AddHost({.service = "s", .slots = 64, .proxy = with_link});
+    mesh.AddHost({.service = "s", .slots = 64, .proxy = with_link});
     mesh.SetScript("s", [this](size_t, const HttpRequest& request) {
       return Respond(request);
     });
@@ -74,10 +75,13 @@
     beast::error_code error;
     co_await http::async_read(caller, m_buffer, response,
                               asio::redirect_error(asio::use_awaitable, error));
-    if (error) co_return Received{};
-    co_return Received{.status = response.result_int(),
-                       .id = std::string(response["Id"]),
-                       .keep_alive = response.keep_alive()};
+    Received received;
+    if (!error) {
+      received.status = response.result_int();
+      received.id = std::string(response["Id"]);
+      received.keep_alive = response.keep_alive();
+    }
+    co_return received;
   }
   // Receives the next response. GCC 12 does not support temporary aggregates in
   // expressions with co_await.
@@ -174,7 +178,6 @@
                                Get("/none/r4") + Get("/s/r5");
   mesh.Run([&]() -> asio::awaitable<void> {
     co_await Send(requests);
-
     for (size_t i = 0; i < statuses.size(); ++i) {
       const std::string id = fmt::format("r{}", i + 1);
       co_await Expect(statuses[i], id);
@@ -218,17 +221,16 @@
 // Guards against requests that go on behind a response that was cut.
 TEST_CASE_METHOD(PipeliningFixture,
                  "A response that is cut cancels the requests behind it") {
-  bytes["r1"] = 64U << 20U;
+  // The link of its host is too slow for it.
+  bytes["r1"] = 7'000'000;
   run_times["r2"] = milliseconds(5'000);
   const std::string requests =
-      Get("/s/r1", 500) + Get("/s/r2") + Get("/s/write/r3");
+      Get("/s/r1", 600) + Get("/s/r2") + Get("/s/write/r3");
   mesh.Run([&]() -> asio::awaitable<void> {
     co_await Send(requests);
     co_await Sleep(milliseconds(300));
     CHECK(IsAnyRunning());
     CHECK(Arrived("r2") == 1);
-    // The caller does not read the first response in its time.
-    co_await Sleep(milliseconds(500));
     co_await Expect(0, "");
     co_await Sleep(milliseconds(100));
     CHECK_FALSE(IsAnyRunning());
@@ -268,10 +270,11 @@
 // to an earlier request.
 TEST_CASE_METHOD(PipeliningFixture, "100 Continue waits for its turn") {
   run_times["r1"] = milliseconds(100);
+  const std::string requests =
+      Get("/s/r1") +
+      Get("/s/r2", 5'000, "Expect: 100-continue\r\nContent-Length: 2\r\n");
   mesh.Run([&]() -> asio::awaitable<void> {
-    co_await Send(
-        Get("/s/r1") +
-        Get("/s/r2", 5'000, "Expect: 100-continue\r\nContent-Length: 2\r\n"));
+    co_await Send(requests);
     co_await Expect(200, "r1");
     co_await Expect(100, "");
     co_await Send("ab");
