--- a/src/node/caller_session.cc
+++ b/src/node/caller_session.cc
@@ -58,7 +58,8 @@
   try {
     co_await ReadRequests(caller);
   } catch (const std::exception&) {
-    // The connection failed.
+    // The connection failed, and the request that was read is gone.
+    caller->inbound = nullptr;
     caller->pipeline->Close();
   }
   co_await caller->pipeline->AwaitIdle();
