--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -105,8 +105,8 @@
   {
     std::unique_ptr<CallerWatch> watch;
     if (inbound.IsFullyBuffered()) {
-      inbound.Stream().expires_never();
-      watch = std::make_unique<CallerWatch>(inbound.Stream(), [waiter] {
+      inbound.StopTimer();
+      watch = std::make_unique<CallerWatch>(inbound.Peer(), [waiter] {
         waiter->caller_gone = true;
         waiter->timer.cancel();
       });
@@ -208,8 +208,6 @@
   }
   if (!run.admission.admitted) {
     CountRefusal(run.admission);
-    if (run.admission.shed) m_metrics->OnShed();
-    if (run.admission.handed_back) m_metrics->OnHandedBack();
     run.result.verdict =
         run.admission.duplicate ? Verdict::kMayHaveRun : Verdict::kNotRun;
     run.result.reason = std::string(run.admission.reason);
@@ -263,6 +261,8 @@
   m_metrics->OnRefusal();
   if (admission.evacuated) m_metrics->OnEvacuatedRefusal();
   if (admission.is_cold) m_metrics->OnColdRefusal();
+  if (admission.shed) m_metrics->OnShed();
+  if (admission.handed_back) m_metrics->OnHandedBack();
 }
 
 void LocalRunner::NoteLostBackend(const Call& call, const LocalRun& run) {
