Read from health checks how much longer a backend server is cold

Announcements come every 1.5 s. A backend server that becomes cold in between got its usual load until the next one, and one whose state was unknown stayed limited for as long.

Only a connection that cannot be established is a sign of its own: the state is unknown then.

--- a/include/kumquatmoor/node/backend_registry.h
+++ b/include/kumquatmoor/node/backend_registry.h
@@ -101,6 +101,10 @@
   // since `at` unless it has announced itself since.
   void NoteColdUnknown(const std::string& address, TimePoint at);
   void NoteAllColdUnknown(TimePoint at);
+  // The backend server with this address reports how much longer it is cold.
+  void NoteColdReport(const std::string& address,
+                      std::chrono::milliseconds cold_left, TimePoint now);
+  ColdSettings SettingsOf(const std::string& service) const;
   // Updates which backend servers are cold, for Backends() and Endpoints().
   // Returns the ids of the instances that differ from the last call.
   std::vector<std::string> UpdateCold(TimePoint now);
@@ -131,7 +135,6 @@
     bool is_cold = false;
     TimePoint published_until;  // End of the cold phase, as last published.
   };
-  ColdSettings SettingsOf(const std::string& service) const;
   bool IsLeaving(const Announcement& announcement) const;
 
   std::map<std::string, Entry> m_entries;               // By address.
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -60,8 +60,13 @@
   // A node whose calls to the platform failed may be selected as a gateway
   // again after this time, which is the length of a long partition.
   std::chrono::milliseconds platform_retry_delay{10'000};
+  // Header of the health checks of local backend servers, see CallHeaders. They
+  // are not read if it is empty.
+  std::string cold_header;
 };
 
+class HealthProbe;
+
 class ControlLoop {
  public:
   using Command = std::function<void(ControlLoop&)>;
@@ -71,6 +76,7 @@
   ControlLoop(boost::asio::io_context& context, ControlLoopOptions options,
               const FaultPlan* faults, Proxy* proxy,
               BoundedRing<Outcome>* outcomes, BoundedRing<SyncPeer>* syncs);
+  ~ControlLoop();
 
   // Binds the datagram socket and starts the timer. Call before the context
   // runs.
@@ -194,6 +200,8 @@
   void PublishBackends();
   // Publishes the backend servers if one has become cold or warm.
   void UpdateCold(TimePoint now);
+  // Begins to read the health checks of the local backend servers.
+  void StartHealthProbe();
   // Notes the evacuated zones of the batch in force and the services' settings
   // of cold starts.
   void NoteBatchInForce(const Batch& batch, TimePoint now);
@@ -253,6 +261,7 @@
   EvacuatedZones m_evacuated;
   EvacuationRead m_evacuation_read;  // Of the store, by this node.
   TimePoint m_next_evacuation_check;
+  std::unique_ptr<HealthProbe> m_health_probe;
   bool m_ready = false;
   bool m_store_loaded = false;
   bool m_knows_departures = false;
--- a/include/kumquatmoor/state/cold_backend.h
+++ b/include/kumquatmoor/state/cold_backend.h
@@ -22,6 +22,7 @@
 
 #include <chrono>
 #include <optional>
+#include <string>
 
 #include "kumquatmoor/state/limits.h"
 
@@ -31,6 +32,7 @@
 struct ColdSettings {
   double rate = 0;  // Requests per second of a cold backend server, 0: any.
   std::chrono::milliseconds start{0};  // Duration of a process's cold start.
+  std::string health_path;  // Of the health check, "" if there is none.
   bool operator==(const ColdSettings&) const = default;
 };
 
--- a/src/node/backend_registry.cc
+++ b/src/node/backend_registry.cc
@@ -156,6 +156,13 @@
   if (found != m_entries.end()) found->second.cold_phase.OnUnknown(at);
 }
 
+void BackendRegistry::NoteColdReport(const std::string& address,
+                                     milliseconds cold_left, TimePoint now) {
+  const auto found = m_entries.find(address);
+  if (found != m_entries.end())
+    found->second.cold_phase.OnReport(now, cold_left);
+}
+
 void BackendRegistry::NoteAllColdUnknown(TimePoint at) {
   for (auto& [address, entry] : m_entries) entry.cold_phase.OnUnknown(at);
 }
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -12,6 +12,7 @@
 #include "kumquatmoor/state/observed_clock.h"
 #include "kumquatmoor/state/routes.h"
 #include "kumquatmoor/state/store_revision.h"
+#include "node/health_probe.h"
 #include "node/unix_time.h"
 
 namespace kumquatmoor {
@@ -59,7 +60,10 @@
   const auto error =
       m_socket.Open(m_options.replica.control_address,
                     [this](std::string_view bytes) { OnBytes(bytes); });
-  if (!error) Tick();
+  if (!error) {
+    StartHealthProbe();
+    Tick();
+  }
   return error;
 }
 
--- a/src/node/control_loop_evacuation.cc
+++ b/src/node/control_loop_evacuation.cc
@@ -11,10 +11,13 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <utility>
+#include <vector>
 
 #include "kumquatmoor/node/control_loop.h"
 #include "kumquatmoor/state/store_revision.h"
+#include "node/health_probe.h"
 #include "node/unix_time.h"
 
 namespace kumquatmoor {
@@ -31,6 +34,34 @@
 
 }  // namespace
 
+ControlLoop::~ControlLoop() = default;
+
+void ControlLoop::StartHealthProbe() {
+  if (m_options.cold_header.empty()) return;
+  m_health_probe = std::make_unique<HealthProbe>(
+      m_context, HealthProbeOptions{.cold_header = m_options.cold_header},
+      [this] {
+        std::vector<HealthProbe::Target> targets;
+        for (const auto& backend : m_registry.Backends()) {
+          std::string path = m_registry.SettingsOf(backend.service).health_path;
+          if (path.empty()) continue;
+          targets.push_back(
+              {.address = backend.address, .path = std::move(path)});
+        }
+        return targets;
+      },
+      [this](const HealthProbe::Report& report) {
+        const TimePoint now = Clock::now();
+        if (!report.cold_left) {
+          m_registry.NoteColdUnknown(report.address, now);
+        } else {
+          m_registry.NoteColdReport(report.address, *report.cold_left, now);
+        }
+        UpdateCold(now);
+      });
+  m_health_probe->Start();
+}
+
 std::optional<Batch> ControlLoop::NoteRead(const SourceUpdate& update,
                                            bool is_complete) {
   m_evacuation_read.revision = update.read_revision;
@@ -71,7 +102,8 @@
     if (service.cold_rate() <= 0) continue;
     settings[service.service()] = {
         .rate = service.cold_rate(),
-        .start = milliseconds(service.cold_start_ms())};
+        .start = milliseconds(service.cold_start_ms()),
+        .health_path = service.health_path()};
   }
   m_registry.SetColdSettings(std::move(settings));
 }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -74,7 +74,8 @@
           .seed = RandomSeed()};
 }
 
-ControlLoopOptions MakeLoopOptions(const NodeSettings& settings) {
+ControlLoopOptions MakeLoopOptions(const NodeSettings& settings,
+                                   const CallHeaders& headers) {
   ControlLoopOptions options;
   options.replica.id = settings.id;
   options.replica.zone = settings.zone;
@@ -84,6 +85,7 @@
   options.replica.seed = RandomSeed();
   options.replica.probe_interval = settings.probe_interval;
   options.gateways_per_zone = static_cast<size_t>(settings.gateways_per_zone);
+  options.cold_header = headers.cold_ms;
   return options;
 }
 
@@ -121,8 +123,8 @@
       m_syncs(kSyncRingCapacity),
       m_proxy(m_proxy_context, MakeProxyOptions(m_settings, m_options.headers),
               &m_faults, &m_outcomes),
-      m_loop(m_control_context, MakeLoopOptions(m_settings), &m_faults,
-             &m_proxy, &m_outcomes, &m_syncs),
+      m_loop(m_control_context, MakeLoopOptions(m_settings, m_options.headers),
+             &m_faults, &m_proxy, &m_outcomes, &m_syncs),
       m_client(&m_faults),
       m_service(&m_loop, &m_client),
       m_sync_worker(MakeSyncOptions(m_settings), &m_loop, &m_client, &m_syncs),
--- a/src/state/cold_backend_test.cc
+++ b/src/state/cold_backend_test.cc
@@ -15,7 +15,7 @@
 using std::chrono::seconds;
 
 const TimePoint kNow = TimePoint() + seconds(100);
-constexpr ColdSettings kSettings{.rate = 20, .start = milliseconds(3'000)};
+const ColdSettings kSettings{.rate = 20, .start = milliseconds(3'000)};
 
 TEST_CASE("A backend server is cold as announced and after its start") {
   ColdPhase phase;
