Hedge requests whose first target does not respond in the usual time

A stalled target made its requests late even where other targets were free: a request was sent to a second target only after the first had failed.

With hedge_percent set, a request that has waited for the 95th percentile of its route is sent to a second target, and the first response is used. HedgePolicy decides by budget, attempts, time and the load of the second target. The other attempt is ended by closing its connection; ForwardCancellation does that, and takes the place of the exchange's own watch on the caller's connection, as two exchanges cannot both wait on it. 0, the default, changes nothing.

state_test passes (109 cases).

--- a/include/kumquatmoor/node/call_metrics.h
+++ b/include/kumquatmoor/node/call_metrics.h
@@ -20,6 +20,7 @@
 
 #include "kumquatmoor/protocol/attempt_kind.h"
 #include "kumquatmoor/protocol/verdict.h"
+#include "kumquatmoor/state/hedge_policy.h"
 
 namespace kumquatmoor {
 
@@ -34,6 +35,12 @@
   // Counts a caller's request that ended, with all its retries.
   void OnCall(Verdict verdict, double latency_ms);
   void OnRetry() { ++m_retries; }
+  // Counts a request that had no response in the usual time, by whether it was
+  // hedged, and one whose second attempt responded first.
+  void OnHedge(HedgeVerdict verdict) {
+    ++m_hedges[static_cast<size_t>(verdict)];
+  }
+  void OnHedgeWon() { ++m_hedges_won; }
   // Counts a request for a local backend server that this node refused.
   void OnRefusal() { ++m_refusals; }
   // Counts such a request that was refused because the zone is evacuated, or
@@ -84,6 +91,8 @@
 
   std::array<uint64_t, 3> m_calls{};  // Indexed by Verdict.
   uint64_t m_retries = 0;
+  std::array<uint64_t, kHedgeVerdicts> m_hedges{};  // Indexed by HedgeVerdict.
+  uint64_t m_hedges_won = 0;
   uint64_t m_refusals = 0;
   uint64_t m_evacuated_refusals = 0;
   uint64_t m_cold_refusals = 0;
--- a/include/kumquatmoor/node/node_settings.h
+++ b/include/kumquatmoor/node/node_settings.h
@@ -62,6 +62,8 @@
   // Retries and calls of retries of a service, over all nodes and in any
   // period, for each request.
   double retry_ratio = 0.2;
+  // Hedged requests for 100 requests of callers; 0: none.
+  double hedge_percent = 0;
   // Time after SIGTERM for which callers are still served, so that they can
   // switch to another node.
   std::chrono::milliseconds caller_grace{1'500};
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -39,6 +39,7 @@
 #include "kumquatmoor/node/remembered_notices.h"
 #include "kumquatmoor/protocol/verdict.h"
 #include "kumquatmoor/state/crash_suspects.h"
+#include "kumquatmoor/state/hedge_policy.h"
 #include "kumquatmoor/state/outcome_counters.h"
 #include "kumquatmoor/state/picker.h"
 #include "kumquatmoor/state/routes.h"
@@ -84,6 +85,8 @@
   // Responses to callers leave by this link, too. False if callers run on this
   // host and connect over loopback.
   bool callers_use_link = false;
+  // Hedged requests for 100 requests of callers; 0: none.
+  double hedge_percent = 0;
   // Bytes of requests and responses that all connections together may hold.
   size_t buffer_bytes = 64U << 20U;
   uint64_t seed = 1;
@@ -154,6 +157,8 @@
 
  private:
   struct Attempt;
+  struct HedgeEntrant;
+  struct HedgeRace;
   struct CallerConnection;
   // Status and reason of the response to a request that is not routed.
   struct Rejection {
@@ -195,6 +200,22 @@
                                           const Call& call, Attempt& attempt);
   boost::asio::awaitable<void> TryTarget(InboundRequest& inbound,
                                          const Pick& pick, Attempt& attempt);
+  // Sends the request to the target, and to a second one if the first does not
+  // respond in the usual time. `attempt` has the result that is used. Adds the
+  // second target to `tried` and records both attempts.
+  boost::asio::awaitable<void> TryHedged(InboundRequest& inbound,
+                                         const Pick& pick,
+                                         std::set<std::string>* tried,
+                                         Attempt& attempt);
+  // Time after which the request may be hedged; empty if it is not.
+  std::optional<std::chrono::milliseconds> HedgeDelay(
+      const InboundRequest& inbound, const Pick& pick,
+      const Attempt& attempt) const;
+  // Starts an attempt of the race, if the second one may be sent.
+  void StartEntrant(InboundRequest& inbound, HedgeRace* race,
+                    HedgeEntrant* entrant);
+  bool PrepareSecond(const HedgeEntrant& first, std::set<std::string>* tried,
+                     HedgeEntrant* second);
   // Relays the response of the last attempt. False if the connection must be
   // closed.
   boost::asio::awaitable<bool> Answer(InboundRequest& inbound,
@@ -288,6 +309,7 @@
   std::unique_ptr<LocalRunner> m_runner;
   LogBudget m_log_budget;
   TargetLoads m_loads;
+  HedgePolicy m_hedges{{.percent = m_options.hedge_percent}};
   ResponseSizes m_response_sizes;  // Of responses to callers.
   RememberedNotices m_notices;     // Of the backend servers of other hosts.
   TypicalDeadlines m_typical_deadlines;
--- a/include/kumquatmoor/transport/exchange.h
+++ b/include/kumquatmoor/transport/exchange.h
@@ -184,6 +184,28 @@
 // ends its request.
 using ActiveStreams = std::set<boost::beast::tcp_stream*>;
 
+// Ends an exchange early, for one of several exchanges of the same request.
+//
+//   const auto cancellation = std::make_shared<ForwardCancellation>();
+//   options.cancellation = cancellation;
+//   ...
+//   cancellation->Cancel();  // Forward ends soon, with `caller_gone` set.
+class ForwardCancellation {
+ public:
+  // Closes the connection. What has not been sent yet will not be.
+  void Cancel() {
+    m_cancelled = true;
+    if (m_stream != nullptr) m_stream->close();
+  }
+  bool IsCancelled() const { return m_cancelled; }
+  // The connection of the exchange, null if there is none. Called by Forward.
+  void SetStream(boost::beast::tcp_stream* stream) { m_stream = stream; }
+
+ private:
+  bool m_cancelled = false;
+  boost::beast::tcp_stream* m_stream = nullptr;
+};
+
 struct ForwardOptions {
   std::string address;  // "IP:PORT" of the node or the backend server.
   std::string zone;     // Zone of the node, to match injected faults.
@@ -196,6 +218,9 @@
   const CallHeaders* headers = nullptr;  // Null: the default names.
   // Contains the connection while the request is in flight. May be null.
   std::shared_ptr<ActiveStreams> active;
+  // If set, Forward does not watch the caller's connection: several exchanges
+  // cannot. Their owner watches it and cancels them.
+  std::shared_ptr<ForwardCancellation> cancellation;
   // Paces the body of the request to another node. May be null.
   LinkPacer* pacer = nullptr;
   // Counts what is held of the response. While it is scarce, no more of a body
--- a/src/node/call_metrics.cc
+++ b/src/node/call_metrics.cc
@@ -42,10 +42,17 @@
         "kumquatmoor_denied_total{{status=\"{}\",origin=\"{}\"}} {}\n", status,
         origin == Origin::kNode ? "node" : "backend", count);
   }
+  text += "# TYPE kumquatmoor_hedges_total counter\n";
+  for (size_t verdict = 0; verdict < kHedgeVerdicts; ++verdict) {
+    text += fmt::format("kumquatmoor_hedges_total{{result=\"{}\"}} {}\n",
+                        HedgeVerdictName(static_cast<HedgeVerdict>(verdict)),
+                        m_hedges[verdict]);
+  }
   const auto counter = [&](const char* name, uint64_t value) {
     text += fmt::format("# TYPE {} counter\n{} {}\n", name, name, value);
   };
   counter("kumquatmoor_retries_total", m_retries);
+  counter("kumquatmoor_hedges_won_total", m_hedges_won);
   counter("kumquatmoor_refusals_total", m_refusals);
   counter("kumquatmoor_evacuated_refusals_total", m_evacuated_refusals);
   counter("kumquatmoor_cold_refusals_total", m_cold_refusals);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -70,6 +70,7 @@
           .reply_timeout = settings.reply_timeout,
           .link_rate = settings.link_mbps * kBytesPerSecondPerMbps,
           .callers_use_link = settings.callers_use_link,
+          .hedge_percent = settings.hedge_percent,
           .buffer_bytes = BufferBytes(settings),
           .seed = RandomSeed()};
 }
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -93,6 +93,8 @@
       "waiting_per_slot", {.fallback = 0, .minimum = 0, .maximum = 1'000});
   settings->retry_ratio = reader->Number(
       "retry_ratio", {.fallback = 0.2, .minimum = 0, .maximum = 1});
+  settings->hedge_percent = reader->Number(
+      "hedge_percent", {.fallback = 0, .minimum = 0, .maximum = 100});
   settings->link_mbps = reader->Number(
       "link_mbps", {.fallback = 0, .minimum = 0, .maximum = 1e6});
   settings->callers_use_link = reader->Bool("callers_use_link", false);
--- a/src/node/proxy_attempt.h
+++ b/src/node/proxy_attempt.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 
 #include "kumquatmoor/node/proxy.h"
@@ -21,6 +22,8 @@
   Call call;  // With the version of the current target.
   ForwardResult result;
   std::optional<LocalRun> local;
+  // Of a hedged request's attempt; null for others.
+  std::shared_ptr<ForwardCancellation> cancellation;
   TimePoint started;          // Start of the current attempt.
   bool leaving = false;       // As in AdmissionResult.
   bool limited = false;       // As in AdmissionResult.
--- a/src/node/proxy_attempts.cc
+++ b/src/node/proxy_attempts.cc
@@ -141,6 +141,7 @@
   options.faults = m_faults;
   options.headers = &m_options.headers;
   options.active = m_active;
+  options.cancellation = attempt.cancellation;
   options.pacer = &m_pacer;
   options.budget = m_budget;
   options.to_node = true;
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -225,8 +225,7 @@
     attempt.call.known_crashes = attempt.crashes;
     attempt.call.attempt_kind = kind;
     attempt.call.deadline = std::min(call.deadline, m_drain_end);
-    co_await TryTarget(inbound, pick, attempt);
-    RecordAttempt(pick, attempt);
+    co_await TryHedged(inbound, pick, &tried, attempt);
     if (attempt.MayHaveArrived()) ++attempt.offers;
     if (attempt.crashed) ++attempt.crashes;
     if (attempt.result.caller_gone) co_return;
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -250,6 +250,28 @@
   std::shared_ptr<ActiveStreams> m_streams;
 };
 
+// Lets the owner of a cancellation close the stream during its lifetime.
+class CancellableStream {
+ public:
+  CancellableStream(std::shared_ptr<ForwardCancellation> cancellation,
+                    beast::tcp_stream* stream)
+      : m_cancellation(std::move(cancellation)) {
+    if (m_cancellation != nullptr) m_cancellation->SetStream(stream);
+  }
+  CancellableStream(const CancellableStream&) = delete;
+  CancellableStream& operator=(const CancellableStream&) = delete;
+  ~CancellableStream() {
+    if (m_cancellation != nullptr) m_cancellation->SetStream(nullptr);
+  }
+
+  bool IsCancelled() const {
+    return m_cancellation != nullptr && m_cancellation->IsCancelled();
+  }
+
+ private:
+  std::shared_ptr<ForwardCancellation> m_cancellation;
+};
+
 // Why a response is not one that the peer may send. Empty if there is nothing.
 std::string_view Violation(const ResponseHead& response,
                            const ForwardOptions& options) {
@@ -274,8 +296,11 @@
   Error error;
   result.connection =
       pool.TakeIdle(options.address, options.max_idle_age, request_id);
-  if (result.connection == nullptr) {
-    result.connection = pool.MakeNew(options.address);
+  const bool is_new = result.connection == nullptr;
+  if (is_new) result.connection = pool.MakeNew(options.address);
+  const CancellableStream cancellable(options.cancellation,
+                                      &result.connection->stream);
+  if (is_new) {
     error = co_await Connect(*result.connection, options);
     if (error) {
       SetFailure(&result, Verdict::kNotRun, "cannot connect", error);
@@ -286,7 +311,7 @@
   const ActiveStreamEntry active(&stream, options.active);
   const auto close_upstream = [&stream] { stream.close(); };
   std::unique_ptr<CallerWatch> watch;
-  if (inbound.IsFullyBuffered()) {
+  if (inbound.IsFullyBuffered() && options.cancellation == nullptr) {
     inbound.Stream().expires_never();
     watch = std::make_unique<CallerWatch>(inbound.Stream(), close_upstream);
   }
@@ -295,7 +320,7 @@
     error = beast::error::timeout;
   }
   // A request may have waited in the socket, or for the connection.
-  if (!error && inbound.CallerHasLeft()) {
+  if (!error && (inbound.CallerHasLeft() || cancellable.IsCancelled())) {
     watch.reset();
     pool.ReturnIdle(std::move(result.connection));
     SetFailure(&result, Verdict::kNotRun, "the caller went away", error);
@@ -321,6 +346,7 @@
                                           is_head_request);
   }
   if (watch != nullptr && watch->CallerGone()) result.caller_gone = true;
+  if (cancellable.IsCancelled()) result.caller_gone = true;
   watch.reset();
   if (error || result.caller_gone) {
     SetFailure(&result, Verdict::kMayHaveRun, "no whole answer", error);
