Split the race of hedged requests into short functions

TryHedged was 60 lines long, and a request that a first target had refused earned the budget of hedged requests twice.

--- a/src/node/health_probe.cc
+++ b/src/node/health_probe.cc
@@ -52,7 +52,9 @@
   while (true) {
     const auto targets = m_targets();
     if (targets.empty()) m_connections.clear();
-    for (const auto& target : targets) co_await Probe(target);
+    for (const auto& target : targets) {
+      co_await Probe(target);
+    }
     timer.expires_after(m_options.interval);
     co_await timer.async_wait(asio::use_awaitable);
   }
--- a/src/node/proxy_hedge.cc
+++ b/src/node/proxy_hedge.cc
@@ -51,7 +51,17 @@
 };
 
 struct Proxy::HedgeRace {
-  explicit HedgeRace(asio::io_context& context) : wake(context) {}
+  HedgeRace(asio::io_context& context, const Pick& pick, Attempt attempt)
+      : wake(context),
+        refusals_before(attempt.refusals),
+        unreachable_before(attempt.unreachable) {
+    entrants[0].pick = pick;
+    entrants[0].attempt = std::move(attempt);
+  }
+
+  asio::awaitable<size_t> Run(Proxy& proxy, InboundRequest& inbound,
+                              milliseconds delay, std::set<std::string>* tried);
+  void RecordOther(Proxy& proxy, HedgeEntrant& other, Attempt* used);
 
   void Cancel() {
     for (auto& entrant : entrants) {
@@ -85,6 +95,8 @@
   }
 
   asio::steady_timer wake;
+  int refusals_before;  // In earlier attempts of the request.
+  int unreachable_before;
   std::array<HedgeEntrant, 2> entrants;
 };
 
@@ -153,78 +165,80 @@
   return true;
 }
 
+// Starts the first attempt, the second one when it is due, and waits until both
+// have ended. Returns the index of the attempt that is used.
+asio::awaitable<size_t> Proxy::HedgeRace::Run(Proxy& proxy,
+                                              InboundRequest& inbound,
+                                              milliseconds delay,
+                                              std::set<std::string>* tried) {
+  auto& [first, second] = entrants;
+  inbound.Stream().expires_never();
+  const CallerWatch watch(inbound.Stream(), [this] { Cancel(); });
+  proxy.StartEntrant(inbound, this, &first);
+  const TimePoint hedge_at = Clock::now() + delay;
+  while (!first.ended && Clock::now() < hedge_at) {
+    co_await Wait(hedge_at);
+  }
+  if (!first.ended && !watch.CallerGone() &&
+      proxy.PrepareSecond(first, tried, &second)) {
+    proxy.StartEntrant(inbound, this, &second);
+  }
+  while (!IsDecided()) {
+    co_await Wait(TimePoint::max());
+  }
+  const size_t winner = Winner();
+  Cancel();
+  while (!HaveAllEnded()) {
+    co_await Wait(TimePoint::max());
+  }
+  for (const auto& entrant : entrants) {
+    if (entrant.failure) std::rethrow_exception(entrant.failure);
+  }
+  if (watch.CallerGone()) entrants[winner].attempt.result.caller_gone = true;
+  co_return winner;
+}
+
+// Records the attempt that is not used, and adds its totals to those of `used`.
+void Proxy::HedgeRace::RecordOther(Proxy& proxy, HedgeEntrant& other,
+                                   Attempt* used) {
+  if (!other.started) return;
+  // It ended since it is not needed any more, and did not fail.
+  if (other.cancelled) other.attempt.result.caller_gone = true;
+  proxy.RecordAttempt(other.pick, other.attempt);
+  if (other.attempt.MayHaveArrived()) ++used->offers;
+  if (other.attempt.crashed) ++used->crashes;
+  if (other.cancelled) return;
+  used->refusals += other.attempt.refusals - refusals_before;
+  used->unreachable += other.attempt.unreachable - unreachable_before;
+}
+
 asio::awaitable<void> Proxy::TryHedged(InboundRequest& inbound,
                                        const Pick& pick,
                                        std::set<std::string>* tried,
                                        Attempt& attempt) {
-  if (attempt.offers == 0) m_hedges.OnFirstAttempt();
+  if (tried->size() == 1) m_hedges.OnFirstAttempt();
+  // The policy learns how long a hedged request took, not its second attempt:
+  // each one would shorten the delay of the next.
+  const TimePoint started = Clock::now();
   const auto delay = HedgeDelay(inbound, pick, attempt);
   if (!delay) {
     co_await TryTarget(inbound, pick, attempt);
+    RecordAttempt(pick, attempt);
   } else {
-    HedgeRace race(m_context);
-    auto& [first, second] = race.entrants;
-    first.pick = pick;
-    first.attempt = std::move(attempt);
-    const int refusals = first.attempt.refusals;
-    const int unreachable = first.attempt.unreachable;
-    inbound.Stream().expires_never();
-    std::optional<CallerWatch> watch;
-    watch.emplace(inbound.Stream(), [&race] { race.Cancel(); });
-    StartEntrant(inbound, &race, &first);
-    const TimePoint hedge_at = Clock::now() + *delay;
-    while (!first.ended && Clock::now() < hedge_at) {
-      co_await race.Wait(hedge_at);
-    }
-    if (!first.ended && !watch->CallerGone() &&
-        PrepareSecond(first, tried, &second)) {
-      StartEntrant(inbound, &race, &second);
-    }
-    while (!race.IsDecided()) co_await race.Wait(TimePoint::max());
-    const size_t winner = race.Winner();
-    race.Cancel();
-    while (!race.HaveAllEnded()) co_await race.Wait(TimePoint::max());
-    const bool is_caller_gone = watch->CallerGone();
-    watch.reset();
-    for (const auto& entrant : race.entrants) {
-      if (entrant.failure) std::rethrow_exception(entrant.failure);
-    }
+    HedgeRace race(m_context, pick, std::move(attempt));
+    const size_t winner = co_await race.Run(*this, inbound, *delay, tried);
     HedgeEntrant& used = race.entrants[winner];
-    HedgeEntrant& other = race.entrants[1 - winner];
-    if (other.started) {
-      // It ended since the caller needs it no longer, and did not fail.
-      if (other.cancelled) other.attempt.result.caller_gone = true;
-      RecordAttempt(other.pick, other.attempt);
-      if (other.attempt.MayHaveArrived()) ++used.attempt.offers;
-      if (other.attempt.crashed) ++used.attempt.crashes;
-      if (!other.cancelled) {
-        used.attempt.refusals += other.attempt.refusals - refusals;
-        used.attempt.unreachable += other.attempt.unreachable - unreachable;
-      }
-      if (winner == 1 && IsUsable(used.attempt.result)) m_metrics.OnHedgeWon();
-    }
-    // The policy learns how long the request took, not its second attempt.
-    const TimePoint started = first.attempt.started;
+    race.RecordOther(*this, race.entrants[1 - winner], &used.attempt);
+    RecordAttempt(used.pick, used.attempt);
     attempt = std::move(used.attempt);
-    if (is_caller_gone) attempt.result.caller_gone = true;
-    RecordAttempt(used.pick, attempt);
-    attempt.started = started;
     attempt.cancellation.reset();
-    if (IsUsable(attempt.result)) {
-      m_hedges.OnResponse(
-          attempt.call.route,
-          std::chrono::duration_cast<milliseconds>(Clock::now() - started),
-          Clock::now());
-    }
-    co_return;
-  }
-  RecordAttempt(pick, attempt);
-  if (IsUsable(attempt.result)) {
-    m_hedges.OnResponse(attempt.call.route,
-                        std::chrono::duration_cast<milliseconds>(
-                            Clock::now() - attempt.started),
-                        Clock::now());
+    if (winner == 1 && IsUsable(attempt.result)) m_metrics.OnHedgeWon();
   }
+  if (!IsUsable(attempt.result)) co_return;
+  const TimePoint now = Clock::now();
+  m_hedges.OnResponse(attempt.call.route,
+                      std::chrono::duration_cast<milliseconds>(now - started),
+                      now);
 }
 
 }  // namespace kumquatmoor
