Detect crashes of backend servers in an evacuated zone

A backend server of an evacuated zone counted as leaving, so that the end of its process while it ran requests was no crash. It finishes what it runs, and may crash as any other.

cold_admission_test checks it; 22 selected cases pass.

--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -84,10 +84,10 @@
 std::string_view Admission::UnavailableReason(const Entry& entry) const {
   const bool leaving = entry.backend.draining || entry.notice.leaving;
   if (m_draining || leaving) return kDraining;
-  if (m_evacuated) return kEvacuated;
   if (!entry.announced) return kNoSuchBackend;
   if (entry.recalled) return kRecalled;
   if (entry.closed) return kClosed;
+  if (m_evacuated) return kEvacuated;
   return {};
 }
 
@@ -224,7 +224,10 @@
 bool Admission::IsLeaving(const std::string& service,
                           const std::string& version) const {
   const auto found = m_entries.find({service, version});
-  return found == m_entries.end() || !UnavailableReason(found->second).empty();
+  if (found == m_entries.end()) return true;
+  // Backend servers of an evacuated zone go on with what they run.
+  const std::string_view reason = UnavailableReason(found->second);
+  return !reason.empty() && reason != kEvacuated;
 }
 
 const LocalBackend* Admission::FindBackend(const std::string& service,
--- a/src/node/cold_admission_test.cc
+++ b/src/node/cold_admission_test.cc
@@ -56,8 +56,9 @@
   const AdmissionResult refused = Admit(kNow);
   CHECK(refused.evacuated);
   CHECK(refused.leaving);
-  // Those that run continue.
+  // Those that run continue, and a crash meanwhile is one.
   CHECK(admission.TotalInFlight() == 10);
+  CHECK_FALSE(admission.IsLeaving("s", "v1"));
 }
 
 // Guards against full load on backend servers that became cold during the
