--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -36,9 +36,9 @@
 
 #include "kumquatmoor/protocol/attempt_kind.h"
 #include "kumquatmoor/protocol/backend_notice.h"
-#include "kumquatmoor/state/cold_backend.h"
 #include "kumquatmoor/protocol/server_load.h"
 #include "kumquatmoor/state/call_failures.h"
+#include "kumquatmoor/state/cold_backend.h"
 #include "kumquatmoor/state/host_speed.h"
 #include "kumquatmoor/state/limits.h"
 #include "kumquatmoor/state/link_backlog.h"
--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -65,8 +65,13 @@
   std::chrono::milliseconds platform_retry_delay{10'000};
   // As in ProxyOptions. If it is 0, members are told of no confirmations.
   std::chrono::milliseconds key_revocation{0};
+  // Header of the health checks of local backend servers, see CallHeaders. They
+  // are not read if it is empty.
+  std::string cold_header;
 };
 
+class HealthProbe;
+
 class ControlLoop {
  public:
   using Command = std::function<void(ControlLoop&)>;
@@ -76,6 +81,7 @@
   ControlLoop(boost::asio::io_context& context, ControlLoopOptions options,
               const FaultPlan* faults, Proxy* proxy,
               BoundedRing<Outcome>* outcomes, BoundedRing<SyncPeer>* syncs);
+  ~ControlLoop();
 
   // Binds the datagram socket and starts the timer. Call before the context
   // runs.
@@ -215,6 +221,8 @@
   void PublishBackends();
   // Publishes the backend servers if one has become cold or warm.
   void UpdateCold(TimePoint now);
+  // Begins to read the health checks of the local backend servers.
+  void StartHealthProbe();
   // Notes the evacuated zones of the batch in force and the services' settings
   // of cold starts.
   void NoteBatchInForce(const Batch& batch, TimePoint now);
@@ -286,6 +294,7 @@
   QuotaExchange m_quotas;
   std::shared_ptr<const Batch> m_quota_batch;  // That the quotas are of.
   std::shared_ptr<const QuotaLimits> m_quota_limits;
+  std::unique_ptr<HealthProbe> m_health_probe;
   bool m_ready = false;
   bool m_store_loaded = false;
   bool m_knows_departures = false;
--- a/include/kumquatmoor/node/node_settings.h
+++ b/include/kumquatmoor/node/node_settings.h
@@ -65,6 +65,8 @@
   // Time for which a key may be accepted after it was revoked. Zero: as long as
   // the node does not know of the revocation.
   std::chrono::milliseconds key_revocation{0};
+  // Hedged requests for 100 requests of callers; 0: none.
+  double hedge_percent = 0;
   // Time after SIGTERM for which callers are still served, so that they can
   // switch to another node.
   std::chrono::milliseconds caller_grace{1'500};
--- a/src/node/admission_limits.cc
+++ b/src/node/admission_limits.cc
@@ -13,7 +13,7 @@
 
 using std::chrono::milliseconds;
 
-// Burst of the limit that a backend server names : the requests
+// Burst of the limit that a backend server names: the requests
 // that it allows in this time.
 constexpr double kBackendLimitBurstSeconds = 0.25;
 // Requests per second. A limit below this rate is raised to it, so that there
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -13,6 +13,7 @@
 #include "kumquatmoor/state/routes.h"
 #include "kumquatmoor/state/store_revision.h"
 #include "node/boot_time.h"
+#include "node/health_probe.h"
 #include "node/unix_time.h"
 
 namespace kumquatmoor {
@@ -62,7 +63,10 @@
   const auto error =
       m_socket.Open(m_options.replica.control_address,
                     [this](std::string_view bytes) { OnBytes(bytes); });
-  if (!error) Tick();
+  if (!error) {
+    StartHealthProbe();
+    Tick();
+  }
   return error;
 }
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -71,11 +71,13 @@
           .reply_timeout = settings.reply_timeout,
           .link_rate = settings.link_mbps * kBytesPerSecondPerMbps,
           .callers_use_link = settings.callers_use_link,
+          .hedge_percent = settings.hedge_percent,
           .buffer_bytes = BufferBytes(settings),
           .seed = RandomSeed()};
 }
 
-ControlLoopOptions MakeLoopOptions(const NodeSettings& settings) {
+ControlLoopOptions MakeLoopOptions(const NodeSettings& settings,
+                                   const CallHeaders& headers) {
   ControlLoopOptions options;
   options.replica.id = settings.id;
   options.replica.zone = settings.zone;
@@ -86,6 +88,7 @@
   options.replica.probe_interval = settings.probe_interval;
   options.key_revocation = settings.key_revocation;
   options.gateways_per_zone = static_cast<size_t>(settings.gateways_per_zone);
+  options.cold_header = headers.cold_ms;
   return options;
 }
 
@@ -123,8 +126,8 @@
       m_syncs(kSyncRingCapacity),
       m_proxy(m_proxy_context, MakeProxyOptions(m_settings, m_options.headers),
               &m_faults, &m_outcomes),
-      m_loop(m_control_context, MakeLoopOptions(m_settings), &m_faults,
-             &m_proxy, &m_outcomes, &m_syncs),
+      m_loop(m_control_context, MakeLoopOptions(m_settings, m_options.headers),
+             &m_faults, &m_proxy, &m_outcomes, &m_syncs),
       m_client(&m_faults),
       m_service(&m_loop, &m_client),
       m_sync_worker(MakeSyncOptions(m_settings), &m_loop, &m_client, &m_syncs),
--- a/src/node/quota_gate.cc
+++ b/src/node/quota_gate.cc
@@ -1,5 +1,6 @@
 // A request that waits is woken by each reply for its organisation and asks the
-// client again. Timers run on the steady clock, tokens expire by BootTimePoint().
+// client again. Timers run on the steady clock, tokens expire by
+// BootTimePoint().
 
 #include "node/quota_gate.h"
 
--- a/src/node/quota_gate.h
+++ b/src/node/quota_gate.h
@@ -49,8 +49,8 @@
   // and does not return QuotaWait.
   boost::asio::awaitable<QuotaDecision> Take(std::string organisation,
                                              TimePoint until);
-  // Returns the token that a request took at `taken`, by BootTimePoint(), since it
-  // has not run.
+  // Returns the token that a request took at `taken`, by BootTimePoint(), since
+  // it has not run.
   void Return(std::string_view organisation, TimePoint taken);
   void OnGrants(const std::vector<QuotaGrant>& grants, TimePoint sent);
 
