--- a/src/node/quota_gate.cc
+++ b/src/node/quota_gate.cc
@@ -27,7 +27,7 @@
   Schedule();
 }
 
-asio::awaitable<QuotaDecision> QuotaGate::Take(std::string organisation,
+asio::awaitable<QuotaDecision> QuotaGate::Take(const std::string& organisation,
                                                TimePoint until) {
   QuotaDecision decision = m_client.Take(organisation, BootTime());
   if (std::holds_alternative<QuotaWait>(decision)) {
--- a/src/node/quota_gate.h
+++ b/src/node/quota_gate.h
@@ -46,8 +46,8 @@
     return m_client.HasQuota(organisation);
   }
   // Takes a token. Waits for one until `until` or for QuotaClient::kMaxWait,
-  // and does not return QuotaWait.
-  boost::asio::awaitable<QuotaDecision> Take(std::string organisation,
+  // and does not return QuotaWait. `organisation` must stay valid until then.
+  boost::asio::awaitable<QuotaDecision> Take(const std::string& organisation,
                                              TimePoint until);
   // Returns the token that a request took at `taken`, by BootTime(), since it
   // has not run.
--- a/src/node/quota_mesh_test.cc
+++ b/src/node/quota_mesh_test.cc
@@ -23,7 +23,7 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-constexpr char kOrganisation[] = "acme";
+const std::string kOrganisation = "acme";
 constexpr size_t kNodes = 3;
 
 Batch BatchWith(uint64_t revision, double rate, double burst) {
