--- a/src/coordination/quota_exchange_test.cc
+++ b/src/coordination/quota_exchange_test.cc
@@ -1,7 +1,7 @@
-#include <catch2/catch.hpp>
-
 #include "kumquatmoor/coordination/quota_exchange.h"
 
+#include <catch2/catch.hpp>
+
 namespace kumquatmoor {
 namespace {
 
@@ -87,8 +87,8 @@
   for (auto* exchange : {&pair.a, &pair.b}) {
     const auto result = exchange->OnDatagram(datagram, pair.now);
     REQUIRE(result.messages.size() == 1);
-    granted += static_cast<size_t>(
-        result.messages[0].datagram.quota_grants_size());
+    granted +=
+        static_cast<size_t>(result.messages[0].datagram.quota_grants_size());
   }
   CHECK(granted == pair.requests.size());
 }
