Name the exceptions of the boot clock for the linter

Cause: clang-tidy found the names of the standard's clocks and a cast. Change: exceptions for both names; the cast is not needed. Result: clang-tidy finds nothing in the file; the confirmation cases pass.

--- a/include/kumquatmoor/state/boot_clock.h
+++ b/include/kumquatmoor/state/boot_clock.h
@@ -18,10 +18,11 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
+  // The names below are those of the standard's clocks.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
-
-  // The name is that of the standard's clocks.
-  static time_point now() noexcept {  // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static time_point now() noexcept {
     timespec time{};
     clock_gettime(CLOCK_BOOTTIME, &time);
     return time_point(std::chrono::seconds(time.tv_sec) +
