--- a/include/kumquatmoor/node/admission.h
+++ b/include/kumquatmoor/node/admission.h
@@ -295,8 +295,8 @@
   static void UpdateSpeed(Entry* entry, TimePoint now);
   // Whether the request is refused because its calls would fail, or because
   // another target is probably faster. Sets the reason in `result`.
-  bool IsShed(const AdmissionRequest& request, TimePoint now,
-              AdmissionResult* result);
+  bool IsShed(const AdmissionRequest& request, const Entry& entry,
+              TimePoint now, AdmissionResult* result);
   bool IsHandedBack(const AdmissionRequest& request, const Entry& entry,
                     TimePoint now, AdmissionResult* result) const;
   // Why the backend server takes no requests at all, queued ones included; ""
--- a/src/node/admission.cc
+++ b/src/node/admission.cc
@@ -154,7 +154,7 @@
     SetRefusal(result.reason, &result);
     return result;
   }
-  if (IsShed(request, now, &result)) return result;
+  if (IsShed(request, entry, now, &result)) return result;
   if (IsHandedBack(request, entry, now, &result)) return result;
   if (m_options.waiting_per_slot == 0 && !HasFreeSlot(request, entry)) {
     result.reason = kAllSlotsTaken;
--- a/src/node/admission_contention.cc
+++ b/src/node/admission_contention.cc
@@ -36,8 +36,10 @@
   entry->queue.SetRunTimePercent(entry->speed.Percent(now));
 }
 
-bool Admission::IsShed(const AdmissionRequest& request, TimePoint now,
-                       AdmissionResult* result) {
+bool Admission::IsShed(const AdmissionRequest& request, const Entry& entry,
+                       TimePoint now, AdmissionResult* result) {
+  // A request that takes no slot from others may try its calls.
+  if (entry.queue.Running() < entry.queue.Slots()) return false;
   // The parent of a nested call would lose its slot.
   if (request.is_nested_call) return false;
   if (!m_call_failures.ShouldShed(request.route, now)) return false;
