--- a/include/kumquatmoor/node/control_loop.h
+++ b/include/kumquatmoor/node/control_loop.h
@@ -31,16 +31,20 @@
 #include <future>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "kumquatmoor/coordination/ack_tree.h"
+#include "kumquatmoor/coordination/batch_confirmation.h"
 #include "kumquatmoor/coordination/member_directory.h"
+#include "kumquatmoor/coordination/quota_exchange.h"
 #include "kumquatmoor/coordination/replica.h"
 #include "kumquatmoor/node/backend_registry.h"
 #include "kumquatmoor/node/move_controller.h"
 #include "kumquatmoor/node/proxy.h"
+#include "kumquatmoor/state/evacuation.h"
 #include "kumquatmoor/transport/bounded_ring.h"
 #include "kumquatmoor/transport/datagram_socket.h"
 
@@ -59,8 +63,15 @@
   // A node whose calls to the platform failed may be selected as a gateway
   // again after this time, which is the length of a long partition.
   std::chrono::milliseconds platform_retry_delay{10'000};
+  // As in ProxyOptions. If it is 0, members are told of no confirmations.
+  std::chrono::milliseconds key_revocation{0};
+  // Header of the health checks of local backend servers, see CallHeaders. They
+  // are not read if it is empty.
+  std::string cold_header;
 };
 
+class HealthProbe;
+
 class ControlLoop {
  public:
   using Command = std::function<void(ControlLoop&)>;
@@ -70,6 +81,7 @@
   ControlLoop(boost::asio::io_context& context, ControlLoopOptions options,
               const FaultPlan* faults, Proxy* proxy,
               BoundedRing<Outcome>* outcomes, BoundedRing<SyncPeer>* syncs);
+  ~ControlLoop();
 
   // Binds the datagram socket and starts the timer. Call before the context
   // runs.
@@ -116,6 +128,9 @@
   // state; empty for a read of changes.
   void ApplySourceUpdate(const SourceUpdate& update,
                          std::optional<TimePoint> complete_since);
+  // A read of the platform that began at that time showed no newer batch than
+  // that of the stamp, which has been applied before.
+  void ConfirmRead(BootTime began, const BatchStamp& read);
   // Records whether the last call to the platform succeeded. While it did not,
   // other members select another gateway.
   void SetPlatformReachable(bool reachable);
@@ -138,11 +153,17 @@
   // Marks a local backend server that said in a response that it leaves as
   // draining, unless another process runs at its address by now.
   void OnBackendLeaving(const LocalBackend& backend);
+  // The local backend server with this address counts as cold from `at` until
+  // it announces itself again.
+  void OnColdUnknown(const std::string& address, TimePoint at);
   // Replicates a crash of a local backend server, or its response to a request
   // that is known from a crash.
   void OnBackendCrash(const BackendCrash& crash);
   void OnSuspectResponse(const std::string& key, const std::string& service,
                          const std::string& version);
+  // Asks the quota authorities for the tokens that the proxy requested at
+  // `sent`, by BootTimePoint().
+  void AskForQuota(const std::vector<QuotaRequest>& requests, TimePoint sent);
   // Forgets the crashes of a request in the whole mesh. Returns false if there
   // is no such record.
   bool ClearCrashes(const std::string& key);
@@ -184,10 +205,36 @@
   // Lets the proxy decide for some more time, unless the process was stopped
   // and has not heard of other members since.
   void ExtendDecisions(TimePoint now);
+  // Confirmations are passed on to other members only where keys need them.
+  bool SharesConfirmation() const;
+  void ReceiveConfirmation(const Datagram& datagram, BootTime now);
+  // Responds to a probe that asks for a confirmation only, or takes over the
+  // one in its ACK. Returns false for other datagrams.
+  bool OnConfirmationProbe(const Datagram& datagram, BootTime now);
+  // Tells the proxy as of when the batch in force is confirmed, and some
+  // members.
+  void PublishConfirmation();
+  void PushConfirmation();
   // Before the node has joined and has read the platform, it does not know
   // which of its backend servers had said before a restart that they leave, so
   // it publishes none.
   void PublishBackends();
+  // Publishes the backend servers if one has become cold or warm.
+  void UpdateCold(TimePoint now);
+  // Begins to read the health checks of the local backend servers.
+  void StartHealthProbe();
+  // Notes the evacuated zones of the batch in force and the services' settings
+  // of cold starts.
+  void NoteBatchInForce(const Batch& batch, TimePoint now);
+  // Asks for a complete read if the store lacks an evacuation of the batch in
+  // force, which a listing does not show by a higher revision.
+  void CheckRemovedEvacuations(TimePoint now);
+  // Notes what the update shows of the store. Returns its batch, with a
+  // revision that replaces one whose evacuations were removed.
+  std::optional<Batch> NoteRead(const SourceUpdate& update, bool is_complete);
+  // How long ago the process of an announcement started, if this node has just
+  // started and may have missed its first announcement.
+  std::chrono::milliseconds ProcessAge(const Announcement& announcement) const;
   // Publishes the backend servers once the departures are known. Asks other
   // members for them until then.
   void AwaitDepartures(TimePoint now);
@@ -197,6 +244,11 @@
   // Passes changed crash records to the proxy and logs requests that are newly
   // blocked or no longer blocked.
   void PublishCrashes();
+  // Takes the quotas from a new batch, and passes quotas and the number of
+  // members to the proxy if they, or the authorities, have changed.
+  void UpdateQuotas();
+  void OnQuotaDatagram(const Datagram& datagram, TimePoint now);
+  void SendQuotas(QuotaExchange::Result result);
   std::vector<std::string> OwnZoneIds() const;
   void UpdateAckTree(TimePoint now);
   void UpdateMoves(TimePoint now);
@@ -229,9 +281,20 @@
   DatagramSocket m_socket;
   boost::asio::steady_timer m_timer;
   Replica m_replica;
+  BatchConfirmation m_confirmation;
+  std::optional<BootTime> m_published_confirmation;
+  uint64_t m_confirmation_probes = 0;
+  std::mt19937_64 m_rng;
   AckTree m_ack_tree;
   MoveController m_move_controller;
   BackendRegistry m_registry;
+  EvacuatedZones m_evacuated;
+  EvacuationRead m_evacuation_read;  // Of the store, by this node.
+  TimePoint m_next_evacuation_check;
+  QuotaExchange m_quotas;
+  std::shared_ptr<const Batch> m_quota_batch;  // That the quotas are of.
+  std::shared_ptr<const QuotaLimits> m_quota_limits;
+  std::unique_ptr<HealthProbe> m_health_probe;
   bool m_ready = false;
   bool m_store_loaded = false;
   bool m_knows_departures = false;
--- a/include/kumquatmoor/node/proxy.h
+++ b/include/kumquatmoor/node/proxy.h
@@ -33,12 +33,16 @@
 #include <string>
 #include <vector>
 
+#include "kumquatmoor/coordination/quota_limits.h"
 #include "kumquatmoor/node/admission.h"
 #include "kumquatmoor/node/call_metrics.h"
 #include "kumquatmoor/node/log_budget.h"
 #include "kumquatmoor/node/remembered_notices.h"
 #include "kumquatmoor/protocol/verdict.h"
+#include "kumquatmoor/state/boot_clock.h"
 #include "kumquatmoor/state/crash_suspects.h"
+#include "kumquatmoor/state/hand_backs.h"
+#include "kumquatmoor/state/hedge_policy.h"
 #include "kumquatmoor/state/outcome_counters.h"
 #include "kumquatmoor/state/picker.h"
 #include "kumquatmoor/state/routes.h"
@@ -52,7 +56,9 @@
 namespace kumquatmoor {
 
 class LocalRunner;
+class QuotaGate;
 struct Call;
+struct QuotaDenied;
 
 struct ProxyOptions {
   std::string id;  // Member id of this node.
@@ -76,6 +82,10 @@
   // Time after which a node that knows of a newer configuration than its own
   // serves no callers.
   std::chrono::milliseconds max_time_behind_serving{1'000};
+  // Time for which a key may still be accepted after a configuration without it
+  // is in force in the store. 0: keys are accepted however old the
+  // configuration of this node is.
+  std::chrono::milliseconds key_revocation{0};
   // Time after the drain timeout in which responses can be written, also to
   // callers that read slowly.
   std::chrono::milliseconds reply_timeout{200};
@@ -84,6 +94,8 @@
   // Responses to callers leave by this link, too. False if callers run on this
   // host and connect over loopback.
   bool callers_use_link = false;
+  // Hedged requests for 100 requests of callers; 0: none.
+  double hedge_percent = 0;
   // Bytes of requests and responses that all connections together may hold.
   size_t buffer_bytes = 64U << 20U;
   uint64_t seed = 1;
@@ -108,6 +120,9 @@
   // this function. A process that was stopped finds the time expired and thus
   // refuses what arrived meanwhile. Without a call there is no limit.
   void SetDecidesUntil(TimePoint until);
+  // The configuration of the routes was the newest one of the store at `at`,
+  // and has been set before.
+  void SetConfirmedAt(BootTime at);
   // True if callers are refused at `now` by a node that has been behind since
   // `since`. Safe from any thread.
   bool IsTooFarBehind(std::optional<TimePoint> since, TimePoint now) const;
@@ -118,6 +133,11 @@
   // Calls `handler` on the proxy's thread when a local backend server says in a
   // response that it leaves. Call before the context runs.
   void SetLeavingHandler(std::function<void(const LocalBackend&)> handler);
+  // Calls `handler` on the proxy's thread when a local backend server counts as
+  // cold from a time on, as it cannot be reached or has crashed. Call before
+  // the context runs.
+  void SetColdUnknownHandler(
+      std::function<void(const LocalBackend&, TimePoint)> handler);
   // Replaces what is known of requests that crash backend servers.
   void SetCrashes(std::shared_ptr<const CrashSuspects> crashes);
   // Calls `on_crash` on the proxy's thread when a local backend server has
@@ -128,6 +148,19 @@
       std::function<void(const std::string& key, const std::string& service,
                          const std::string& version)>
           on_response);
+  // Replaces the quotas of organisations and the number of members that share
+  // them. Call it also when authorities of quotas may have changed.
+  void SetQuotas(std::shared_ptr<const QuotaLimits> limits,
+                 size_t known_members);
+  // Calls `handler` on the proxy's thread with requests for tokens of quotas
+  // and the time, by BootTimePoint(), at which they were made. Call before the
+  // context runs.
+  void SetQuotaHandler(
+      std::function<void(std::vector<QuotaRequest>, TimePoint)> handler);
+  // The tokens of this node. Use it on the proxy's thread.
+  QuotaGate& Quotas() { return *m_quotas; }
+  // Takes over the replies to requests for tokens that were made at `sent`.
+  void OnQuotaGrants(std::vector<QuotaGrant> grants, TimePoint sent);
   // Refuses new requests for a version that has lost its share. Calls `closed`
   // once no request for the version is left.
   void CloseVersion(std::string service, std::string version,
@@ -149,6 +182,8 @@
 
  private:
   struct Attempt;
+  struct HedgeEntrant;
+  struct HedgeRace;
   struct CallerConnection;
   // Status and reason of the response to a request that is not routed.
   struct Rejection {
@@ -163,6 +198,26 @@
   boost::asio::awaitable<void> CallerSession(
       boost::asio::ip::tcp::socket socket);
   boost::asio::awaitable<void> DataSession(boost::asio::ip::tcp::socket socket);
+  // Reads the requests of a caller's connection, and serves them or starts a
+  // coroutine for them.
+  boost::asio::awaitable<void> ReadRequests(
+      std::shared_ptr<CallerConnection> caller);
+  boost::asio::awaitable<ReadOutcome> ReadRequest(CallerConnection& caller,
+                                                  InboundRequest& inbound);
+  // Serves a request while no other one of its connection is in flight. False
+  // if the connection must be closed.
+  boost::asio::awaitable<bool> ServeAlone(CallerConnection& caller,
+                                          InboundRequest& inbound,
+                                          ReadOutcome read);
+  // Serves a request while others of its connection may be in flight.
+  boost::asio::awaitable<void> ServeBesideOthers(
+      std::shared_ptr<CallerConnection> caller,
+      std::shared_ptr<InboundRequest> inbound);
+  // True if the request is complete and idempotent, and leaves the connection
+  // open.
+  bool MayRunBesideOthers(const InboundRequest& inbound) const;
+  // True if a drain closes the connection after the response to this request.
+  bool ClosesAfter(const InboundRequest& inbound) const;
   // Serves one request, from a caller or from another node. False if the
   // connection must be closed.
   boost::asio::awaitable<bool> ServeCaller(InboundRequest& inbound);
@@ -184,12 +239,40 @@
                            const Attempt& attempt);
   // The configuration by which a request is routed, for the log.
   std::string ConfigurationText() const;
+  // Takes a token if the request's organisation has a quota. Returns the denial
+  // if there is none. `taken` is set to the time of the token, if one was
+  // taken.
+  boost::asio::awaitable<std::optional<QuotaDenied>> TakeQuotaToken(
+      const Call& call, std::optional<TimePoint>* taken);
+  // Responds that the quota is used up. False if the connection must be closed.
+  boost::asio::awaitable<bool> RefuseByQuota(InboundRequest& inbound,
+                                             const Call& call,
+                                             QuotaDenied denied);
+  // Returns the token that was taken at `taken`, if the request has not run.
+  void ReturnUnusedToken(const Call& call, std::optional<TimePoint> taken,
+                         Verdict verdict);
   // Sends the request to one target after another until an attempt succeeds or
   // no retry is allowed. `attempt` has the result of the last attempt.
   boost::asio::awaitable<void> TryTargets(InboundRequest& inbound,
                                           const Call& call, Attempt& attempt);
   boost::asio::awaitable<void> TryTarget(InboundRequest& inbound,
                                          const Pick& pick, Attempt& attempt);
+  // Sends the request to the target, and to a second one if the first does not
+  // respond in the usual time. `attempt` has the result that is used. Adds the
+  // second target to `tried` and records both attempts.
+  boost::asio::awaitable<void> TryHedged(InboundRequest& inbound,
+                                         const Pick& pick,
+                                         std::set<std::string>* tried,
+                                         Attempt& attempt);
+  // Time after which the request may be hedged; empty if it is not.
+  std::optional<std::chrono::milliseconds> HedgeDelay(
+      const InboundRequest& inbound, const Pick& pick,
+      const Attempt& attempt) const;
+  // Starts an attempt of the race, if the second one may be sent.
+  void StartEntrant(InboundRequest& inbound, HedgeRace* race,
+                    HedgeEntrant* entrant);
+  bool PrepareSecond(const HedgeEntrant& first, std::set<std::string>* tried,
+                     HedgeEntrant* second);
   // Relays the response of the last attempt. False if the connection must be
   // closed.
   boost::asio::awaitable<bool> Answer(InboundRequest& inbound,
@@ -202,6 +285,20 @@
   // anything.
   std::optional<Rejection> ReadCallerCall(const InboundRequest& inbound,
                                           Call* call);
+  // True if the configuration has organisations, so that requests need keys.
+  bool RequiresKeys() const;
+  CallerCredentials CredentialsOf(const InboundRequest& inbound,
+                                  const HttpRoute& route,
+                                  const Call& call) const;
+  // False if the configuration may have been replaced for so long that keys
+  // must not be decided by it.
+  bool IsConfirmed() const;
+  // True if the key of the call is still valid; for another attempt.
+  bool MayUseKey(const Call& call) const;
+  // Sets the organisation of `call` by the caller's key. Returns why the
+  // request must not be routed, if so.
+  std::optional<Rejection> Authenticate(const InboundRequest& inbound,
+                                        const HttpRoute& route, Call* call);
   // Reads what requests from callers and from other nodes have in common.
   Call ReadCall(const InboundRequest& inbound, const CallHeaders& names);
   // Refuses the request if the node has been behind for too long, or has just
@@ -227,6 +324,15 @@
                           const Call& call) const;
   Pick PickFor(const Call& call, AttemptKind kind,
                const std::set<std::string>& tried);
+  // The next target: one that was not tried or, once no other one may hand the
+  // request back, the best of those that did.
+  Pick PickOrReturn(const Call& call, AttemptKind kind,
+                    const std::set<std::string>& tried, HandBacks* hand_backs);
+  // Whether the next target may hand the request back.
+  bool MayHandBack(const InboundRequest& inbound, const Call& call,
+                   const HandBacks& hand_backs) const;
+  // Records how a call ended that a backend server of this host made.
+  void ReportNestedCall(const Call& call, const Attempt& attempt);
   // The key of a caller's request. A body that is streamed counts by its
   // buffered beginning and its length.
   std::string KeyOf(const InboundRequest& inbound, const Call& call) const;
@@ -274,6 +380,8 @@
   std::shared_ptr<const RouteTable> m_routes;
   std::optional<TimePoint> m_behind_since;
   TimePoint m_decides_until = TimePoint::max();
+  std::optional<BootTime> m_confirmed_at;
+  TimePoint m_started = Clock::now();
   TimePoint m_revision_since;  // Since when the revision is in force.
   std::shared_ptr<const CrashSuspects> m_crashes =
       std::make_shared<const CrashSuspects>();
@@ -281,11 +389,14 @@
   CallMetrics m_metrics;
   CallMetrics::Runs m_logged_runs{};  // As of the last LogRetries().
   std::unique_ptr<LocalRunner> m_runner;
+  std::unique_ptr<QuotaGate> m_quotas;
   LogBudget m_log_budget;
   TargetLoads m_loads;
+  HedgePolicy m_hedges{{.percent = m_options.hedge_percent}};
   ResponseSizes m_response_sizes;  // Of responses to callers.
   RememberedNotices m_notices;     // Of the backend servers of other hosts.
   TypicalDeadlines m_typical_deadlines;
+  HandBackPolicy m_hand_back_policy;
   std::mt19937_64 m_rng;
   // Connections of callers. Shared with the sessions, whose coroutine frames
   // may outlive the proxy.
--- a/src/node/call_metrics.cc
+++ b/src/node/call_metrics.cc
@@ -9,6 +9,14 @@
 constexpr double kLowestMs = 0.1;
 constexpr double kHighestMs = 30'000;
 
+// A value of a label, without the characters that would end it.
+std::string LabelText(std::string text) {
+  std::replace_if(
+      text.begin(), text.end(),
+      [](char c) { return c == '"' || c == '\\' || c == '\n'; }, '?');
+  return text;
+}
+
 }  // namespace
 
 CallMetrics::CallMetrics()
@@ -21,6 +29,34 @@
   m_latency_sum_ms += latency_ms;
 }
 
+void CallMetrics::OnQuota(const std::string& organisation, Quota outcome) {
+  auto found = m_quotas.find(organisation);
+  if (found == m_quotas.end() && m_quotas.size() < kMaxOrganisations) {
+    found = m_quotas.emplace(organisation, QuotaCounts{}).first;
+  }
+  QuotaCounts& counts =
+      found == m_quotas.end() ? m_other_quotas : found->second;
+  ++counts[static_cast<size_t>(outcome)];
+}
+
+std::string CallMetrics::QuotaText() const {
+  if (m_quotas.empty()) return "";
+  std::string text = "# TYPE kumquatmoor_quota_requests_total counter\n";
+  const auto add = [&](const std::string& organisation,
+                       const QuotaCounts& counts) {
+    const char* const outcomes[] = {"granted", "fallback", "denied"};
+    for (size_t i = 0; i < counts.size(); ++i) {
+      text += fmt::format(
+          "kumquatmoor_quota_requests_total{{organisation=\"{}\","
+          "outcome=\"{}\"}} {}\n",
+          LabelText(organisation), outcomes[i], counts[i]);
+    }
+  };
+  for (const auto& [name, counts] : m_quotas) add(name, counts);
+  if (m_quotas.size() >= kMaxOrganisations) add("", m_other_quotas);
+  return text;
+}
+
 std::string CallMetrics::ToPrometheus() const {
   std::string text = "# TYPE kumquatmoor_calls_total counter\n";
   for (auto verdict : {Verdict::kNotRun, Verdict::kMayHaveRun, Verdict::kRan}) {
@@ -42,18 +78,39 @@
         "kumquatmoor_denied_total{{status=\"{}\",origin=\"{}\"}} {}\n", status,
         origin == Origin::kNode ? "node" : "backend", count);
   }
+  if (!m_authentications.empty()) {
+    text += "# TYPE kumquatmoor_authentications_total counter\n";
+  }
+  for (const auto& [outcome, count] : m_authentications) {
+    text +=
+        fmt::format("kumquatmoor_authentications_total{{outcome=\"{}\"}} {}\n",
+                    AuthenticationName(outcome), count);
+  }
+  text += QuotaText();
+  text += "# TYPE kumquatmoor_hedges_total counter\n";
+  for (size_t verdict = 0; verdict < kHedgeVerdicts; ++verdict) {
+    text += fmt::format("kumquatmoor_hedges_total{{result=\"{}\"}} {}\n",
+                        HedgeVerdictName(static_cast<HedgeVerdict>(verdict)),
+                        m_hedges[verdict]);
+  }
   const auto counter = [&](const char* name, uint64_t value) {
     text += fmt::format("# TYPE {} counter\n{} {}\n", name, name, value);
   };
   counter("kumquatmoor_retries_total", m_retries);
+  counter("kumquatmoor_hedges_won_total", m_hedges_won);
   counter("kumquatmoor_refusals_total", m_refusals);
+  counter("kumquatmoor_evacuated_refusals_total", m_evacuated_refusals);
+  counter("kumquatmoor_cold_refusals_total", m_cold_refusals);
   counter("kumquatmoor_lost_outcomes_total", m_lost_outcomes);
   counter("kumquatmoor_backend_crashes_total", m_crashes);
   counter("kumquatmoor_blocked_requests_total", m_blocked);
   counter("kumquatmoor_link_refusals_total", m_link_refusals);
+  counter("kumquatmoor_shed_requests_total", m_shed);
+  counter("kumquatmoor_handed_back_requests_total", m_handed_back);
   counter("kumquatmoor_buffer_refusals_total", m_buffer_refusals);
   counter("kumquatmoor_link_wasted_bytes_total", m_wasted_bytes);
   counter("kumquatmoor_refused_behind_total", m_refused_behind);
+  counter("kumquatmoor_refused_unconfirmed_total", m_refused_unconfirmed);
   counter("kumquatmoor_decided_behind_total", m_decided_behind);
   text += fmt::format(
       "# TYPE kumquatmoor_decided_behind_max_ms gauge\n"
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -12,6 +12,8 @@
 #include "kumquatmoor/state/observed_clock.h"
 #include "kumquatmoor/state/routes.h"
 #include "kumquatmoor/state/store_revision.h"
+#include "node/boot_time.h"
+#include "node/health_probe.h"
 #include "node/unix_time.h"
 
 namespace kumquatmoor {
@@ -50,16 +52,21 @@
       m_socket(context, faults),
       m_timer(context),
       m_replica(m_options.replica, Clock::now()),
+      m_rng(m_options.replica.seed),
       m_ack_tree(AckTreeOptions{.id = m_options.replica.id}),
-      m_move_controller(MoveControllerOptions{
-          .id = m_options.replica.id, .zone = m_options.replica.zone}) {}
+      m_move_controller(MoveControllerOptions{.id = m_options.replica.id,
+                                              .zone = m_options.replica.zone}),
+      m_quotas(m_options.replica.id, BootTimePoint()) {}
 
 boost::system::error_code ControlLoop::Start() {
   m_started_at = Clock::now();
   const auto error =
       m_socket.Open(m_options.replica.control_address,
                     [this](std::string_view bytes) { OnBytes(bytes); });
-  if (!error) Tick();
+  if (!error) {
+    StartHealthProbe();
+    Tick();
+  }
   return error;
 }
 
@@ -87,6 +94,7 @@
 
 void ControlLoop::PublishCommandResults() {
   PublishNewBatch();
+  PublishConfirmation();
   PublishBehindSince();
   // The process may have been stopped while a command ran.
   const TimePoint now = Clock::now();
@@ -97,6 +105,7 @@
 
 void ControlLoop::Tick() {
   const TimePoint now = Clock::now();
+  m_confirmation.NoteRunning(BootClock::now());
   NotePause(now);
   m_last_tick = now;
   if (m_tick_due != TimePoint()) {
@@ -112,6 +121,8 @@
         "announcement\"");
     PublishBackends();
   }
+  UpdateCold(now);
+  CheckRemovedEvacuations(now);
   RestoreLeavingInstances();
   AwaitDepartures(now);
   if (m_ready) Send(m_replica.Tick(now));
@@ -131,6 +142,8 @@
   }
   if (auto peer = m_replica.PopSyncPeer()) m_syncs->TryPush(std::move(*peer));
   PublishRoutes();
+  UpdateQuotas();
+  PublishConfirmation();
   CheckGeneration();
   PublishBehindSince();
   ExtendDecisions(now);
@@ -151,28 +164,28 @@
     return;
   }
   const TimePoint now = Clock::now();
+  const BootTime arrived = BootClock::now();
+  m_confirmation.NoteRunning(arrived);
   NotePause(now);
   m_last_datagram_at = now;
+  if (datagram.kind() == Datagram::QUOTA) return OnQuotaDatagram(datagram, now);
   if (datagram.kind() == Datagram::EVIDENCE) {
     m_move_controller.OnOutcomeCounts(datagram.from(), datagram.incarnation(),
                                       datagram.evidence());
   } else if (datagram.kind() == Datagram::SUBTREE) {
     m_ack_tree.OnReport(datagram.from(), datagram.subtree(), now);
   }
-  Send(m_replica.OnDatagram(datagram, now));
+  if (!OnConfirmationProbe(datagram, arrived)) {
+    Send(m_replica.OnDatagram(datagram, now));
+    ReceiveConfirmation(datagram, arrived);
+  }
   PublishNewBatch();
+  PublishConfirmation();
   PublishBehindSince();
   ExtendDecisions(now);
   PublishCrashes();
 }
 
-void ControlLoop::Send(const std::vector<OutgoingDatagram>& out) {
-  for (const auto& outgoing : out) {
-    m_socket.Send(outgoing.address, outgoing.zone,
-                  outgoing.datagram.SerializeAsString());
-  }
-}
-
 Datagram ControlLoop::MakeDatagram(Datagram::Kind kind) const {
   Datagram datagram;
   datagram.set_kind(kind);
@@ -266,11 +279,12 @@
   if (complete_since && m_unread_since && *complete_since >= *m_unread_since) {
     m_unread_since.reset();
   }
-  const bool has_batch = update.batch && update.batch->revision() > 0;
+  const auto batch = NoteRead(update, complete_since.has_value());
+  const bool has_batch = batch && batch->revision() > 0;
   if (has_batch && complete_since) {
-    m_replica.OfferComplete(*update.batch, *complete_since);
+    m_replica.OfferComplete(*batch, *complete_since);
   } else if (has_batch) {
-    m_replica.Offer(*update.batch);
+    m_replica.Offer(*batch);
   } else if (complete_since) {
     m_replica.OnEmptyRead(*complete_since);
   }
@@ -289,25 +303,6 @@
           .outcomes = OutcomesOfMoves(m_replica)};
 }
 
-// Only the zone's first gateway removes entries of other members, and only
-// while it has joined and is not isolated.
-DirectoryPlan ControlLoop::PlanOwnDirectory() const {
-  const auto first =
-      SelectGateways(m_replica.Members(), m_options.replica.zone, 1);
-  const bool removes = m_ready && !IsIsolated() && !first.empty() &&
-                       first.front() == m_options.replica.id;
-  DirectoryPlan plan = PlanDirectory(m_directory, m_replica.Members(),
-                                     m_replica.Self(), removes);
-  if (!removes) return plan;
-  const int64_t oldest = UnixMs() - milliseconds(kDepartureRetention).count();
-  for (const auto& entry : m_departures) {
-    if (entry.zone == m_options.replica.zone && entry.written_ms < oldest) {
-      plan.remove_departures.push_back(DepartureKey(entry.member_id));
-    }
-  }
-  return plan;
-}
-
 void ControlLoop::StartDrain() {
   m_draining = true;
   m_accepts_callers = false;
@@ -320,7 +315,9 @@
 // Publishes a new batch at once. Other changes wait for the next tick, so that
 // a burst of them costs one snapshot of the routes.
 void ControlLoop::PublishNewBatch() {
-  if (m_replica.SharedBatch() != m_published_batch) PublishRoutes();
+  if (m_replica.SharedBatch() == m_published_batch) return;
+  PublishRoutes();
+  UpdateQuotas();
 }
 
 void ControlLoop::PublishBehindSince() {
@@ -354,28 +351,37 @@
 
 void ControlLoop::PublishRoutes() {
   if (!m_ready) return;
-  auto unreachable = m_replica.UnreachableZones(Clock::now());
+  const TimePoint now = Clock::now();
+  auto unreachable = m_replica.UnreachableZones(now);
   const uint64_t change = m_replica.ChangeCount();
-  const bool zones_changed = unreachable != m_published_unreachable;
+  const auto batch = m_replica.SharedBatch();
+  if (batch != m_published_batch) NoteBatchInForce(*batch, now);
+  const ZoneSet evacuated = m_evacuated.At(now);
+  const bool zones_changed =
+      unreachable != m_published_unreachable ||
+      (m_published != nullptr && evacuated != m_published->evacuated_zones);
   if (m_published != nullptr && change == m_published_change &&
       !zones_changed) {
     return;
   }
+  const bool was_evacuated =
+      m_published != nullptr &&
+      m_published->evacuated_zones.contains(m_options.replica.zone);
   const auto changed = m_replica.PopChangedServices();
   // An update of the routes takes a batch of the same revision for the same.
-  const auto batch = m_replica.SharedBatch();
   const bool is_replaced =
       batch != m_published_batch && batch->revision() == m_published_revision;
   if (m_published == nullptr || zones_changed || is_replaced) {
     m_published = BuildRoutes(m_replica.CurrentBatch(), m_replica.Marks(),
-                              m_replica.RoutableMembers(Clock::now()),
-                              m_options.replica.zone);
+                              m_replica.RoutableMembers(now),
+                              m_options.replica.zone, evacuated);
   } else {
-    m_published =
-        UpdateRoutes(*m_published, m_replica.CurrentBatch(), m_replica.Marks(),
-                     changed, [&](const std::string& service) {
-                       return m_replica.RoutableMembersOf(service, unreachable);
-                     });
+    m_published = UpdateRoutes(
+        *m_published, m_replica.CurrentBatch(), m_replica.Marks(), changed,
+        [&](const std::string& service) {
+          return m_replica.RoutableMembersOf(service, unreachable);
+        },
+        evacuated);
   }
   const uint64_t revision = m_published->revision;
   if (revision != m_published_revision) m_in_force_ms = UnixMs();
@@ -387,6 +393,9 @@
   m_published_change = change;
   m_published_unreachable = std::move(unreachable);
   m_proxy->SetRoutes(m_published);
+  const bool is_evacuated = evacuated.contains(m_options.replica.zone);
+  if (was_evacuated && !is_evacuated) m_registry.NoteAllColdUnknown(now);
+  UpdateCold(now);
 }
 
 }  // namespace kumquatmoor
--- a/src/node/local_runner.cc
+++ b/src/node/local_runner.cc
@@ -30,6 +30,11 @@
 constexpr std::string_view kIsolated =
     "another request that may crash the backend server runs";
 
+// Removes all fields of that name, if the deployment has such a header.
+void EraseHeader(const std::string& name, RequestHead* head) {
+  if (!name.empty()) head->erase(name);
+}
+
 milliseconds ElapsedSince(TimePoint start) {
   return std::chrono::duration_cast<milliseconds>(Clock::now() - start);
 }
@@ -60,6 +65,7 @@
                          std::shared_ptr<BufferBudget> budget)
     : m_context(context),
       m_headers(headers),
+      m_running(headers.call_id_separator),
       m_admission(options),
       m_pool(context),
       m_outcomes(outcomes),
@@ -99,8 +105,8 @@
   {
     std::unique_ptr<CallerWatch> watch;
     if (inbound.IsFullyBuffered()) {
-      inbound.Stream().expires_never();
-      watch = std::make_unique<CallerWatch>(inbound.Stream(), [waiter] {
+      inbound.StopTimer();
+      watch = std::make_unique<CallerWatch>(inbound.Peer(), [waiter] {
         waiter->caller_gone = true;
         waiter->timer.cancel();
       });
@@ -134,6 +140,13 @@
         headers::kNestedCall, headers::kMayHandBack}) {
     head->erase(name);
   }
+  if (m_removes_credentials) EraseHeader(m_headers.authorization, head);
+  // A call of a backend server may count for an organisation, but has no key.
+  EraseHeader(m_headers.organisation, head);
+  if (!m_headers.organisation.empty() && !call.organisation.empty() &&
+      !call.is_nested_call) {
+    head->set(m_headers.organisation, call.organisation);
+  }
   head->set(m_headers.request_id, call.request_id);
   head->set(m_headers.deadline_ms,
             std::to_string(call.RemainingMs(Clock::now())));
@@ -194,7 +207,7 @@
     co_await AwaitSlot(inbound, call, run);
   }
   if (!run.admission.admitted) {
-    m_metrics->OnRefusal();
+    CountRefusal(run.admission);
     run.result.verdict =
         run.admission.duplicate ? Verdict::kMayHaveRun : Verdict::kNotRun;
     run.result.reason = std::string(run.admission.reason);
@@ -223,12 +236,14 @@
                                 .instance = run.admission.instance,
                                 .address = run.admission.address,
                                 .key = call.key});
+    run.running = m_running.Begin(call);
     run.result = co_await Forward(m_pool, inbound, options);
     if (run.result.connection_lost &&
         !m_admission.IsLeaving(call.service, call.version)) {
       run.crashed = co_await m_crash_detector.HasCrashed(entry);
     }
   }
+  NoteLostBackend(call, run);
   if (!run.result.answered) co_return;
   ReadNotice(call, run);
   MeasureResponse(call, run);
@@ -242,6 +257,31 @@
   SetLinkWait(m_admission.LinkWait(), &run.result.head);
 }
 
+void LocalRunner::CountRefusal(const AdmissionResult& admission) {
+  m_metrics->OnRefusal();
+  if (admission.evacuated) m_metrics->OnEvacuatedRefusal();
+  if (admission.is_cold) m_metrics->OnColdRefusal();
+  if (admission.shed) m_metrics->OnShed();
+  if (admission.handed_back) m_metrics->OnHandedBack();
+}
+
+void LocalRunner::NoteLostBackend(const Call& call, const LocalRun& run) {
+  const TimePoint now = Clock::now();
+  const bool is_unreachable = !run.result.answered && !run.result.offered &&
+                              !run.result.caller_gone && now < call.deadline;
+  if (!is_unreachable && !run.crashed) return;
+  const LocalBackend* backend =
+      m_admission.FindBackend(call.service, call.version);
+  // Another process may have announced itself since.
+  if (backend == nullptr || backend->instance != run.admission.instance) return;
+  if (!m_admission.NoteColdUnknown(call.service, call.version, now)) return;
+  spdlog::warn("admit: event=cold instance={} reason=\"{}\"",
+               run.admission.instance,
+               run.crashed ? "crashed" : run.result.reason);
+  if (m_on_cold_unknown) m_on_cold_unknown(*backend, now);
+  WakeWaiting();
+}
+
 void LocalRunner::MeasureResponse(const Call& call, LocalRun& run) {
   const auto size = BodyBytes(run.result);
   if (!size) return;
@@ -250,9 +290,19 @@
   if (success) m_admission.OnResponse(call.route, *size);
 }
 
+void LocalRunner::ReadServerLoad(const Call& call, const LocalRun& run) {
+  if (m_headers.server_load.empty()) return;
+  const auto text = run.result.head[m_headers.server_load];
+  const auto load = ParseServerLoad({text.data(), text.size()});
+  if (!load) return;
+  m_admission.OnServerLoad(call.service, call.version, run.admission.instance,
+                           *load, Clock::now());
+}
+
 void LocalRunner::ReadNotice(const Call& call, LocalRun& run) {
   const BackendNotice notice = NoticeOf(run.result.head, m_headers);
   const std::string& instance = run.admission.instance;
+  ReadServerLoad(call, run);
   if (notice != BackendNotice()) {
     run.result.head.set(headers::kInstance, instance);
   }
@@ -276,12 +326,15 @@
   run.finished = true;
   const bool ran = run.result.answered && run.result.verdict == Verdict::kRan;
   std::optional<milliseconds> run_time;
-  if (ran && complete) run_time = ElapsedSince(run.started);
+  if (ran && complete) {
+    run_time = ElapsedSince(run.started) * 100 / run.admission.run_time_percent;
+  }
   m_admission.Release(call.ForAdmission(),
                       run.result.verdict != Verdict::kNotRun,
-                      run.admission.run_time, run_time);
+                      run.admission.usual_run_time, run_time);
   if (!run.result.caller_gone) ReportOutcome(call, run, complete);
   run.isolation.reset();
+  run.running.reset();
   // A 504 may say that the deadline ended the run before it could do harm.
   const bool responded =
       ran && complete && run.result.head.result_int() != kGatewayTimeout;
--- a/src/node/local_runner.h
+++ b/src/node/local_runner.h
@@ -21,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -34,6 +35,7 @@
 #include "kumquatmoor/transport/upstream_pool.h"
 #include "node/call.h"
 #include "node/crash_detector.h"
+#include "node/running_requests.h"
 
 namespace kumquatmoor {
 
@@ -48,6 +50,7 @@
   // Held while a request runs apart from others that may crash the backend
   // server.
   std::shared_ptr<void> isolation;
+  RunningRequests::Entry running;  // Held while the backend server runs it.
 };
 
 // The value of the load header: requests in flight and slots, as "3/10".
@@ -81,6 +84,16 @@
   // True if a backend server of this host makes the call with this id while it
   // runs a retry.
   bool IsCallOfRetry(const std::string& request_id) const;
+  // The request during which a backend server of this host makes the call with
+  // this id. Returns nullptr if it is no such call.
+  const Call* FindParent(std::string_view request_id) const {
+    return m_running.FindParent(request_id);
+  }
+
+  // The requests that the backend servers of this host run.
+  const RunningRequests& Running() const { return m_running; }
+  // If set, no credentials are passed to backend servers.
+  void SetRemovesCredentials(bool removes) { m_removes_credentials = removes; }
 
   // Calls `handler` when a backend server says that it leaves.
   void SetLeavingHandler(std::function<void(const LocalBackend&)> handler) {
@@ -96,6 +109,13 @@
   void SetCrashHandlers(std::function<void(const BackendCrash&)> on_crash,
                         std::function<void(const Call&)> on_response);
 
+  // Calls `handler` when a backend server of this host counts as cold because
+  // it cannot be reached or has crashed.
+  void SetColdUnknownHandler(
+      std::function<void(const LocalBackend&, TimePoint)> handler) {
+    m_on_cold_unknown = std::move(handler);
+  }
+
   // Aborts every request that waits or runs, at the end of the drain timeout.
   void AbortAll();
 
@@ -123,18 +143,26 @@
   bool IsBlocked(const Call& call, LocalRun& run);
   // Records the size of a successful response.
   void MeasureResponse(const Call& call, LocalRun& run);
+  void ReadServerLoad(const Call& call, const LocalRun& run);
   // Records what the backend server says of itself in its response.
   void ReadNotice(const Call& call, LocalRun& run);
+  // Treats the backend server as cold if it cannot be reached or has crashed.
+  void NoteLostBackend(const Call& call, const LocalRun& run);
+  // Counts a refusal by Admission.
+  void CountRefusal(const AdmissionResult& admission);
   void ReportOutcome(const Call& call, const LocalRun& run, bool complete);
 
   boost::asio::io_context& m_context;
   const CallHeaders& m_headers;
+  RunningRequests m_running;
+  bool m_removes_credentials = false;
   Admission m_admission;
   UpstreamPool m_pool;
   BoundedRing<Outcome>* m_outcomes;
   CallMetrics* m_metrics;
   std::shared_ptr<BufferBudget> m_budget;
   std::function<void(const LocalBackend&)> m_on_leaving;
+  std::function<void(const LocalBackend&, TimePoint)> m_on_cold_unknown;
   CrashDetector m_crash_detector;
   std::shared_ptr<const CrashSuspects> m_crashes =
       std::make_shared<const CrashSuspects>();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -67,14 +67,17 @@
                                              settings.retry_ratio}},
           .caller_grace = settings.caller_grace,
           .drain_timeout = settings.drain_timeout,
+          .key_revocation = settings.key_revocation,
           .reply_timeout = settings.reply_timeout,
           .link_rate = settings.link_mbps * kBytesPerSecondPerMbps,
           .callers_use_link = settings.callers_use_link,
+          .hedge_percent = settings.hedge_percent,
           .buffer_bytes = BufferBytes(settings),
           .seed = RandomSeed()};
 }
 
-ControlLoopOptions MakeLoopOptions(const NodeSettings& settings) {
+ControlLoopOptions MakeLoopOptions(const NodeSettings& settings,
+                                   const CallHeaders& headers) {
   ControlLoopOptions options;
   options.replica.id = settings.id;
   options.replica.zone = settings.zone;
@@ -83,7 +86,9 @@
   options.replica.started_ms = UnixMs();
   options.replica.seed = RandomSeed();
   options.replica.probe_interval = settings.probe_interval;
+  options.key_revocation = settings.key_revocation;
   options.gateways_per_zone = static_cast<size_t>(settings.gateways_per_zone);
+  options.cold_header = headers.cold_ms;
   return options;
 }
 
@@ -121,8 +126,8 @@
       m_syncs(kSyncRingCapacity),
       m_proxy(m_proxy_context, MakeProxyOptions(m_settings, m_options.headers),
               &m_faults, &m_outcomes),
-      m_loop(m_control_context, MakeLoopOptions(m_settings), &m_faults,
-             &m_proxy, &m_outcomes, &m_syncs),
+      m_loop(m_control_context, MakeLoopOptions(m_settings, m_options.headers),
+             &m_faults, &m_proxy, &m_outcomes, &m_syncs),
       m_client(&m_faults),
       m_service(&m_loop, &m_client),
       m_sync_worker(MakeSyncOptions(m_settings), &m_loop, &m_client, &m_syncs),
@@ -143,6 +148,19 @@
     m_loop.Post(
         [backend](ControlLoop& loop) { loop.OnBackendLeaving(backend); });
   });
+  // Nothing repeats it: the backend server would stay cold for its node.
+  m_proxy.SetColdUnknownHandler([this](const LocalBackend& backend,
+                                       TimePoint at) {
+    m_loop.PostUnbounded([address = backend.address, at](ControlLoop& loop) {
+      loop.OnColdUnknown(address, at);
+    });
+  });
+  m_proxy.SetQuotaHandler(
+      [this](std::vector<QuotaRequest> requests, TimePoint sent) {
+        m_loop.Post([requests = std::move(requests), sent](ControlLoop& loop) {
+          loop.AskForQuota(requests, sent);
+        });
+      });
   m_loop.SetGenerationHandler([this] { m_departures.WriteAgain(); });
   m_proxy.SetCrashHandlers(
       [this](const BackendCrash& crash) {
--- a/src/node/proxy.cc
+++ b/src/node/proxy.cc
@@ -1,6 +1,6 @@
-// This file has the sessions and the functions that other threads call. How a
-// request is routed and retried is in proxy_calls.cc, the drain in
-// proxy_drain.cc.
+// This file has the sessions of other nodes and the functions that other
+// threads call. The sessions of callers are in caller_session.cc, how a request
+// is routed and retried is in proxy_calls.cc, the drain in proxy_drain.cc.
 
 #include "kumquatmoor/node/proxy.h"
 
@@ -14,8 +14,8 @@
 #include <limits>
 #include <utility>
 
-#include "node/caller_connection.h"
 #include "node/local_runner.h"
+#include "node/quota_gate.h"
 
 namespace kumquatmoor {
 namespace {
@@ -94,6 +94,7 @@
       m_runner(std::make_unique<LocalRunner>(context, m_options.headers,
                                              m_options.admission, outcomes,
                                              &m_metrics, m_budget)),
+      m_quotas(std::make_unique<QuotaGate>(context, m_options.seed)),
       m_rng(m_options.seed) {}
 
 Proxy::~Proxy() = default;
@@ -106,12 +107,17 @@
 }
 
 void Proxy::SetRoutes(std::shared_ptr<const RouteTable> routes) {
-  asio::post(m_context, [this, routes = std::move(routes)]() mutable {
+  // An announcement after this call counts as later than the end of an
+  // evacuation, however late the proxy's thread runs.
+  asio::post(m_context, [this, routes = std::move(routes),
+                         now = Clock::now()]() mutable {
     if (m_routes == nullptr || m_routes->revision != routes->revision) {
       m_revision_since = Clock::now();
     }
     m_routes = std::move(routes);
-    m_runner->GetAdmission().SetRoutes(*m_routes);
+    m_runner->GetAdmission().SetRoutes(*m_routes, now);
+    m_runner->SetRemovesCredentials(RequiresKeys());
+    m_runner->WakeWaiting();
     if (m_routes->http_routes != nullptr) {
       m_bounds = ToCallerBounds(m_routes->http_routes->Limits());
     }
@@ -137,6 +143,11 @@
   m_runner->SetLeavingHandler(std::move(handler));
 }
 
+void Proxy::SetColdUnknownHandler(
+    std::function<void(const LocalBackend&, TimePoint)> handler) {
+  m_runner->SetColdUnknownHandler(std::move(handler));
+}
+
 void Proxy::SetCrashes(std::shared_ptr<const CrashSuspects> crashes) {
   asio::post(m_context, [this, crashes = std::move(crashes)]() mutable {
     m_crashes = crashes;
@@ -227,44 +238,6 @@
   }
 }
 
-asio::awaitable<void> Proxy::CallerSession(asio::ip::tcp::socket socket) {
-  CallerConnection caller{.stream = beast::tcp_stream(std::move(socket))};
-  const auto unregister = [callers = m_callers](CallerConnection* gone) {
-    callers->erase(gone);
-  };
-  const std::unique_ptr<CallerConnection, decltype(unregister)> registration(
-      &caller, unregister);
-  m_callers->insert(&caller);
-  beast::flat_buffer buffer;
-  bool keep_open = true;
-  while (keep_open) {
-    InboundRequest inbound(caller.stream, buffer, m_bounds, m_budget);
-    caller.idle_since = Clock::now();
-    caller.inbound = &inbound;
-    const ReadOutcome read =
-        co_await inbound.ReadHead([this, &caller, &inbound] {
-          caller.idle_since.reset();
-          inbound.SetBounds(m_bounds);
-        });
-    if (read == ReadOutcome::kClosed) break;
-    if (read == ReadOutcome::kRejected) {
-      Rejection rejection;
-      rejection.status = inbound.RejectionStatus();
-      rejection.reason =
-          "the request is not accepted: " + inbound.RejectionReason();
-      co_await Reject(inbound, std::move(rejection));
-      co_await CloseAfterReply(caller.stream);
-      break;
-    }
-    try {
-      keep_open = co_await ServeCaller(inbound);
-    } catch (const std::exception& error) {
-      spdlog::info("route: event=caller_lost reason=\"{}\"", error.what());
-      keep_open = false;
-    }
-  }
-}
-
 asio::awaitable<void> Proxy::DataSession(asio::ip::tcp::socket socket) {
   beast::tcp_stream stream(std::move(socket));
   beast::flat_buffer buffer;
--- a/src/node/proxy_calls.cc
+++ b/src/node/proxy_calls.cc
@@ -15,6 +15,7 @@
 #include <optional>
 #include <utility>
 
+#include "kumquatmoor/coordination/quota_client.h"
 #include "kumquatmoor/node/proxy.h"
 #include "kumquatmoor/protocol/backend_notice.h"
 #include "kumquatmoor/protocol/headers.h"
@@ -90,6 +91,7 @@
   if (m_runner->IsCallOfRetry(call->request_id)) {
     call->attempt_kind = AttemptKind::kCallOfRetry;
   }
+  const Call* parent = m_runner->FindParent(call->request_id);
   const RequestHead& head = inbound.Head();
   const std::string_view method = Text(head.method_string());
   if (!HasConfiguration()) {
@@ -102,7 +104,12 @@
     const HttpRoute* route =
         index->Find(Text(head[http::field::host]), Text(head.target()));
     if (route == nullptr) return Rejection{404, "no route"};
+    if (auto refusal = Authenticate(inbound, *route, call)) return refusal;
     ApplyRoute(*route, call);
+    // A key is that of a caller, whatever the id of its request looks like.
+    if (parent != nullptr && call->key_hash.empty()) {
+      InheritFromParent(*parent, call);
+    }
     call->key = KeyOf(inbound, *call);
     return std::nullopt;
   }
@@ -116,6 +123,7 @@
   if (call->request_id.empty()) call->request_id = NewRequestId();
   call->route = RouteOf(method, path);
   call->idempotent = IsIdempotent(method);
+  if (parent != nullptr) InheritFromParent(*parent, call);
   call->key = KeyOf(inbound, *call);
   return std::nullopt;
 }
@@ -185,10 +193,18 @@
   if (rejection) {
     co_return co_await Reject(inbound, std::move(*rejection));
   }
+  // The route may have changed since the request was read.
+  if (!call.idempotent && !co_await inbound.AwaitTurn()) co_return false;
   if (m_behind_since) m_metrics.OnDecidedBehind(Clock::now() - *m_behind_since);
+  std::optional<TimePoint> token;
+  if (const auto denied = co_await TakeQuotaToken(call, &token)) {
+    co_return co_await RefuseByQuota(inbound, call, *denied);
+  }
   Attempt attempt;
   attempt.call = call;
   co_await TryTargets(inbound, call, attempt);
+  ReturnUnusedToken(call, token, attempt.result.verdict);
+  if (call.is_nested_call) ReportNestedCall(call, attempt);
   if (attempt.result.caller_gone) co_return false;
   const ForwardResult& result = attempt.result;
   if (result.answered && result.verdict != Verdict::kNotRun &&
@@ -202,13 +218,14 @@
                                         const Call& call, Attempt& attempt) {
   std::set<std::string> tried;
   std::optional<Attempt> arrived;  // The last one that may have arrived.
-  while (true) {
+  HandBacks hand_backs;
+  while (tried.empty() || MayUseKey(call)) {
     // `pick` points into the routing table, which must stay alive during the
     // attempt.
     const std::shared_ptr<const RouteTable> routes = m_routes;
     AttemptKind kind = call.attempt_kind;
     if (arrived || attempt.MayHaveArrived()) kind = AttemptKind::kRetry;
-    const Pick pick = PickFor(call, kind, tried);
+    const Pick pick = PickOrReturn(call, kind, tried, &hand_backs);
     if (pick.target == nullptr) {
       if (tried.empty()) {
         attempt.result.reason = std::string(pick.reason);
@@ -218,18 +235,22 @@
       break;
     }
     tried.insert(pick.target->member_id);
+    const bool may_hand_back = MayHandBack(inbound, call, hand_backs);
     Attempt next = attempt.Next();
     if (attempt.MayHaveArrived()) arrived = std::move(attempt);
     attempt = std::move(next);
     attempt.call.version = pick.target->version;
     attempt.call.known_crashes = attempt.crashes;
     attempt.call.attempt_kind = kind;
+    attempt.call.may_hand_back = may_hand_back;
     attempt.call.deadline = std::min(call.deadline, m_drain_end);
-    co_await TryTarget(inbound, pick, attempt);
-    RecordAttempt(pick, attempt);
+    co_await TryHedged(inbound, pick, &tried, attempt);
     if (attempt.MayHaveArrived()) ++attempt.offers;
     if (attempt.crashed) ++attempt.crashes;
     if (attempt.result.caller_gone) co_return;
+    if (attempt.handed_back) {
+      hand_backs.Add(pick.target->member_id, *attempt.handed_back);
+    }
     if (!ShouldRetry(inbound, attempt)) break;
     m_metrics.OnRetry();
   }
@@ -248,6 +269,7 @@
   const bool failed =
       !result.answered || result.head.result_int() >= 500 || refused;
   if (!failed || inbound.streamed || attempt.blocked) return false;
+  if (attempt.shed) return false;
   // One crash may have had another cause.
   const CrashStanding standing =
       m_crashes->StandingOf(call.key, call.service, call.version);
--- a/src/transport/exchange.cc
+++ b/src/transport/exchange.cc
@@ -102,10 +102,10 @@
   if (has_body) request.content_length(request.body().size());
   const size_t size = request.body().size();
   http::request_serializer<http::string_body> serializer(request);
-  co_return co_await WritePaced(
-      connection.stream, serializer,
-      {.body_bytes = size, .body_left = size, .deadline = options.deadline},
-      options.pacer);
+  const PacedMessage message{
+      .body_bytes = size, .body_left = size, .deadline = options.deadline};
+  co_return co_await WritePaced(connection.stream, serializer, message,
+                                options.pacer);
 }
 
 // Sends the buffered part of the body, then the rest as the caller sends it.
@@ -250,6 +250,28 @@
   std::shared_ptr<ActiveStreams> m_streams;
 };
 
+// Lets the owner of a cancellation close the stream during its lifetime.
+class CancellableStream {
+ public:
+  CancellableStream(std::shared_ptr<ForwardCancellation> cancellation,
+                    beast::tcp_stream* stream)
+      : m_cancellation(std::move(cancellation)) {
+    if (m_cancellation != nullptr) m_cancellation->SetStream(stream);
+  }
+  CancellableStream(const CancellableStream&) = delete;
+  CancellableStream& operator=(const CancellableStream&) = delete;
+  ~CancellableStream() {
+    if (m_cancellation != nullptr) m_cancellation->SetStream(nullptr);
+  }
+
+  bool IsCancelled() const {
+    return m_cancellation != nullptr && m_cancellation->IsCancelled();
+  }
+
+ private:
+  std::shared_ptr<ForwardCancellation> m_cancellation;
+};
+
 // Why a response is not one that the peer may send. Empty if there is nothing.
 std::string_view Violation(const ResponseHead& response,
                            const ForwardOptions& options) {
@@ -274,8 +296,11 @@
   Error error;
   result.connection =
       pool.TakeIdle(options.address, options.max_idle_age, request_id);
-  if (result.connection == nullptr) {
-    result.connection = pool.MakeNew(options.address);
+  const bool is_new = result.connection == nullptr;
+  if (is_new) result.connection = pool.MakeNew(options.address);
+  const CancellableStream cancellable(options.cancellation,
+                                      &result.connection->stream);
+  if (is_new) {
     error = co_await Connect(*result.connection, options);
     if (error) {
       SetFailure(&result, Verdict::kNotRun, "cannot connect", error);
@@ -286,16 +311,16 @@
   const ActiveStreamEntry active(&stream, options.active);
   const auto close_upstream = [&stream] { stream.close(); };
   std::unique_ptr<CallerWatch> watch;
-  if (inbound.IsFullyBuffered()) {
-    inbound.Stream().expires_never();
-    watch = std::make_unique<CallerWatch>(inbound.Stream(), close_upstream);
+  if (inbound.IsFullyBuffered() && options.cancellation == nullptr) {
+    inbound.StopTimer();
+    watch = std::make_unique<CallerWatch>(inbound.Peer(), close_upstream);
   }
   stream.expires_at(options.deadline);
   if (!co_await ApplyFaults(options, options.deadline)) {
     error = beast::error::timeout;
   }
   // A request may have waited in the socket, or for the connection.
-  if (!error && inbound.CallerHasLeft()) {
+  if (!error && (inbound.CallerHasLeft() || cancellable.IsCancelled())) {
     watch.reset();
     pool.ReturnIdle(std::move(result.connection));
     SetFailure(&result, Verdict::kNotRun, "the caller went away", error);
@@ -309,8 +334,8 @@
   if (!error) {
     if (!inbound.IsFullyBuffered()) {
       // The body has been read, so that the watch cannot coincide with a read.
-      inbound.Stream().expires_never();
-      watch = std::make_unique<CallerWatch>(inbound.Stream(), close_upstream);
+      inbound.StopTimer();
+      watch = std::make_unique<CallerWatch>(inbound.Peer(), close_upstream);
     }
     if (!co_await ApplyFaults(options, options.deadline)) {
       error = beast::error::timeout;
@@ -321,6 +346,7 @@
                                           is_head_request);
   }
   if (watch != nullptr && watch->CallerGone()) result.caller_gone = true;
+  if (cancellable.IsCancelled()) result.caller_gone = true;
   watch.reset();
   if (error || result.caller_gone) {
     SetFailure(&result, Verdict::kMayHaveRun, "no whole answer", error);
