--- a/src/node/control_loop_confirmation.cc
+++ b/src/node/control_loop_confirmation.cc
@@ -114,4 +114,23 @@
   }
 }
 
+void ControlLoop::SetPlatformReachable(bool reachable) {
+  const TimePoint now = Clock::now();
+  if (!reachable) {
+    m_platform_retry_at = now + m_options.platform_retry_delay;
+    m_replica.PostponeCompleteRead(now);
+  }
+  m_replica.SetPlatformUnavailable(!reachable, now);
+  // Sends the failure at once, so that the zone's next gateway takes over
+  // without waiting for the next tick.
+  if (!reachable && m_ready) Send(m_replica.Tick(now));
+}
+
+// A node that is not a gateway makes no calls to the platform and cannot detect
+// that they would succeed again. The record of a failed call therefore expires.
+void ControlLoop::ClearPlatformFailure(TimePoint now) {
+  if (now < m_platform_retry_at) return;
+  m_replica.SetPlatformUnavailable(false, now);
+}
+
 }  // namespace kumquatmoor
--- a/src/node/proxy_hedge.cc
+++ b/src/node/proxy_hedge.cc
@@ -137,7 +137,8 @@
   const Target* target = second->pick.target;
   // A node that has learned of a newer configuration, or drains, sends no more.
   const bool may_send = target != nullptr && !RefuseWhileBehind() &&
-                        EndsInGrace(call) && !m_crashes->Contains(call.key);
+                        MayUseKey(call) && EndsInGrace(call) &&
+                        !m_crashes->Contains(call.key);
   HedgeVerdict verdict = HedgeVerdict::kNotRepeatable;
   if (may_send) {
     verdict = m_hedges.Decide({.idempotent = call.idempotent,
