--- a/include/kumquatmoor/state/slot_queue.h
+++ b/include/kumquatmoor/state/slot_queue.h
@@ -18,9 +18,10 @@
 // margin for varying run times. Requests are served in this order:
 // 1. Requests that are not late. Under overload, plain earliest deadline first
 //    (EDF) would serve each request just after its objective.
-// 2. Nested calls, which backend servers make while they run other requests:
-//    their callers hold slots elsewhere meanwhile.
-// 3. More urgent priorities: of the organisation, then of the route.
+// 2. More urgent priorities: of the organisation, then of the route. A nested
+//    call, which a backend server makes while it runs another request, has that
+//    of its parent if it is more urgent.
+// 3. Nested calls: their parents hold slots elsewhere meanwhile.
 // 4. Organisations that have received less (start-time fair queueing).
 // 5. Shorter expected run times (SJF), by powers of 2.
 // 6. Earlier latest start that meets the objective (EDF).
--- a/src/state/contention_test.cc
+++ b/src/state/contention_test.cc
@@ -134,6 +134,8 @@
                                .deadline_ms = 1'200,
                                .request = {.priority = 1}})};
     const std::vector<Served> plain = Simulate(kinds);
+    // The priority of a parent that is as urgent as the others.
+    kinds[0].request.priority = 1;
     kinds[0].request.is_nested_call = true;
     const std::vector<Served> nested = Simulate(kinds);
     INFO("load " << load << ", calls " << nested[0].CompleteShare()
@@ -147,6 +149,24 @@
   }
 }
 
+// Guards against the calls of less urgent requests taking the slots of more
+// urgent ones at the service that they call.
+TEST_CASE("Calls of less urgent requests leave room for more urgent ones") {
+  const std::vector<Kind> kinds = {
+      WithLoad(0.6, {.run_ms = 36,
+                     .objective_ms = 300,
+                     .deadline_ms = 600,
+                     .request = {.priority = 2, .is_nested_call = true}}),
+      WithLoad(0.7, {.run_ms = 150,
+                     .objective_ms = 500,
+                     .deadline_ms = 1'200,
+                     .request = {.priority = 1}})};
+  const std::vector<Served> served = Simulate(kinds);
+  INFO("calls " << served[0].CompleteShare() << ", more urgent "
+                << served[1].InTimeShare());
+  CHECK(served[1].InTimeShare() > 0.95);
+}
+
 // Guards against late calls being refused like other late requests, which are
 // worth less than the slot of a caller.
 TEST_CASE("A late nested call waits until its deadline, ahead of late ones") {
--- a/src/state/slot_queue.cc
+++ b/src/state/slot_queue.cc
@@ -55,8 +55,8 @@
     lateness =
         request.is_nested_call ? Lateness::kLateNestedCall : Lateness::kLate;
   }
-  return std::make_tuple(lateness, !request.is_nested_call,
-                         request.organisation_priority, request.priority);
+  return std::make_tuple(lateness, request.organisation_priority,
+                         request.priority, !request.is_nested_call);
 }
 
 // The order of requests of the same class and organisation.
