--- a/src/node/hedge_test.cc
+++ b/src/node/hedge_test.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
+#include <cstddef>
 #include <map>
 #include <string>
 
@@ -62,7 +63,7 @@
   }
 
   // Requests that arrived with this id.
-  long ArrivalsOf(const std::string& id) const {
+  std::ptrdiff_t ArrivalsOf(const std::string& id) const {
     return std::count_if(mesh.Arrivals().begin(), mesh.Arrivals().end(),
                          [&](const auto& arrival) { return arrival.id == id; });
   }
--- a/src/node/nested_calls_test.cc
+++ b/src/node/nested_calls_test.cc
@@ -52,7 +52,9 @@
     m_mesh.NodeOf(0).ReadMetrics(
         [&](const CallMetrics& metrics) { text = metrics.ToPrometheus(); });
     m_mesh.Run([&]() -> asio::awaitable<void> {
-      while (text.empty()) co_await Sleep(milliseconds(1));
+      while (text.empty()) {
+        co_await Sleep(milliseconds(1));
+      }
     });
     const std::string name = "\nkumquatmoor_shed_requests_total ";
     return std::stoull(text.substr(text.find(name) + name.size()));
@@ -100,7 +102,7 @@
     count->succeeded += succeeded;
     co_return succeeded;
   }
-  void Send(std::string target, milliseconds interval, TimePoint end,
+  void Send(const std::string& target, milliseconds interval, TimePoint end,
             Count* count) {
     asio::co_spawn(
         m_mesh.Context(),
--- a/src/state/evacuation_test.cc
+++ b/src/state/evacuation_test.cc
@@ -93,7 +93,9 @@
   };
   const auto before = BuildRoutes(BatchOf(1, {}), {}, members, "b");
   CHECK(zones_of(*before, "s") == ZoneSet{"a", "b"});
-  const auto members_of = [&](const std::string&) { return members; };
+  const auto members_of = [&](const std::string&) -> std::vector<MemberRecord> {
+    return {members.begin(), members.end()};
+  };
   const auto during =
       UpdateRoutes(*before, BatchOf(2, {"a"}), {}, {"s"}, members_of);
   CHECK(zones_of(*during, "s") == ZoneSet{"b"});
